--- /dev/null
+++ b/src/berylmast/__init__.py
@@ -0,0 +1,1 @@
+"""Load balancer daemons for servers whose load shifts in milliseconds."""
--- /dev/null
+++ b/src/berylmast/bin/__init__.py
@@ -0,0 +1,1 @@
+"""Entry points of the binaries."""
--- /dev/null
+++ b/src/berylmast/daemons/__init__.py
@@ -0,0 +1,18 @@
+"""Streams between daemons: frames, exchanges with flow control, connections."""
+
+from .connection import Accept, ConnectionLost, Identity, PeerConnection
+from .exchange import Exchange, ExchangeLost, connect_exchanges
+from .listener import PeerListener
+from .pool import PeerPool
+
+__all__ = [
+    "Accept",
+    "ConnectionLost",
+    "Exchange",
+    "ExchangeLost",
+    "Identity",
+    "PeerConnection",
+    "PeerListener",
+    "PeerPool",
+    "connect_exchanges",
+]
--- /dev/null
+++ b/src/berylmast/daemons/codec.py
@@ -0,0 +1,112 @@
+"""Frames to msgpack arrays and back.
+
+A frame is the array ``[tag, field, ...]``; nested dataclasses are arrays of fields.
+Decoding validates every field, since a peer may run another version or be damaged.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import fields, is_dataclass
+from operator import attrgetter
+from typing import Any, get_args
+
+import msgpack
+from pydantic import TypeAdapter, ValidationError
+from pydantic_core import ArgsKwargs
+
+from ..model import AttemptId, LoadReport, RequestHead
+from .frames import Frame
+
+MAX_FRAME_BYTES = 256 * 1024
+"""A larger frame is a protocol error; a body frame carries at most 16 KiB."""
+
+_NESTED = (AttemptId, LoadReport, RequestHead)
+# Tags are positions in the Frame union: new frame types are appended there.
+_FRAME_TYPES: tuple[type[Any], ...] = get_args(Frame)
+_TAGS = {cls: tag for tag, cls in enumerate(_FRAME_TYPES)}
+
+
+class ProtocolError(Exception):
+    """A peer sent bytes that are not a valid frame."""
+
+
+def _make_getter(cls: type[Any]) -> Callable[[Any], tuple[Any, ...]]:
+    names = [field.name for field in fields(cls)]
+    if len(names) == 1:
+        name = names[0]
+        return lambda obj: (getattr(obj, name),)
+    return attrgetter(*names)
+
+
+_GETTERS = {cls: _make_getter(cls) for cls in (*_FRAME_TYPES, *_NESTED)}
+
+
+def _flatten(obj: object) -> tuple[Any, ...]:
+    return _GETTERS[type(obj)](obj)
+
+
+def encode_frame(frame: Frame) -> bytes:
+    """Return the bytes of one frame."""
+    items = (_TAGS[type(frame)], *_flatten(frame))
+    data: bytes = msgpack.packb(items, default=_flatten)
+    return data
+
+
+def _find_nested(cls: type[Any]) -> list[tuple[int, type[Any]]]:
+    return [
+        (index, field.type)
+        for index, field in enumerate(fields(cls))
+        if isinstance(field.type, type) and is_dataclass(field.type)
+    ]
+
+
+_POSITIONS = {cls: _find_nested(cls) for cls in (*_FRAME_TYPES, *_NESTED)}
+_ADAPTERS = [TypeAdapter(cls) for cls in _FRAME_TYPES]
+
+
+def _wrap(cls: type[Any], items: list[Any]) -> ArgsKwargs:
+    for index, nested in _POSITIONS[cls]:
+        if index < len(items) and isinstance(items[index], list):
+            items[index] = _wrap(nested, items[index])
+    return ArgsKwargs(tuple(items))
+
+
+def decode_frame(items: object) -> Frame:
+    """Return the frame of one unpacked array.
+
+    Raises ProtocolError if the array is not a frame.
+    """
+    if not isinstance(items, list) or not items:
+        raise ProtocolError("a frame must be a non-empty array")
+    tag = items[0]
+    if not isinstance(tag, int) or not 0 <= tag < len(_FRAME_TYPES):
+        raise ProtocolError(f"unknown frame tag {tag!r}")
+    cls = _FRAME_TYPES[tag]
+    try:
+        frame: Frame = _ADAPTERS[tag].validate_python(_wrap(cls, items[1:]))
+    except ValidationError as exc:
+        fault = exc.errors()[0]
+        raise ProtocolError(
+            f"bad {cls.__name__} frame: {fault['loc']}: {fault['msg']}"
+        ) from exc
+    return frame
+
+
+class FrameReader:
+    """Cuts a byte stream into frames, within a bounded buffer."""
+
+    def __init__(self) -> None:
+        self._unpacker = msgpack.Unpacker(
+            raw=False, max_buffer_size=2 * MAX_FRAME_BYTES, use_list=True
+        )
+
+    def feed(self, data: bytes) -> Iterator[Frame]:
+        """Yield the frames that these bytes complete.
+
+        Raises ProtocolError if the stream is damaged.
+        """
+        try:
+            self._unpacker.feed(data)
+            for items in self._unpacker:
+                yield decode_frame(items)
+        except (ValueError, msgpack.UnpackException) as exc:
+            raise ProtocolError(f"damaged msgpack stream: {exc}") from exc
--- /dev/null
+++ b/src/berylmast/daemons/connection.py
@@ -0,0 +1,251 @@
+"""One peer connection: a reader, a writer and a heartbeat task."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import ByteStream
+
+from ._lanes import SendLanes
+from .codec import FrameReader, ProtocolError, encode_frame
+from .exchange import Exchange, WindowExceeded
+from .frames import (
+    CONNECTION,
+    OPENING_FRAMES,
+    End,
+    Fail,
+    Frame,
+    GoAway,
+    Hello,
+    Load,
+    OpeningFrame,
+    Ping,
+    Pong,
+    Refuse,
+    Reset,
+)
+
+PROTOCOL_VERSION = 1
+HELLO_TIMEOUT_S = 1.0
+HEARTBEAT_INTERVAL_S = 0.5
+SILENCE_LIMIT_S = 3 * HEARTBEAT_INTERVAL_S
+_WRITE_BATCH_BYTES = 64 * 1024
+_READ_BYTES = 64 * 1024
+
+Accept = Callable[[Exchange, OpeningFrame], Awaitable[None]]
+"""Serves one exchange that the peer opened."""
+
+
+class ConnectionLost(Exception):
+    """The peer connection has ended or could not be established."""
+
+
+@dataclass(frozen=True, slots=True)
+class Identity:
+    """Who a daemon is: its name and the incarnation of this process."""
+
+    daemon: str
+    incarnation: int
+
+
+class PeerConnection:
+    """Carries the exchanges of two daemons over one byte stream.
+
+    Heartbeats run only while exchanges are open: an idle connection costs no control
+    traffic, and a request on a dead one is noticed within SILENCE_LIMIT_S.
+    """
+
+    def __init__(
+        self,
+        stream: ByteStream,
+        identity: Identity,
+        *,
+        accept: Accept | None = None,
+        on_goaway: Callable[[str], None] | None = None,
+    ) -> None:
+        self.peer: Identity | None = None
+        self.closed = False
+        self.bytes_sent = 0
+        self.bytes_received = 0
+        self._stream = stream
+        self._identity = identity
+        self._accept = accept
+        self._on_goaway = on_goaway
+        self._reader = FrameReader()
+        self._lanes = SendLanes()
+        self._queued = anyio.Event()
+        self._exchanges: dict[int, Exchange] = {}
+        self._exchange_opened = anyio.Event()
+        self._next_id = CONNECTION + 1
+        self._last_received_s = 0.0
+        self._ready = anyio.Event()
+
+    async def run(self) -> None:
+        """Serve the connection until it ends; every open exchange is then lost."""
+        try:
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(self._write_frames)
+                tg.start_soon(self._send_heartbeats)
+                self.write(
+                    Hello(
+                        CONNECTION,
+                        PROTOCOL_VERSION,
+                        self._identity.daemon,
+                        self._identity.incarnation,
+                    )
+                )
+                await self._read_frames(tg)
+                tg.cancel_scope.cancel()
+        finally:
+            self.closed = True
+            self._ready.set()
+            for exchange in list(self._exchanges.values()):
+                exchange.lose()
+            self._exchanges.clear()
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(self._stream)
+
+    async def wait_ready(self) -> Identity:
+        """Wait for the peer's Hello and return who it is.
+
+        Raises ConnectionLost if none arrives within HELLO_TIMEOUT_S.
+        """
+        with anyio.move_on_after(HELLO_TIMEOUT_S):
+            await self._ready.wait()
+        if self.peer is None or self.closed:
+            raise ConnectionLost("the peer did not say hello")
+        return self.peer
+
+    def open_exchange(self) -> Exchange:
+        """Return a new exchange of the dialling side.
+
+        Raises ConnectionLost if the connection has ended.
+        """
+        if self.closed:
+            raise ConnectionLost("the connection is closed")
+        exchange = Exchange(self._next_id, self.write)
+        self._next_id += 1
+        self._add_exchange(exchange)
+        return exchange
+
+    def close_exchange(self, exchange: Exchange, reset: Reset | None = None) -> None:
+        """Forget an exchange; ``reset`` tells the peer that it was abandoned."""
+        if self._exchanges.pop(exchange.id, None) is None:
+            return
+        if reset is not None and not exchange.lost:
+            self.write(reset)
+        exchange.discard()
+
+    def write(self, frame: Frame) -> None:
+        """Queue a frame for the writer task."""
+        self._lanes.put(frame)
+        self._queued.set()
+
+    @property
+    def open_exchanges(self) -> int:
+        """Return the number of exchanges under way."""
+        return len(self._exchanges)
+
+    def _add_exchange(self, exchange: Exchange) -> None:
+        self._exchanges[exchange.id] = exchange
+        if len(self._exchanges) == 1:
+            self._last_received_s = anyio.current_time()
+            self._exchange_opened.set()
+
+    async def _write_frames(self) -> None:
+        while True:
+            await self._queued.wait()
+            self._queued = anyio.Event()
+            while self._lanes:
+                data = self._encode_batch()
+                self.bytes_sent += len(data)
+                try:
+                    await self._stream.send(data)
+                except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+                    await anyio.aclose_forcefully(self._stream)
+                    return
+
+    def _encode_batch(self) -> bytes:
+        parts = []
+        size = 0
+        while size < _WRITE_BATCH_BYTES:
+            frame = self._lanes.take()
+            if frame is None:
+                break
+            part = encode_frame(frame)
+            parts.append(part)
+            size += len(part)
+        return b"".join(parts)
+
+    async def _read_frames(self, tg: anyio.abc.TaskGroup) -> None:
+        while True:
+            try:
+                data = await self._stream.receive(_READ_BYTES)
+            except (
+                anyio.EndOfStream,
+                anyio.BrokenResourceError,
+                anyio.ClosedResourceError,
+            ):
+                return
+            self.bytes_received += len(data)
+            self._last_received_s = anyio.current_time()
+            try:
+                for frame in self._reader.feed(data):
+                    self._dispatch(frame, tg)
+            except (ProtocolError, WindowExceeded):
+                return
+
+    def _dispatch(self, frame: Frame, tg: anyio.abc.TaskGroup) -> None:
+        match frame:
+            case Hello():
+                self._take_hello(frame)
+            case Ping():
+                self.write(Pong())
+            case Pong():
+                pass
+            case GoAway():
+                if self._on_goaway is not None and self.peer is not None:
+                    self._on_goaway(self.peer.daemon)
+            case _:
+                self._dispatch_to_exchange(frame, tg)
+
+    def _take_hello(self, frame: Hello) -> None:
+        if frame.protocol != PROTOCOL_VERSION:
+            raise ProtocolError(f"peer speaks protocol version {frame.protocol}")
+        self.peer = Identity(frame.daemon, frame.incarnation)
+        self._ready.set()
+
+    def _dispatch_to_exchange(self, frame: Frame, tg: anyio.abc.TaskGroup) -> None:
+        exchange = self._exchanges.get(frame.exchange)
+        if exchange is not None:
+            exchange.deliver(frame)
+        elif isinstance(frame, OPENING_FRAMES) and self._accept is not None:
+            exchange = Exchange(frame.exchange, self.write)
+            self._add_exchange(exchange)
+            tg.start_soon(self._serve_exchange, exchange, frame)
+        # Other frames belong to an exchange that this side has closed: they are late.
+
+    async def _serve_exchange(self, exchange: Exchange, frame: OpeningFrame) -> None:
+        assert self._accept is not None
+        try:
+            await self._accept(exchange, frame)
+        finally:
+            self._exchanges.pop(exchange.id, None)
+            exchange.discard()
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            if not self._exchanges:
+                self._exchange_opened = anyio.Event()
+                await self._exchange_opened.wait()
+            await anyio.sleep(HEARTBEAT_INTERVAL_S)
+            silent_s = anyio.current_time() - self._last_received_s
+            if self._exchanges and silent_s >= SILENCE_LIMIT_S:
+                await anyio.aclose_forcefully(self._stream)
+                return
+            if self._exchanges and silent_s >= HEARTBEAT_INTERVAL_S:
+                self.write(Ping())
+
+
+CLOSING_FRAMES = (End, Fail, Load, Refuse, Reset)
+"""Frames after which an owner sends nothing more on an exchange."""
--- /dev/null
+++ b/src/berylmast/daemons/exchange.py
@@ -0,0 +1,130 @@
+"""One exchange over a peer connection, with flow control of its bodies."""
+
+import math
+from collections.abc import Callable
+
+import anyio
+
+from .frames import Body, Credit, Frame
+
+WINDOW_BYTES = 256 * 1024
+"""Body bytes that may be under way in each direction of one exchange."""
+
+MAX_BODY_FRAME_BYTES = 16 * 1024
+"""Longer frames would delay the heads of other requests on the same stream."""
+
+_CREDIT_STEP_BYTES = WINDOW_BYTES // 2
+
+
+class ExchangeLost(Exception):
+    """The connection that carried this exchange has ended."""
+
+
+class WindowExceeded(Exception):
+    """The peer sent more body than the window allows."""
+
+
+class Exchange:
+    """Sends and receives the frames of one request; both sides hold one.
+
+    ``write`` queues a frame on the connection without waiting. Body frames wait for
+    credit, so that what is queued stays within the window.
+    """
+
+    def __init__(self, exchange_id: int, write: Callable[[Frame], None]) -> None:
+        self.id = exchange_id
+        self.lost = False
+        self._write = write
+        self._inbox_in, self._inbox = anyio.create_memory_object_stream[Frame](math.inf)
+        self._credit = WINDOW_BYTES
+        self._credit_added = anyio.Event()
+        self._undelivered = 0
+        self._consumed = 0
+
+    async def send(self, frame: Frame) -> None:
+        """Queue a frame; a body frame first waits for credit.
+
+        Raises ExchangeLost if the connection has ended.
+        """
+        if isinstance(frame, Body):
+            while self._credit < len(frame.data) and not self.lost:
+                await self._credit_added.wait()
+            self._credit -= len(frame.data)
+        if self.lost:
+            raise ExchangeLost
+        self._write(frame)
+
+    async def send_body(self, data: bytes) -> None:
+        """Send body bytes of any length in frames of bounded size."""
+        for start in range(0, len(data), MAX_BODY_FRAME_BYTES):
+            part = data[start : start + MAX_BODY_FRAME_BYTES]
+            await self.send(Body(self.id, part))
+
+    async def receive(self) -> Frame:
+        """Wait for the next frame of the peer and return credit for its body.
+
+        Raises ExchangeLost if the connection has ended.
+        """
+        try:
+            frame = await self._inbox.receive()
+        except (anyio.EndOfStream, anyio.ClosedResourceError) as exc:
+            raise ExchangeLost from exc
+        if isinstance(frame, Body):
+            self._return_credit(len(frame.data))
+        return frame
+
+    def _return_credit(self, size: int) -> None:
+        self._undelivered -= size
+        self._consumed += size
+        if self._consumed >= _CREDIT_STEP_BYTES and not self.lost:
+            self._write(Credit(self.id, self._consumed))
+            self._consumed = 0
+
+    def deliver(self, frame: Frame) -> None:
+        """Take a frame that the connection read for this exchange.
+
+        Raises WindowExceeded if the peer ignores flow control.
+        """
+        if isinstance(frame, Credit):
+            self._credit += frame.size
+            self._wake_sender()
+            return
+        if isinstance(frame, Body):
+            self._undelivered += len(frame.data)
+            if self._undelivered > WINDOW_BYTES:
+                raise WindowExceeded(f"exchange {self.id}")
+        if not self.lost:
+            self._inbox_in.send_nowait(frame)
+
+    def lose(self) -> None:
+        """End the exchange: frames already read stay readable, sending fails."""
+        if self.lost:
+            return
+        self.lost = True
+        self._inbox_in.close()
+        self._wake_sender()
+
+    def discard(self) -> None:
+        """End the exchange and drop the frames that nobody has read."""
+        self.lose()
+        self._inbox.close()
+
+    def _wake_sender(self) -> None:
+        self._credit_added.set()
+        self._credit_added = anyio.Event()
+
+
+def connect_exchanges() -> tuple[Exchange, Exchange]:
+    """Return the two ends of an exchange inside one process, without a socket."""
+
+    def write_left(frame: Frame) -> None:
+        if not right.lost:
+            right.deliver(frame)
+
+    def write_right(frame: Frame) -> None:
+        if not left.lost:
+            left.deliver(frame)
+
+    left = Exchange(1, write_left)
+    right = Exchange(1, write_right)
+    return left, right
--- /dev/null
+++ b/src/berylmast/daemons/frames.py
@@ -0,0 +1,171 @@
+"""The frames that two daemons exchange; one frozen dataclass per frame type.
+
+Every frame names the exchange that it belongs to. An exchange is opened by the dialling
+side with an opening frame (``Request``, ``Probe``, ``Query``) and ends with a closing
+frame of either side. ``CONNECTION`` frames concern the connection as a whole.
+"""
+
+from dataclasses import dataclass
+
+from ..errors import ErrorKind
+from ..model import AttemptId, Headers, LoadReport, RequestHead
+
+CONNECTION = 0
+"""Exchange id of frames that concern the whole connection."""
+
+
+@dataclass(frozen=True, slots=True)
+class Hello:
+    """First frame of each side; ``incarnation`` names one life of the daemon."""
+
+    exchange: int
+    protocol: int
+    daemon: str
+    incarnation: int
+
+
+@dataclass(frozen=True, slots=True)
+class Request:
+    """Opens an exchange: run this request."""
+
+    exchange: int
+    head: RequestHead
+
+
+@dataclass(frozen=True, slots=True)
+class Continue:
+    """The request passed admission; the owner is about to dispatch it."""
+
+    exchange: int
+
+
+@dataclass(frozen=True, slots=True)
+class Response:
+    """Head of the backend server's answer."""
+
+    exchange: int
+    status: int
+    headers: Headers
+    load: LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class Body:
+    """Part of a request's or an answer's body; it consumes flow-control credit."""
+
+    exchange: int
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """The body is whole. A body without this frame was cut."""
+
+    exchange: int
+    trailers: Headers = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Credit:
+    """The receiver consumed this many bytes of body."""
+
+    exchange: int
+    size: int
+
+
+@dataclass(frozen=True, slots=True)
+class Reset:
+    """The sender no longer takes part in this exchange."""
+
+    exchange: int
+    kind: ErrorKind
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """The owner did not dispatch the request and never will under this attempt id."""
+
+    exchange: int
+    kind: ErrorKind
+    detail: str
+    load: LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class Fail:
+    """The request failed after dispatch."""
+
+    exchange: int
+    kind: ErrorKind
+    detail: str
+    load: LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class Probe:
+    """Opens an exchange: report your load."""
+
+    exchange: int
+
+
+@dataclass(frozen=True, slots=True)
+class Load:
+    """Answer to a probe."""
+
+    exchange: int
+    load: LoadReport
+
+
+@dataclass(frozen=True, slots=True)
+class Ping:
+    """Heartbeat of a connection with open exchanges."""
+
+    exchange: int = CONNECTION
+
+
+@dataclass(frozen=True, slots=True)
+class Pong:
+    """Answer to a heartbeat."""
+
+    exchange: int = CONNECTION
+
+
+@dataclass(frozen=True, slots=True)
+class GoAway:
+    """The sender's backend server is leaving: send it no new work."""
+
+    exchange: int = CONNECTION
+
+
+@dataclass(frozen=True, slots=True)
+class Query:
+    """Opens an exchange: what became of this attempt?
+
+    An owner that has not seen the attempt refuses it from then on.
+    """
+
+    exchange: int
+    attempt: AttemptId
+
+
+Frame = (
+    Hello
+    | Request
+    | Continue
+    | Response
+    | Body
+    | End
+    | Credit
+    | Reset
+    | Refuse
+    | Fail
+    | Probe
+    | Load
+    | Ping
+    | Pong
+    | GoAway
+    | Query
+)
+
+OpeningFrame = Request | Probe | Query
+OPENING_FRAMES = (Request, Probe, Query)
--- /dev/null
+++ b/src/berylmast/daemons/listener.py
@@ -0,0 +1,41 @@
+"""Accepts connections of other daemons."""
+
+import anyio
+from anyio.abc import SocketStream, TaskStatus
+
+from ..settings import Address
+from .connection import Accept, Identity, PeerConnection
+from .frames import GoAway
+
+
+class PeerListener:
+    """Serves every connection that other daemons open to this one."""
+
+    def __init__(self, address: Address, identity: Identity, accept: Accept) -> None:
+        self._address = address
+        self._identity = identity
+        self._accept = accept
+        self._connections: set[PeerConnection] = set()
+
+    async def run(
+        self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Listen and serve until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=self._address.host, local_port=self._address.port
+        )
+        task_status.started()
+        await listener.serve(self._serve_stream)
+
+    async def _serve_stream(self, stream: SocketStream) -> None:
+        conn = PeerConnection(stream, self._identity, accept=self._accept)
+        self._connections.add(conn)
+        try:
+            await conn.run()
+        finally:
+            self._connections.discard(conn)
+
+    def announce_leaving(self) -> None:
+        """Tell every connected daemon to send no new work."""
+        for conn in self._connections:
+            conn.write(GoAway())
--- /dev/null
+++ b/src/berylmast/daemons/pool.py
@@ -0,0 +1,75 @@
+"""Connections to owners, dialled on demand and shared by all requests."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..errors import ErrorKind
+from ..model import Endpoint
+from .connection import ConnectionLost, Identity, PeerConnection
+from .exchange import Exchange
+from .frames import Reset
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class PeerPool:
+    """Keeps one connection per owner address.
+
+    Connections run in the task group that the pool was made with.
+    """
+
+    def __init__(
+        self,
+        tg: TaskGroup,
+        identity: Identity,
+        *,
+        on_goaway: Callable[[str], None] | None = None,
+    ) -> None:
+        self._tg = tg
+        self._identity = identity
+        self._on_goaway = on_goaway
+        self._connections: dict[tuple[str, int], PeerConnection] = {}
+        self._locks: dict[tuple[str, int], anyio.Lock] = {}
+
+    @asynccontextmanager
+    async def exchange(self, endpoint: Endpoint) -> AsyncIterator[Exchange]:
+        """Open an exchange with an endpoint's owner; leaving it early resets it.
+
+        Raises ConnectionLost if the owner can't be reached: nothing was sent.
+        """
+        conn = await self.connect(endpoint)
+        exchange = conn.open_exchange()
+        try:
+            yield exchange
+        finally:
+            conn.close_exchange(exchange, Reset(exchange.id, ErrorKind.CANCELLED))
+
+    async def connect(self, endpoint: Endpoint) -> PeerConnection:
+        """Return the open connection to an owner, dialling if there is none.
+
+        Raises ConnectionLost if the owner can't be reached or is another daemon.
+        """
+        address = (endpoint.host, endpoint.port)
+        conn = self._connections.get(address)
+        if conn is not None and not conn.closed:
+            return conn
+        async with self._locks.setdefault(address, anyio.Lock()):
+            conn = self._connections.get(address)
+            if conn is None or conn.closed:
+                conn = await self._dial(address)
+                self._connections[address] = conn
+        return conn
+
+    async def _dial(self, address: tuple[str, int]) -> PeerConnection:
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                stream = await anyio.connect_tcp(*address)
+        except (OSError, TimeoutError) as exc:
+            raise ConnectionLost(f"cannot reach {address[0]}:{address[1]}") from exc
+        conn = PeerConnection(stream, self._identity, on_goaway=self._on_goaway)
+        self._tg.start_soon(conn.run)
+        await conn.wait_ready()
+        return conn
--- /dev/null
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -0,0 +1,80 @@
+"""Guards against frames that change on the wire or pass although damaged."""
+
+import msgpack
+import pytest
+
+from ...errors import ErrorKind
+from ...model import AttemptId, LoadReport, RequestHead
+from .. import frames
+from ..codec import FrameReader, ProtocolError, decode_frame, encode_frame
+
+LOAD = LoadReport("orders-n1", 7, 3, 2, 1, 6, 8.5, 0.25)
+HEAD = RequestHead(
+    request_id="r1",
+    attempt=AttemptId("orders-n1", 7, 12),
+    service="orders",
+    priority="urgent",
+    tenant="dealers",
+    idempotent=False,
+    idempotency_key="k1",
+    deadline_ms=1500,
+    retry=False,
+    method="POST",
+    target="/orders?a=1",
+    headers=[(b"content-type", b"text/plain")],
+    has_body=True,
+)
+FRAMES = [
+    frames.Hello(0, 1, "orders-n1", 7),
+    frames.Request(1, HEAD),
+    frames.Continue(1),
+    frames.Response(1, 200, [(b"x", b"y")], LOAD),
+    frames.Body(1, b"abc"),
+    frames.End(1, [(b"checksum", b"1")]),
+    frames.Credit(1, 4096),
+    frames.Reset(1, ErrorKind.CANCELLED),
+    frames.Refuse(1, ErrorKind.OVERLOADED, "no slot", LOAD),
+    frames.Fail(1, ErrorKind.BACKEND_CUT, "reset", LOAD),
+    frames.Probe(1),
+    frames.Load(1, LOAD),
+    frames.Ping(),
+    frames.Pong(),
+    frames.GoAway(),
+    frames.Query(1, AttemptId("orders-n1", 7, 12)),
+]
+
+
+@pytest.mark.parametrize("frame", FRAMES, ids=lambda f: type(f).__name__)
+@pytest.mark.parametrize("step", [1, 7, 10_000])
+def test_frame_survives_the_wire_cut_anywhere(frame: frames.Frame, step: int) -> None:
+    data = encode_frame(frame) * 2
+    reader = FrameReader()
+    parts = [data[i : i + step] for i in range(0, len(data), step)]
+    assert [f for part in parts for f in reader.feed(part)] == [frame, frame]
+
+
+@pytest.mark.parametrize(
+    "items",
+    [
+        None,
+        [],
+        [999, 1],
+        ["1", 1],
+        [5],
+        [4, 1, 5],
+        [6, 1, "x"],
+        [1, 1, ["short"]],
+        [7, 1, "no-such-kind"],
+    ],
+)
+def test_bad_frame_is_a_protocol_error(items: object) -> None:
+    with pytest.raises(ProtocolError):
+        decode_frame(items)
+
+
+def test_oversized_frame_is_a_protocol_error() -> None:
+    reader = FrameReader()
+    data = msgpack.packb([4, 1, b"x" * 2_000_000])
+    with pytest.raises(ProtocolError):
+        for start in range(0, len(data), 65_536):
+            list(reader.feed(data[start : start + 65_536]))
--- /dev/null
+++ b/src/berylmast/daemons/tests/test_connection.py
@@ -0,0 +1,98 @@
+"""Guards against held-up small requests, silent streams and unbounded buffers."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+
+import anyio
+import pytest
+from anyio.streams.stapled import StapledObjectStream
+
+from .. import frames
+from ..connection import SILENCE_LIMIT_S, Accept, Identity, PeerConnection
+from ..exchange import WINDOW_BYTES, Exchange, ExchangeLost
+
+pytestmark = pytest.mark.anyio
+
+
+class MemoryByteStream(StapledObjectStream[bytes]):
+    """A byte stream in memory; ``silent`` loses everything that is sent."""
+
+    silent = False
+
+    async def send(self, item: bytes) -> None:
+        if not self.silent:
+            await super().send(item)
+
+    async def receive(self, max_bytes: int = 65_536) -> bytes:
+        return await super().receive()
+
+
+def make_streams() -> tuple[MemoryByteStream, MemoryByteStream]:
+    a_in, b_out = anyio.create_memory_object_stream[bytes](100)
+    b_in, a_out = anyio.create_memory_object_stream[bytes](100)
+    return MemoryByteStream(a_in, a_out), MemoryByteStream(b_in, b_out)
+
+
+@asynccontextmanager
+async def connect(
+    accept: Accept,
+) -> AsyncIterator[tuple[PeerConnection, MemoryByteStream]]:
+    left, right = make_streams()
+    dialler = PeerConnection(left, Identity("a", 1))  # type: ignore[arg-type]
+    owner = PeerConnection(right, Identity("b", 2), accept=accept)  # type: ignore[arg-type]
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(dialler.run)
+        tg.start_soon(owner.run)
+        await dialler.wait_ready()
+        yield dialler, right
+        tg.cancel_scope.cancel()
+
+
+async def test_body_longer_than_the_window_arrives_whole() -> None:
+    received = bytearray()
+    done = anyio.Event()
+
+    async def accept(exchange: Exchange, frame: frames.OpeningFrame) -> None:
+        while not isinstance(part := await exchange.receive(), frames.End):
+            assert isinstance(part, frames.Body)
+            received.extend(part.data)
+        done.set()
+
+    async with connect(accept) as (conn, _):
+        exchange = conn.open_exchange()
+        await exchange.send(frames.Probe(exchange.id))
+        data = bytes(range(256)) * 4096 * 3
+        await exchange.send_body(data)
+        await exchange.send(frames.End(exchange.id))
+        await done.wait()
+    assert bytes(received) == data
+
+
+async def test_sender_waits_when_the_receiver_does_not_read() -> None:
+    async def accept(exchange: Exchange, frame: frames.OpeningFrame) -> None:
+        await anyio.sleep_forever()
+
+    async with connect(accept) as (conn, _):
+        exchange = conn.open_exchange()
+        await exchange.send(frames.Probe(exchange.id))
+        with anyio.move_on_after(60) as scope:
+            await exchange.send_body(b"x" * (2 * WINDOW_BYTES))
+        assert scope.cancelled_caught
+        assert conn.bytes_sent < WINDOW_BYTES + 4096
+
+
+async def test_silent_stream_loses_its_exchange_within_the_limit() -> None:
+    async def accept(exchange: Exchange, frame: frames.OpeningFrame) -> None:
+        await anyio.sleep_forever()
+
+    async with connect(accept) as (conn, stream):
+        exchange = conn.open_exchange()
+        await exchange.send(frames.Probe(exchange.id))
+        await anyio.sleep(10)
+        assert not conn.closed, "heartbeats keep a quiet connection open"
+        stream.silent = True
+        started_s = anyio.current_time()
+        with pytest.raises(ExchangeLost):
+            await exchange.receive()
+        assert anyio.current_time() - started_s <= 2 * SILENCE_LIMIT_S
+        assert conn.closed
--- /dev/null
+++ b/src/berylmast/errors.py
@@ -0,0 +1,110 @@
+"""The closed list of error kinds and the table from kind to answer.
+
+Every refusal and failure that a caller can see is one of these kinds. The table is the
+only place that decides the status, the stated outcome and the ``Retry-After`` value.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class Outcome(StrEnum):
+    """What the system knows about whether a request ran."""
+
+    NOT_RUN = "not-run"
+    UNKNOWN = "unknown"
+    FAILED = "failed"
+
+
+class ErrorKind(StrEnum):
+    """Every error that the system reports to a caller, a peer or an operator."""
+
+    BAD_REQUEST = "bad-request"
+    HEADERS_TOO_LARGE = "headers-too-large"
+    TOO_MANY_HEADERS = "too-many-headers"
+    BODY_TOO_LARGE = "body-too-large"
+    BODY_CUT = "body-cut"
+    UNKNOWN_SERVICE = "unknown-service"
+    NO_BACKEND = "no-backend"
+    OVERLOADED = "overloaded"
+    SHED = "shed"
+    TOO_MANY_REQUESTS = "too-many-requests"
+    TENANT_LIMIT = "tenant-limit"
+    LINK_BUDGET = "link-budget"
+    DRAINING = "draining"
+    DEADLINE_NOT_RUN = "deadline-not-run"
+    DEADLINE_UNKNOWN = "deadline-unknown"
+    PEER_UNREACHABLE = "peer-unreachable"
+    PEER_LOST = "peer-lost"
+    BACKEND_UNREACHABLE = "backend-unreachable"
+    BACKEND_CUT = "backend-cut"
+    ANSWER_CUT = "answer-cut"
+    DUPLICATE_RUNNING = "duplicate-running"
+    DUPLICATE_UNKNOWN = "duplicate-unknown"
+    ATTEMPT_REVOKED = "attempt-revoked"
+    CANCELLED = "cancelled"
+    INTERNAL = "internal"
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """How one error kind is answered.
+
+    ``retry_after_s`` is in seconds; None leaves the header out.
+    """
+
+    status: int
+    outcome: Outcome
+    retry_after_s: int | None = None
+
+
+_NOT_RUN = Outcome.NOT_RUN
+_UNKNOWN = Outcome.UNKNOWN
+_FAILED = Outcome.FAILED
+
+ANSWERS: Mapping[ErrorKind, Answer] = {
+    ErrorKind.BAD_REQUEST: Answer(400, _NOT_RUN),
+    ErrorKind.HEADERS_TOO_LARGE: Answer(431, _NOT_RUN),
+    ErrorKind.TOO_MANY_HEADERS: Answer(431, _NOT_RUN),
+    ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN),
+    ErrorKind.BODY_CUT: Answer(400, _UNKNOWN),
+    ErrorKind.UNKNOWN_SERVICE: Answer(404, _NOT_RUN),
+    ErrorKind.NO_BACKEND: Answer(503, _NOT_RUN, 1),
+    ErrorKind.OVERLOADED: Answer(503, _NOT_RUN, 1),
+    ErrorKind.SHED: Answer(503, _NOT_RUN, 1),
+    ErrorKind.TOO_MANY_REQUESTS: Answer(503, _NOT_RUN, 1),
+    ErrorKind.TENANT_LIMIT: Answer(429, _NOT_RUN, 1),
+    ErrorKind.LINK_BUDGET: Answer(503, _NOT_RUN, 5),
+    ErrorKind.DRAINING: Answer(503, _NOT_RUN, 1),
+    ErrorKind.DEADLINE_NOT_RUN: Answer(504, _NOT_RUN),
+    ErrorKind.DEADLINE_UNKNOWN: Answer(504, _UNKNOWN),
+    ErrorKind.PEER_UNREACHABLE: Answer(503, _NOT_RUN, 1),
+    ErrorKind.PEER_LOST: Answer(502, _UNKNOWN),
+    ErrorKind.BACKEND_UNREACHABLE: Answer(503, _NOT_RUN, 1),
+    ErrorKind.BACKEND_CUT: Answer(502, _UNKNOWN),
+    ErrorKind.ANSWER_CUT: Answer(502, _FAILED),
+    ErrorKind.DUPLICATE_RUNNING: Answer(409, _UNKNOWN, 1),
+    ErrorKind.DUPLICATE_UNKNOWN: Answer(409, _UNKNOWN),
+    ErrorKind.ATTEMPT_REVOKED: Answer(503, _NOT_RUN, 1),
+    ErrorKind.CANCELLED: Answer(499, _UNKNOWN),
+    ErrorKind.INTERNAL: Answer(500, _UNKNOWN),
+}
+
+
+@dataclass(frozen=True, slots=True)
+class Refusal:
+    """An error as a value: its kind and what was wrong, in one sentence."""
+
+    kind: ErrorKind
+    detail: str
+
+    @property
+    def answer(self) -> Answer:
+        """Return the table entry of this kind."""
+        return ANSWERS[self.kind]
+
+    @property
+    def not_run(self) -> bool:
+        """Tell whether the request provably did not run."""
+        return self.answer.outcome is Outcome.NOT_RUN
--- /dev/null
+++ b/src/berylmast/settings/__init__.py
@@ -0,0 +1,12 @@
+"""The settings of one daemon: JSON with comments, checked when loaded."""
+
+from ._load import SettingsError, load_settings
+from ._models import Address, DaemonSettings, LimitSettings
+
+__all__ = [
+    "Address",
+    "DaemonSettings",
+    "LimitSettings",
+    "SettingsError",
+    "load_settings",
+]
--- /dev/null
+++ b/src/berylmast/settings/_models.py
@@ -0,0 +1,48 @@
+"""Validated models of the daemon's settings file."""
+
+from pydantic import BaseModel, ConfigDict, Field
+
+
+class _Strict(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Address(_Strict):
+    """An IP number and a TCP or UDP port."""
+
+    host: str = Field(description="IP number")
+    port: int = Field(ge=0, le=65535, description="TCP or UDP port")
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+class LimitSettings(_Strict):
+    """Limits of one daemon towards its callers."""
+
+    max_header_bytes: int = Field(
+        32_768, ge=1_024, description="bytes of all request headers together"
+    )
+    max_headers: int = Field(100, ge=1, description="number of request headers")
+    max_requests: int = Field(1_000, ge=1, description="concurrent requests of callers")
+
+
+class DaemonSettings(_Strict):
+    """Everything that one daemon must know about its own place."""
+
+    daemon_id: str = Field(min_length=1, description="unique name of this daemon")
+    environment: str = Field(min_length=1, description="name of the document to follow")
+    region: str = Field(min_length=1, description="region of this instance")
+    failure_domain: str = Field(
+        min_length=1, description="failure domain, in its region"
+    )
+    callers: Address = Field(description="where callers reach this daemon, HTTP")
+    peers: Address = Field(description="where other daemons reach this one, TCP")
+    admin: Address = Field(description="where operators reach this daemon, HTTP")
+    service: str | None = Field(None, description="service of the local backend server")
+    backend: Address | None = Field(None, description="the local backend server, HTTP")
+    platform: Address = Field(description="the platform's object API, HTTP")
+    statsd: Address | None = Field(
+        None, description="statsd server, UDP; none if absent"
+    )
+    limits: LimitSettings = LimitSettings()
--- /dev/null
+++ b/src/berylmast_dev/__init__.py
@@ -0,0 +1,1 @@
+"""Development only: stand-ins for outside systems, the demo, the benchmarks."""
--- /dev/null
+++ b/src/berylmast_dev/_http.py
@@ -0,0 +1,46 @@
+"""Small helpers for ASGI stand-ins."""
+
+import json
+from typing import Any
+
+import anyio
+import uvicorn
+
+
+async def read_body(receive: Any) -> bytes:
+    """Return the whole request body."""
+    parts = []
+    while True:
+        message = await receive()
+        parts.append(message.get("body", b""))
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+async def send_json(send: Any, status: int, data: object) -> None:
+    """Send a whole JSON answer."""
+    body = json.dumps(data).encode()
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": body})
+
+
+def serve_app(app: Any, host: str, port: int) -> None:
+    """Run one app until a signal stops the process."""
+    config = uvicorn.Config(
+        app,
+        host=host,
+        port=port,
+        http="httptools",
+        interface="asgi3",
+        proxy_headers=False,
+        lifespan="off",
+        log_config=None,
+        access_log=False,
+        timeout_graceful_shutdown=1,
+    )
+    server = uvicorn.Server(config)
+    anyio.run(server.serve, backend_options={"use_uvloop": True})
--- /dev/null
+++ b/src/berylmast_dev/fleet.py
@@ -0,0 +1,210 @@
+"""Starts daemons and stand-ins as processes and stops every one of them."""
+
+import json
+import os
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from random import Random
+
+import anyio
+import httpcore
+
+HOST = "127.0.0.1"
+START_TIMEOUT_S = 30.0
+STOP_TIMEOUT_S = 5.0
+PORTS_PER_MEMBER = 4
+# Below the range from which the kernel takes ports of outgoing connections.
+_PORT_RANGE = range(20_000, 32_000)
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One instance: a backend server and the daemon beside it."""
+
+    name: str
+    service: str
+    region: str
+    failure_domain: str
+    slots: int
+    mean_ms: float
+    port: int
+    """First of four ports: callers, peers, admin, backend server."""
+
+    @property
+    def entry(self) -> tuple[str, int]:
+        """Return the address for callers."""
+        return (HOST, self.port)
+
+    @property
+    def backend(self) -> tuple[str, int]:
+        """Return the address of the backend server."""
+        return (HOST, self.port + 3)
+
+
+def find_ports(count: int) -> int:
+    """Return the first of ``count`` free ports in a row."""
+    rng = Random()
+    while True:
+        first = rng.randrange(_PORT_RANGE.start, _PORT_RANGE.stop - count)
+        if all(_is_free(port) for port in range(first, first + count)):
+            return first
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as sock:
+        try:
+            sock.bind((HOST, port))
+        except OSError:
+            return False
+        return True
+
+
+class Fleet:
+    """The processes of one layout; only these are ever stopped, by their ids."""
+
+    def __init__(self, folder: Path, platform_port: int) -> None:
+        self.platform_port = platform_port
+        self.processes: dict[str, subprocess.Popen[bytes]] = {}
+        self._folder = folder
+
+    def start_process(self, name: str, module: str, *args: str) -> None:
+        """Start ``python -m module`` with its log in the fleet's folder."""
+        log = (self._folder / f"{name}.log").open("ab")
+        self.processes[name] = subprocess.Popen(
+            [sys.executable, "-m", module, *args],
+            stdin=subprocess.DEVNULL,
+            stdout=log,
+            stderr=log,
+            env=dict(os.environ),
+        )
+        log.close()
+
+    def start_platform(self) -> None:
+        """Start the stand-in of the platform."""
+        port = str(self.platform_port)
+        self.start_process("platform", "berylmast_dev.store", "--port", port)
+
+    def start_backend(self, member: Member) -> None:
+        """Start the stand-in of one backend server."""
+        self.start_process(
+            f"backend-{member.name}",
+            "berylmast_dev.backend",
+            f"--port={member.port + 3}",
+            f"--slots={member.slots}",
+            f"--mean-ms={member.mean_ms}",
+        )
+
+    def start_daemon(self, member: Member) -> None:
+        """Write the settings of one daemon and start it."""
+        settings = {
+            "daemon_id": member.name,
+            "environment": "demo",
+            "region": member.region,
+            "failure_domain": member.failure_domain,
+            "callers": {"host": HOST, "port": member.port},
+            "peers": {"host": HOST, "port": member.port + 1},
+            "admin": {"host": HOST, "port": member.port + 2},
+            "service": member.service,
+            "backend": {"host": HOST, "port": member.port + 3},
+            "platform": {"host": HOST, "port": self.platform_port},
+        }
+        path = self._folder / f"{member.name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        self.start_process(
+            f"daemon-{member.name}", "berylmast.bin.berylmastd", str(path)
+        )
+
+    def apply_document(self, path: Path) -> None:
+        """Store a document through the operators' command line."""
+        subprocess.run(
+            [
+                sys.executable,
+                "-m",
+                "berylmast.bin.berylmastctl",
+                "apply",
+                str(path),
+                "--environment=demo",
+                f"--platform={HOST}:{self.platform_port}",
+            ],
+            check=True,
+        )
+
+    def stop_all(self) -> None:
+        """Stop every process and wait; one that does not end is killed."""
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.terminate()
+        for process in self.processes.values():
+            try:
+                process.wait(STOP_TIMEOUT_S)
+            except subprocess.TimeoutExpired:
+                process.kill()
+                process.wait()
+
+
+async def wait_answer(address: tuple[str, int], path: str, host: str = "x") -> None:
+    """Wait until a server answers a GET with status 200.
+
+    Raises TimeoutError after START_TIMEOUT_S.
+    """
+    with anyio.fail_after(START_TIMEOUT_S):
+        async with httpcore.AsyncConnectionPool() as pool:
+            while True:
+                try:
+                    res = await pool.request(
+                        "GET",
+                        f"http://{address[0]}:{address[1]}{path}",
+                        headers={"host": host},
+                    )
+                    if res.status == 200:
+                        return
+                except (httpcore.NetworkError, httpcore.ProtocolError):
+                    pass
+                await anyio.sleep(0.05)
+
+
+async def control_backend(member: Member, **control: object) -> None:
+    """Inject or end a fault of one backend server."""
+    host, port = member.backend
+    async with httpcore.AsyncConnectionPool() as pool:
+        await pool.request(
+            "POST",
+            f"http://{host}:{port}/_control",
+            content=json.dumps(control).encode(),
+        )
+
+
+async def read_ledger(member: Member) -> list[str]:
+    """Return the ids of the requests that a backend server ran."""
+    host, port = member.backend
+    async with httpcore.AsyncConnectionPool() as pool:
+        res = await pool.request("GET", f"http://{host}:{port}/_ledger")
+    ledger: list[str] = json.loads(res.content)
+    return ledger
+
+
+@asynccontextmanager
+async def run_fleet(members: list[Member], document: Path) -> AsyncIterator[Fleet]:
+    """Run a layout until the block ends, then stop every process of it."""
+    with tempfile.TemporaryDirectory(prefix="berylmast-") as folder:
+        fleet = Fleet(Path(folder), find_ports(1))
+        try:
+            fleet.start_platform()
+            for member in members:
+                fleet.start_backend(member)
+            await wait_answer((HOST, fleet.platform_port), "/calls")
+            fleet.apply_document(document)
+            for member in members:
+                fleet.start_daemon(member)
+            for member in members:
+                await wait_answer((HOST, member.port + 2), "/status")
+            await anyio.sleep(1.5)
+            yield fleet
+        finally:
+            fleet.stop_all()
--- /dev/null
+++ b/src/berylmast_dev/load.py
@@ -0,0 +1,127 @@
+"""Stand-in for callers: an open-loop load with a summary per class."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+import httpcore
+from hdrh.histogram import HdrHistogram
+
+REQUEST_TIMEOUT_S = 10.0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadClass:
+    """One kind of traffic; ``rate`` is in requests per second."""
+
+    name: str
+    host: str
+    method: str
+    path: str
+    rate: float
+    body_bytes: int = 0
+    tenant: str = "default"
+
+
+@dataclass(slots=True)
+class LoadResult:
+    """What callers of one class saw; latencies in microseconds, answered ones only."""
+
+    answered: int = 0
+    outcomes: dict[str, int] = field(default_factory=dict)
+    latencies_us: HdrHistogram = field(
+        default_factory=lambda: HdrHistogram(1, 60_000_000, 3)
+    )
+    answered_ids: list[str] = field(default_factory=list)
+    not_run_ids: list[str] = field(default_factory=list)
+
+    def count(self, outcome: str) -> None:
+        """Count one request that was not answered."""
+        self.outcomes[outcome] = self.outcomes.get(outcome, 0) + 1
+
+
+async def run_load(
+    entries: Sequence[tuple[str, int]],
+    classes: Sequence[LoadClass],
+    seconds: float,
+    seed: int = 1,
+) -> dict[str, LoadResult]:
+    """Send every class at its rate, spread over the entries, and wait for answers."""
+    results = {item.name: LoadResult() for item in classes}
+    async with httpcore.AsyncConnectionPool(max_connections=2_000) as pool:
+        async with anyio.create_task_group() as tg:
+            for index, item in enumerate(classes):
+                rng = Random(seed * 1000 + index)
+                tg.start_soon(
+                    _send_class, pool, entries, item, seconds, rng, results[item.name]
+                )
+    return results
+
+
+async def _send_class(
+    pool: httpcore.AsyncConnectionPool,
+    entries: Sequence[tuple[str, int]],
+    item: LoadClass,
+    seconds: float,
+    rng: Random,
+    result: LoadResult,
+) -> None:
+    next_s = anyio.current_time()
+    end_s = next_s + seconds
+    number = 0
+    async with anyio.create_task_group() as tg:
+        while True:
+            next_s += rng.expovariate(item.rate)
+            if next_s >= end_s:
+                return
+            await anyio.sleep_until(next_s)
+            number += 1
+            entry = entries[rng.randrange(len(entries))]
+            request_id = f"{item.name}-{number}"
+            tg.start_soon(_send_one, pool, entry, item, request_id, next_s, result)
+
+
+async def _send_one(
+    pool: httpcore.AsyncConnectionPool,
+    entry: tuple[str, int],
+    item: LoadClass,
+    request_id: str,
+    due_s: float,
+    result: LoadResult,
+) -> None:
+    headers = [
+        ("host", item.host),
+        ("x-request-id", request_id),
+        ("x-tenant", item.tenant),
+    ]
+    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), REQUEST_TIMEOUT_S)
+    try:
+        res = await pool.request(
+            item.method,
+            f"http://{entry[0]}:{entry[1]}{item.path}",
+            headers=headers,
+            content=b"x" * item.body_bytes if item.body_bytes else None,
+            extensions={"timeout": timeouts},
+        )
+    except (
+        httpcore.NetworkError,
+        httpcore.TimeoutException,
+        httpcore.ProtocolError,
+    ) as exc:
+        result.count(type(exc).__name__)
+        return
+    outcome = dict(res.headers).get(b"berylmast-outcome", b"").decode()
+    if outcome:
+        result.count(outcome)
+        if outcome == "not-run":
+            result.not_run_ids.append(request_id)
+        return
+    if res.status >= 500:
+        result.count(str(res.status))
+        return
+    result.answered += 1
+    result.answered_ids.append(request_id)
+    # Measured from the due time, so that a stalled caller does not hide delay.
+    delay_us = int((anyio.current_time() - due_s) * 1_000_000)
+    result.latencies_us.record_value(max(1, delay_us))
--- /dev/null
+++ b/src/conftest.py
@@ -0,0 +1,28 @@
+"""Test setup: the paused clock is the default, random seeds are fixed."""
+
+from typing import Any
+
+import pytest
+from hypothesis import settings
+from trio.testing import MockClock
+
+# Fixed examples: the same commit gives the same verdict on every run.
+settings.register_profile("fixed", derandomize=True, deadline=None)
+settings.load_profile("fixed")
+
+REAL_CLOCK = ("asyncio", {"use_uvloop": True})
+
+
+@pytest.fixture
+def anyio_backend() -> tuple[str, dict[str, Any]]:
+    """Run async tests on trio, whose clock jumps when every task waits."""
+    return ("trio", {"clock": MockClock(autojump_threshold=0)})
+
+
+@pytest.fixture
+def real_clock() -> tuple[str, dict[str, Any]]:
+    """Return the backend of the daemon, for tests with sockets or processes.
+
+    A test module uses it by overriding the ``anyio_backend`` fixture with it.
+    """
+    return REAL_CLOCK
