Leave without cutting a request; bound and extend telemetry

Cause: SIGTERM ended the daemon by cancelling its tasks, which cut requests under way; nothing followed the backend server's health, and tenants named by callers could grow the histograms without bound.

Change: Lifecycle holds the reasons for taking no new work (signal, operator, health); a leaving owner refuses before dispatch and sends GoAway; the exit keeps the callers' socket open for a grace period in which answers close their connections, then waits for requests under way. Health endpoint followed with tolerance for lost checks. Histograms per service, priority and tenant with a bound on tenants; counts with reasons.

--- /dev/null
+++ b/src/berylmast/backends/tests/test_health.py
@@ -0,0 +1,35 @@
+"""Guards against leaving on one lost check and against work for a draining server."""
+
+import anyio
+import pytest
+
+from ...settings import HealthSettings
+from ..health import Health, follow_health
+
+pytestmark = pytest.mark.anyio
+
+R, L, D = Health.READY, Health.LEAVING, Health.DOWN
+
+
+@pytest.mark.parametrize(
+    ("found", "reported"),
+    [
+        ([R, R, R], [R]),
+        ([R, D, D, R], [R]),
+        ([R, D, D, D, R], [R, D, R]),
+        ([R, L, R], [R, L, R]),
+        ([D, D, D, R], [D, R]),
+    ],
+)
+async def test_changes_are_reported_once_settled(
+    found: list[Health], reported: list[Health]
+) -> None:
+    checks = iter(found)
+    seen: list[Health] = []
+
+    async def check() -> Health:
+        return next(checks, found[-1])
+
+    with anyio.move_on_after(10):
+        await follow_health(check, HealthSettings(failures=3), seen.append)
+    assert seen == reported
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -1,7 +1,6 @@
 """Wires the parts of one daemon together and runs them."""
 
 import os
-import signal
 import time
 from collections.abc import AsyncIterator, Callable
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
@@ -9,22 +8,27 @@
 from random import Random
 
 import anyio
+from anyio.abc import TaskGroup
 
-from ._serve import HttpServer, make_server
+from ._serve import make_server
 from .backends import AttemptLedger, Owner
 from .backends.client import BackendClient
+from .backends.health import Health, follow_health, make_check
 from .callers import make_app
 from .callers.forward import Forwarder
+from .callers.leaving import close_connections
 from .daemons import Exchange, Identity, PeerListener, PeerPool, connect_exchanges
 from .daemons.frames import OpeningFrame
+from .lifecycle import LeaveReason, Lifecycle
 from .limits import AdmissionController, RetryBudget
 from .membership import Directory
 from .membership.sync import announce_endpoint, follow_platform
 from .model import AttemptId, Endpoint, ServiceSlice
-from .operators.admin import make_admin_app
+from .operators.daemon_admin import make_daemon_admin
 from .platform import PlatformClient
 from .routing import Router
 from .settings import DaemonSettings
+from .shutdown import serve_until_signal
 from .telemetry import Sight, log_event
 
 
@@ -38,7 +42,9 @@
     identity = Identity(cfg.daemon_id, make_incarnation())
     directory = Directory()
     sight = Sight(cfg.statsd)
-    owner = _make_owner(cfg, identity, directory)
+    lifecycle = Lifecycle()
+    admission = _make_admission(cfg, identity, directory)
+    owner = _make_owner(cfg, admission)
     router = Router(
         directory,
         region=cfg.region,
@@ -54,26 +60,30 @@
             open_exchange=_make_opener(pool, owner, cfg.daemon_id),
             next_attempt=_make_attempts(identity),
         )
-        if owner is not None:
-            listener = PeerListener(cfg.peers, identity, owner.accept)
+        listener = PeerListener(cfg.peers, identity, owner.accept if owner else None)
+        if admission is not None:
             await tg.start(listener.run)
+            lifecycle.add_listener(_make_leave_listener(admission, listener))
             tg.start_soon(announce_endpoint, client, _make_endpoint(cfg, identity))
+            _start_health(tg, cfg, lifecycle)
         tg.start_soon(follow_platform, client, directory, cfg.environment)
+        app = make_app(directory, cfg.limits, forwarder, sight)
         callers = make_server(
-            make_app(directory, cfg.limits, forwarder, sight), cfg.callers
+            close_connections(app, lambda: lifecycle.stopping), cfg.callers
         )
-        admin = make_server(make_admin_app({"status": sight.summarise}), cfg.admin)
-        tg.start_soon(callers.serve)
+        admin = make_server(make_daemon_admin(sight, lifecycle, admission), cfg.admin)
         tg.start_soon(admin.serve)
         log_event("started", daemon=cfg.daemon_id, callers=cfg.callers)
-        await _wait_signal([callers, admin])
+        await serve_until_signal(
+            callers, lifecycle, cfg.drain, lambda: listener.open_exchanges
+        )
         log_event("stopped", daemon=cfg.daemon_id)
         tg.cancel_scope.cancel()
 
 
-def _make_owner(
+def _make_admission(
     cfg: DaemonSettings, identity: Identity, directory: Directory
-) -> Owner | None:
+) -> AdmissionController | None:
     if cfg.backend is None or cfg.service is None:
         return None
     service = cfg.service
@@ -83,10 +93,44 @@
         assert found is not None
         return found
 
-    admission = AdmissionController(cfg.daemon_id, identity.incarnation, get_slice)
+    return AdmissionController(cfg.daemon_id, identity.incarnation, get_slice)
+
+
+def _make_owner(
+    cfg: DaemonSettings, admission: AdmissionController | None
+) -> Owner | None:
+    if cfg.backend is None or admission is None:
+        return None
     return Owner(admission, AttemptLedger(), BackendClient(cfg.backend, 260))
 
 
+def _make_leave_listener(
+    admission: AdmissionController, listener: PeerListener
+) -> Callable[[bool], None]:
+    def on_change(leaving: bool) -> None:
+        admission.draining = leaving
+        if leaving:
+            listener.announce_leaving()
+
+    return on_change
+
+
+def _start_health(tg: TaskGroup, cfg: DaemonSettings, lifecycle: Lifecycle) -> None:
+    if cfg.health is None or cfg.backend is None:
+        return
+
+    def on_change(health: Health) -> None:
+        if health is Health.READY:
+            lifecycle.remove(LeaveReason.HEALTH)
+        else:
+            lifecycle.add(LeaveReason.HEALTH)
+
+    # Work is taken only once the backend server says that it is ready.
+    lifecycle.add(LeaveReason.HEALTH)
+    check = make_check(cfg.backend, cfg.health)
+    tg.start_soon(follow_health, check, cfg.health, on_change)
+
+
 def _make_endpoint(cfg: DaemonSettings, identity: Identity) -> Endpoint:
     assert cfg.service is not None
     return Endpoint(
@@ -137,16 +181,3 @@
         finally:
             owner_side.lose()
             entry_side.discard()
-
-
-async def _wait_signal(servers: list[HttpServer]) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for signum in signals:
-            log_event("stopping", signal=signum.name)
-            break
-    for server in servers:
-        server.should_exit = True
-    while any(server.started for server in servers):
-        await anyio.sleep(0.05)
-        if all(not server.server_state.connections for server in servers):
-            return
--- a/src/berylmast/daemons/listener.py
+++ b/src/berylmast/daemons/listener.py
@@ -11,7 +11,9 @@
 class PeerListener:
     """Serves every connection that other daemons open to this one."""
 
-    def __init__(self, address: Address, identity: Identity, accept: Accept) -> None:
+    def __init__(
+        self, address: Address, identity: Identity, accept: Accept | None
+    ) -> None:
         self._address = address
         self._identity = identity
         self._accept = accept
@@ -35,6 +37,11 @@
         finally:
             self._connections.discard(conn)
 
+    @property
+    def open_exchanges(self) -> int:
+        """Return the number of exchanges under way on all connections."""
+        return sum(conn.open_exchanges for conn in self._connections)
+
     def announce_leaving(self) -> None:
         """Tell every connected daemon to send no new work."""
         for conn in self._connections:
--- /dev/null
+++ b/src/berylmast/operators/daemon_admin.py
@@ -0,0 +1,35 @@
+"""What one daemon reports to operators and does for them."""
+
+from dataclasses import asdict
+
+from ..lifecycle import LeaveReason, Lifecycle
+from ..limits import AdmissionController
+from ..telemetry import Sight
+from .admin import App, make_admin_app
+
+
+def make_daemon_admin(
+    sight: Sight, lifecycle: Lifecycle, admission: AdmissionController | None
+) -> App:
+    """Return the admin app: status and histograms, drain and undrain."""
+
+    def report_lifecycle() -> object:
+        return {"leaving": lifecycle.leaving, "reasons": lifecycle.reasons}
+
+    def report_status() -> object:
+        return {
+            "lifecycle": report_lifecycle(),
+            "load": None if admission is None else asdict(admission.report()),
+            "requests": sight.summarise_counts(),
+        }
+
+    def drain() -> object:
+        lifecycle.add(LeaveReason.OPERATOR)
+        return report_lifecycle()
+
+    def undrain() -> object:
+        lifecycle.remove(LeaveReason.OPERATOR)
+        return report_lifecycle()
+
+    reports = {"status": report_status, "histograms": sight.summarise_histograms}
+    return make_admin_app(reports, {"drain": drain, "undrain": undrain})
--- a/src/berylmast/settings/_models.py
+++ b/src/berylmast/settings/_models.py
@@ -27,6 +27,26 @@
     max_requests: int = Field(1_000, ge=1, description="concurrent requests of callers")
 
 
+class HealthSettings(_Strict):
+    """How the health endpoint of the local backend server is followed."""
+
+    path: str = Field("/health", pattern="^/", description="path of the endpoint")
+    interval_s: float = Field(1.0, gt=0, description="seconds between two checks")
+    timeout_s: float = Field(0.5, gt=0, description="seconds until a check has failed")
+    failures: int = Field(3, ge=1, description="failed checks in a row that mean down")
+
+
+class DrainSettings(_Strict):
+    """How long an orderly exit may take."""
+
+    grace_s: float = Field(
+        3.0, ge=0, description="seconds in which callers are still accepted"
+    )
+    timeout_s: float = Field(
+        60.0, gt=0, description="seconds until requests under way are cut"
+    )
+
+
 class DaemonSettings(_Strict):
     """Everything that one daemon must know about its own place."""
 
@@ -46,3 +66,8 @@
         None, description="statsd server, UDP; none if absent"
     )
     limits: LimitSettings = LimitSettings()
+    health: HealthSettings | None = Field(
+        None,
+        description="health endpoint of the backend server; not followed if absent",
+    )
+    drain: DrainSettings = DrainSettings()
--- a/src/berylmast/telemetry/sight.py
+++ b/src/berylmast/telemetry/sight.py
@@ -1,21 +1,20 @@
-"""Counters, timings and histograms of the requests of this entry."""
+"""Counters, timings, histograms and log lines of the requests of this entry."""
 
+from collections import Counter
 from dataclasses import asdict, dataclass
 
-from hdrh.histogram import HdrHistogram
 from statsd import StatsClient
 
 from ..settings import Address
+from .histograms import Histograms
 from .logs import log_event
 
-_LOWEST_US = 1
-_HIGHEST_US = 600_000_000
-_DIGITS = 2
+STATSD_PREFIX = "berylmast"
 
 
 @dataclass(frozen=True, slots=True)
 class RequestLog:
-    """All that an on-call engineer needs of one request."""
+    """All that an on-call engineer needs of one request, in one line."""
 
     request: str
     service: str
@@ -30,50 +29,56 @@
 
 
 class Sight:
-    """Records requests; one histogram per service, priority and tenant."""
+    """Records every finished request of this entry."""
 
-    def __init__(self, statsd: Address | None, *, log_requests: bool = True) -> None:
+    def __init__(self, statsd: Address | None) -> None:
         self._statsd = (
             None
             if statsd is None
-            else StatsClient(statsd.host, statsd.port, "berylmast")
+            else StatsClient(statsd.host, statsd.port, STATSD_PREFIX)
         )
-        self._log_requests = log_requests
-        self._histograms: dict[tuple[str, str, str], HdrHistogram] = {}
-        self._counts: dict[tuple[str, str, str], int] = {}
+        self._histograms = Histograms()
+        self._counts: Counter[tuple[str, str, str, str]] = Counter()
 
     def record_request(self, entry: RequestLog) -> None:
         """Log a finished request and count it."""
-        key = (entry.service, entry.priority, entry.tenant)
-        histogram = self._histograms.get(key)
-        if histogram is None:
-            histogram = HdrHistogram(_LOWEST_US, _HIGHEST_US, _DIGITS)
-            self._histograms[key] = histogram
-        histogram.record_value(max(1, int(entry.duration_ms * 1000)))
-        count = (entry.service, entry.priority, entry.outcome)
-        self._counts[count] = self._counts.get(count, 0) + 1
+        self._histograms.record(
+            entry.service, entry.priority, entry.tenant, entry.duration_ms
+        )
+        key = (entry.service, entry.priority, entry.outcome, entry.reason)
+        self._counts[key] += 1
         if self._statsd is not None:
-            name = f"{entry.service}.{entry.priority}"
-            self._statsd.incr(f"{name}.{entry.outcome}")
-            self._statsd.timing(name, entry.duration_ms)
-        if self._log_requests:
-            log_event("request", **asdict(entry))
-
-    def summarise(self) -> dict[str, object]:
-        """Return counts and percentiles in milliseconds, for operators."""
-        histograms = [
+            self._send_statsd(self._statsd, entry)
+        log_event("request", **asdict(entry))
+
+    def _send_statsd(self, client: StatsClient, entry: RequestLog) -> None:
+        name = f"{_clean(entry.service)}.{_clean(entry.priority)}"
+        with client.pipeline() as pipe:
+            pipe.incr(f"{name}.{entry.outcome}")
+            if entry.reason:
+                pipe.incr(f"{name}.reason.{entry.reason}")
+            pipe.timing(f"{name}.duration", entry.duration_ms)
+
+    def summarise_counts(self) -> list[dict[str, object]]:
+        """Return the number of requests by service, priority, outcome and reason."""
+        return [
             {
                 "service": service,
                 "priority": priority,
-                "tenant": tenant,
-                "count": histogram.get_total_count(),
-                "p50_ms": histogram.get_value_at_percentile(50) / 1000,
-                "p99_ms": histogram.get_value_at_percentile(99) / 1000,
+                "outcome": outcome,
+                "reason": reason,
+                "count": count,
             }
-            for (service, priority, tenant), histogram in self._histograms.items()
-        ]
-        counts = [
-            {"service": s, "priority": p, "outcome": o, "count": n}
-            for (s, p, o), n in self._counts.items()
+            for (service, priority, outcome, reason), count in sorted(
+                self._counts.items()
+            )
         ]
-        return {"histograms": histograms, "counts": counts}
+
+    def summarise_histograms(self) -> list[dict[str, object]]:
+        """Return the percentiles by service, priority and tenant."""
+        return [asdict(summary) for summary in self._histograms.summarise()]
+
+
+def _clean(name: str) -> str:
+    """Replace the characters that separate parts of a statsd line."""
+    return "".join(c if c.isalnum() or c in "-_" else "_" for c in name)
--- /dev/null
+++ b/src/berylmast/telemetry/tests/test_telemetry.py
@@ -0,0 +1,66 @@
+"""Guards against log lines that can't be parsed and against unbounded histograms."""
+
+import logging
+import shlex
+
+import pytest
+
+from ..histograms import HIGHEST_US, MAX_TENANTS, OTHER_TENANTS, Histograms
+from ..logs import KeyValueFormatter
+from ..sight import RequestLog, Sight
+
+
+@pytest.mark.parametrize(
+    ("value", "text"),
+    [
+        ("plain", "plain"),
+        ("", '""'),
+        ("two words", '"two words"'),
+        ('say "x"', r'"say \"x\""'),
+        ("a=b", '"a=b"'),
+        ("line\nfeed", r'"line\nfeed"'),
+        (1.23456, "1.235"),
+        (7, "7"),
+        ("ñandú", "ñandú"),
+    ],
+)
+def test_log_values_stay_on_one_line_and_apart(value: object, text: str) -> None:
+    record = logging.makeLogRecord({"msg": "request", "field": value})
+    line = KeyValueFormatter("%(message)s").format(record)
+    assert line == f"message=request field={text}"
+    assert len(shlex.split(line)) == 2
+
+
+def test_tenants_of_callers_do_not_grow_the_histograms_without_bound() -> None:
+    histograms = Histograms()
+    for number in range(3 * MAX_TENANTS):
+        histograms.record("orders", "urgent", f"tenant-{number}", 5.0)
+    summaries = histograms.summarise()
+    assert len(summaries) == MAX_TENANTS + 1
+    counts = {summary.tenant: summary.count for summary in summaries}
+    assert counts[OTHER_TENANTS] == 2 * MAX_TENANTS
+
+
+@pytest.mark.parametrize("latency_ms", [0.0, 0.0001, 5.0, 1e12])
+def test_latency_out_of_range_is_counted(latency_ms: float) -> None:
+    histograms = Histograms()
+    histograms.record("orders", "urgent", "dealers", latency_ms)
+    summary = histograms.summarise()[0]
+    assert summary.count == 1
+    assert summary.max_ms <= HIGHEST_US / 1000 * 1.02
+
+
+def test_a_request_line_holds_what_on_call_needs(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    entry = RequestLog(
+        "r1", "orders", "urgent", "t", "orders-n1", 2, "not-run", "shed", 503, 1.5
+    )
+    logging.getLogger("berylmast").propagate = True
+    with caplog.at_level(logging.INFO, logger="berylmast"):
+        Sight(None).record_request(entry)
+    line = KeyValueFormatter("%(message)s").format(caplog.records[-1])
+    for part in ("request=r1", "service=orders", "backend=orders-n1", "attempts=2"):
+        assert part in line
+    for part in ("priority=urgent", "outcome=not-run", "reason=shed", "status=503"):
+        assert part in line
--- /dev/null
+++ b/src/berylmast/tests/test_lifecycle.py
@@ -0,0 +1,71 @@
+"""Guards against new work while leaving and against requests cut at the exit."""
+
+from dataclasses import dataclass
+from typing import cast
+
+import anyio
+import pytest
+
+from .._serve import HttpServer
+from ..lifecycle import LeaveReason, Lifecycle, wait_idle
+from ..settings import DrainSettings
+from ..shutdown import stop_gracefully
+
+pytestmark = pytest.mark.anyio
+
+
+def test_ready_again_only_when_every_reason_is_gone() -> None:
+    seen: list[bool] = []
+    lifecycle = Lifecycle()
+    lifecycle.add_listener(seen.append)
+    lifecycle.add(LeaveReason.HEALTH)
+    lifecycle.add(LeaveReason.OPERATOR)
+    lifecycle.remove(LeaveReason.HEALTH)
+    assert (lifecycle.leaving, lifecycle.reasons) == (True, ["operator"])
+    lifecycle.remove(LeaveReason.OPERATOR)
+    assert not lifecycle.leaving
+    assert seen == [True, False]
+
+
+@pytest.mark.parametrize(
+    ("busy_s", "timeout_s", "idle"), [(0, 1, True), (5, 10, True), (20, 10, False)]
+)
+async def test_wait_idle(busy_s: float, timeout_s: float, idle: bool) -> None:
+    end_s = anyio.current_time() + busy_s
+    assert (
+        await wait_idle(lambda: int(anyio.current_time() < end_s), timeout_s=timeout_s)
+        is idle
+    )
+
+
+@dataclass
+class FakeServer:
+    should_exit: bool = False
+
+
+@pytest.mark.parametrize(
+    ("callers_s", "peers_s", "took_s"),
+    [(0, 0, 3), (10, 0, 13), (0, 10, 13), (500, 0, 63), (0, 500, 63)],
+)
+async def test_stop_waits_for_requests_up_to_the_timeout(
+    callers_s: float, peers_s: float, took_s: float
+) -> None:
+    server, lifecycle, ended = FakeServer(), Lifecycle(), anyio.Event()
+    started_s = anyio.current_time()
+
+    async def end_callers() -> None:
+        while not server.should_exit:
+            await anyio.sleep(0.1)
+        await anyio.sleep(callers_s)
+        ended.set()
+
+    def count() -> int:
+        return int(anyio.current_time() < started_s + 3 + peers_s)
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(end_callers)
+        cfg = DrainSettings(grace_s=3, timeout_s=60)
+        await stop_gracefully(cast(HttpServer, server), ended, lifecycle, cfg, count)
+        tg.cancel_scope.cancel()
+    assert lifecycle.stopping
+    assert anyio.current_time() - started_s == pytest.approx(took_s, abs=0.3)
--- /dev/null
+++ b/src/berylmast_dev/tests/test_drain.py
@@ -0,0 +1,56 @@
+"""Guards against requests cut by a graceful exit, with real processes under load."""
+
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from ..fleet import Fleet, Member, find_ports, read_ledger, run_fleet
+from ..load import LoadClass, run_load
+
+pytestmark = pytest.mark.anyio
+
+DOCUMENT = Path(__file__).parents[3] / "examples" / "kalvola.json5"
+ORDERS = LoadClass("orders", "orders", "POST", "/orders", 60, 400)
+SECONDS = 6.0
+LEAVE_LIMIT_S = 3.0
+"""A leaving backend server gets no new work after this time."""
+
+
+@pytest.fixture
+def anyio_backend(real_clock: tuple[str, dict[str, Any]]) -> tuple[str, dict[str, Any]]:
+    return real_clock
+
+
+async def test_sigterm_under_load_cuts_no_request() -> None:
+    first = find_ports(12)
+    members = [
+        Member(f"orders-{n}", "orders", "north", "n1", 6, 20.0, first + 4 * n)
+        for n in range(3)
+    ]
+    late: list[str] = []
+
+    async def stop_one(fleet: Fleet) -> None:
+        await anyio.sleep(1.5)
+        fleet.processes["daemon-orders-0"].terminate()
+        await anyio.sleep(LEAVE_LIMIT_S)
+        before = await read_ledger(members[0])
+        await anyio.sleep(1.0)
+        late.extend((await read_ledger(members[0]))[len(before) :])
+
+    async with run_fleet(members, DOCUMENT) as fleet:
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(stop_one, fleet)
+            # Callers use the other entries: the stopping one closes its socket at last.
+            entries = [member.entry for member in members[1:]]
+            results = await run_load(entries, [ORDERS], SECONDS)
+        ledgers = [await read_ledger(member) for member in members]
+        exit_code = fleet.processes["daemon-orders-0"].wait(timeout=10)
+    result = results["orders"]
+    assert result.outcomes == {}
+    assert result.answered > 0.7 * ORDERS.rate * SECONDS
+    assert late == []
+    runs = [request for ledger in ledgers for request in ledger]
+    assert sorted(runs) == sorted(result.answered_ids)
+    assert exit_code == 0
