Check documents, report conflicts and lost answers, extend berylmastctl

Cause: the document had no cross-checks, `apply` could not tell a lost answer from a failed write, and a race ended without showing what the other side had stored.

Change: faults name path, value and what is allowed, with the nearest known key; cross-checks of floors, priorities, hosts, policies and shift steps; revisions carry a digest and a writer's token and are read back after a lost answer; commands check, diff, show, apply, promote, shift, status, histogram, explain, drain, undrain with JSON output and exit codes. Shift steps start by hand or by date and can be taken back.

Conclusion: the operators' side works against the stand-in; fleet-wide status waits for the registrars, explain for the router.

--- /dev/null
+++ b/src/berylmast/bin/tests/test_ctl.py
@@ -0,0 +1,82 @@
+"""Guards against exit codes and output that scripts of operators rely on."""
+
+import json
+from pathlib import Path
+
+import pytest
+
+from ..berylmastctl import app
+from ..berylmastd import app as daemon_app
+
+EXAMPLE = Path(__file__).parents[4] / "examples" / "kalvola.json5"
+# Nothing listens on the discard port of the loopback address.
+NOWHERE = "127.0.0.1:9"
+
+
+@pytest.mark.parametrize(
+    ("command", "code", "text"),
+    [
+        (["check", str(EXAMPLE)], 0, "valid, digest"),
+        (["check", "no-such-file"], 2, "cannot read no-such-file"),
+        (["check", "{bad}"], 2, "unknown key"),
+        (
+            ["show", "--environment", "trial", "--platform", NOWHERE],
+            5,
+            "nothing was changed",
+        ),
+        (["show", "--environment", "trial", "--platform", "x"], 2, "not HOST:PORT"),
+        (["status", "--daemon", NOWHERE], 5, NOWHERE),
+        (["drain", "--daemon", NOWHERE], 5, NOWHERE),
+        (["explain", "orders", "GET", "/", "--daemon", NOWHERE], 5, NOWHERE),
+        (["chek", str(EXAMPLE)], 2, "check"),
+    ],
+)
+def test_exit_code_and_message(
+    command: list[str],
+    code: int,
+    text: str,
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    bad = tmp_path / "bad.json5"
+    bad.write_text('{"servces": {}}')
+    command = [str(bad) if part == "{bad}" else part for part in command]
+    with pytest.raises(SystemExit) as caught:
+        app(command)
+    out, err = capsys.readouterr()
+    assert caught.value.code == code
+    assert text in out + err
+
+
+def test_json_output_of_faults(
+    tmp_path: Path, capsys: pytest.CaptureFixture[str]
+) -> None:
+    bad = tmp_path / "bad.json5"
+    bad.write_text('{"services": {}}')
+    with pytest.raises(SystemExit) as caught:
+        app(["check", str(bad), "--output", "json"])
+    assert caught.value.code == 2
+    assert json.loads(capsys.readouterr().out)["faults"]
+
+
+@pytest.mark.parametrize(
+    ("text", "code", "message"),
+    [
+        ("{}", 2, "daemon_id: required key is missing"),
+        ('{"regoin": "x"}', 2, "regoin: unknown key; did you mean 'region'?"),
+        ("{", 2, "line 1"),
+    ],
+)
+def test_daemon_refuses_bad_settings(
+    text: str,
+    code: int,
+    message: str,
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    path = tmp_path / "settings.json5"
+    path.write_text(text)
+    with pytest.raises(SystemExit) as caught:
+        daemon_app([str(path), "--check-settings"])
+    assert caught.value.code == code
+    assert message in capsys.readouterr().err
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -131,12 +131,23 @@
     link_bytes_per_s: int = 250_000
 
 
+@dataclass(frozen=True, slots=True)
+class ShiftStep:
+    """One step of a shift between regions; ``starts_at_s`` is Unix time in seconds.
+
+    A step without a start time begins only when the document names it.
+    """
+
+    weights: Mapping[str, float]
+    starts_at_s: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceSlice:
     """The part of an accepted document that concerns one service.
 
-    ``priorities`` are ordered, the most urgent first. ``region_weights`` is the current
-    step of a shift between buildings; an empty mapping leaves the choice to locality.
+    ``priorities`` are ordered, the most urgent first. ``region_weights`` are in force
+    where there is no ``shift``; an empty mapping leaves the choice to locality.
     """
 
     service: str
@@ -151,6 +162,22 @@
     tenant_header: str = "x-tenant"
     budgets: Budgets = Budgets()
     max_body_bytes: int = 1 << 30
+    shift: tuple[ShiftStep, ...] = ()
+    shift_current: int = 0
+
+    def weights_at(self, now_s: float) -> Mapping[str, float]:
+        """Return the region weights in force at a Unix time in seconds.
+
+        That is the step that the document names, or a later one whose date has passed.
+        """
+        if not self.shift:
+            return self.region_weights
+        begun = [
+            index
+            for index, step in enumerate(self.shift)
+            if step.starts_at_s is not None and step.starts_at_s <= now_s
+        ]
+        return self.shift[max([self.shift_current, *begun])].weights
 
     def rank(self, priority: str) -> int:
         """Return the position of a priority, 0 being the most urgent."""
--- /dev/null
+++ b/src/berylmast/operators/changes.py
@@ -0,0 +1,56 @@
+"""What differs between two documents, value by value."""
+
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from .models import Document
+
+_ABSENT = object()
+
+
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One value that differs; None stands for a value that is not there."""
+
+    path: str
+    before: Any
+    after: Any
+
+    def __str__(self) -> str:
+        return f"{self.path}: {self.before!r} -> {self.after!r}"
+
+
+def list_changes(before: Document | None, after: Document | None) -> list[Change]:
+    """Return the values that differ, in the order of their paths."""
+    return list(_compare("", _dump(before), _dump(after)))
+
+
+def _dump(document: Document | None) -> Any:
+    return _ABSENT if document is None else _sort(document.model_dump(mode="json"))
+
+
+def _sort(value: Any) -> Any:
+    """Give lists that were sets one order, so that only real changes show."""
+    if isinstance(value, dict):
+        return {key: _sort(item) for key, item in value.items()}
+    if isinstance(value, list) and all(isinstance(item, str) for item in value):
+        return sorted(value)
+    if isinstance(value, list):
+        return {str(index): _sort(item) for index, item in enumerate(value)}
+    return value
+
+
+def _compare(path: str, before: Any, after: Any) -> Iterator[Change]:
+    if isinstance(before, dict) or isinstance(after, dict):
+        old = before if isinstance(before, dict) else {}
+        new = after if isinstance(after, dict) else {}
+        for key in sorted(old.keys() | new.keys()):
+            inner = f"{path}.{key}" if path else key
+            yield from _compare(inner, old.get(key, _ABSENT), new.get(key, _ABSENT))
+    elif before is not after and before != after:
+        yield Change(path, _show(before), _show(after))
+
+
+def _show(value: Any) -> Any:
+    return None if value is _ABSENT else value
--- /dev/null
+++ b/src/berylmast/operators/shifting.py
@@ -0,0 +1,49 @@
+"""Changes the step of a shift in the text of a document, comments kept."""
+
+import json
+import re
+
+from .document import DocumentError, parse_document
+from .models import Document
+
+
+class ShiftError(Exception):
+    """The step can't be set; the message says why."""
+
+
+def set_shift_step(text: str, service: str, step: int) -> str:
+    """Return the document's text with another step of a service's shift in force.
+
+    Only the number behind ``current`` changes. Raises ShiftError if the service has no
+    shift or no such step, or if its text does not hold exactly one ``current``.
+    """
+    document = parse_document(text)
+    found = document.services.get(service)
+    if found is None:
+        known = ", ".join(document.services)
+        raise ShiftError(f"no service {service!r}; known: {known}")
+    if found.shift is None:
+        raise ShiftError(f"service {service!r} has no shift")
+    if not 0 <= step < len(found.shift.steps):
+        raise ShiftError(
+            f"service {service!r} has the steps 0 to {len(found.shift.steps) - 1}"
+        )
+    for match in re.finditer(r"""["']?current["']?\s*:\s*(\d+)""", text):
+        changed = text[: match.start(1)] + str(step) + text[match.end(1) :]
+        if _only_step_differs(document, changed, service, step):
+            return changed
+    if found.shift.current == step:
+        return text
+    raise ShiftError(f"write 'current' into the shift of {service!r} first")
+
+
+def _only_step_differs(
+    document: Document, changed: str, service: str, step: int
+) -> bool:
+    try:
+        after = parse_document(changed).model_dump(mode="json")
+    except DocumentError:
+        return False
+    before = document.model_dump(mode="json")
+    before["services"][service]["shift"]["current"] = step
+    return json.dumps(before, sort_keys=True) == json.dumps(after, sort_keys=True)
--- /dev/null
+++ b/src/berylmast/operators/tests/test_revisions.py
@@ -0,0 +1,116 @@
+"""Guards against untrue reports of a write and against two winners of a race."""
+
+from typing import Any, cast
+
+import anyio
+import pytest
+
+from ...platform import Conflict, PlatformClient, PlatformObject, PlatformUnavailable
+from ..revisions import ApplyConflict, ApplyUnknown, apply_revision, read_revision
+
+pytestmark = pytest.mark.anyio
+
+
+class FakePlatform:
+    """One object with conditional updates; faults by the number of the write."""
+
+    def __init__(self, lost_answers: int = 0, lost_writes: int = 0) -> None:
+        self.stored: PlatformObject | None = None
+        self.outage = False
+        self._lost_answers = lost_answers
+        self._lost_writes = lost_writes
+
+    async def get(self, kind: str, name: str) -> PlatformObject | None:
+        await anyio.sleep(0.01)
+        if self.outage:
+            raise PlatformUnavailable("outage")
+        return self.stored
+
+    async def put(
+        self, kind: str, name: str, spec: dict[str, Any], version: int | None
+    ) -> PlatformObject:
+        await anyio.sleep(0.01)
+        if self._lost_writes:
+            self._lost_writes -= 1
+            raise PlatformUnavailable("request lost")
+        stored = 0 if self.stored is None else self.stored.metadata.resource_version
+        if version != stored:
+            raise Conflict("version")
+        metadata = {"name": name, "resourceVersion": stored + 1}
+        self.stored = PlatformObject.model_validate(
+            {"kind": kind, "metadata": metadata, "spec": spec}
+        )
+        if self._lost_answers:
+            self._lost_answers -= 1
+            raise PlatformUnavailable("answer lost")
+        return self.stored
+
+
+def as_client(fake: FakePlatform) -> PlatformClient:
+    return cast(PlatformClient, fake)
+
+
+@pytest.mark.parametrize(
+    ("fake", "accepted"),
+    [
+        (FakePlatform(), True),
+        (FakePlatform(lost_answers=1), True),
+        (FakePlatform(lost_writes=1), False),
+    ],
+    ids=["plain", "answer-lost", "write-lost"],
+)
+async def test_report_says_what_the_store_holds(
+    fake: FakePlatform, accepted: bool
+) -> None:
+    applied = await apply_revision(as_client(fake), "trial", "{}", 0)
+    assert applied.is_ok() is accepted
+    assert (fake.stored is not None) is accepted
+    if not accepted:
+        assert isinstance(applied.unwrap_err(), ApplyUnknown)
+
+
+async def test_outage_after_the_write_is_reported_as_unknown() -> None:
+    fake = FakePlatform(lost_answers=1)
+
+    async def fail_later() -> None:
+        await anyio.sleep(0.015)
+        fake.outage = True
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(fail_later)
+        applied = await apply_revision(as_client(fake), "trial", "{}", 0)
+    assert isinstance(applied.unwrap_err(), ApplyUnknown)
+
+
+@pytest.mark.parametrize("lost_answers", [0, 1, 3])
+async def test_one_of_racing_operators_wins_and_each_is_told_the_truth(
+    lost_answers: int,
+) -> None:
+    fake = FakePlatform(lost_answers=lost_answers)
+    client = as_client(fake)
+    results = {}
+
+    async def apply(number: int) -> None:
+        results[number] = await apply_revision(client, "trial", f"{{}} // {number}", 0)
+
+    async with anyio.create_task_group() as tg:
+        for number in range(8):
+            tg.start_soon(apply, number)
+    winners = [number for number, result in results.items() if result.is_ok()]
+    stored = await read_revision(client, "trial")
+    assert stored is not None
+    assert stored.version == 1
+    assert [f"{{}} // {number}" for number in winners] == [stored.text]
+    for number in set(results) - set(winners):
+        error = results[number].unwrap_err()
+        assert isinstance(error, ApplyConflict)
+        assert error.stored is not None
+        assert error.stored.text == stored.text
+
+
+async def test_change_on_an_old_base_is_a_conflict() -> None:
+    client = as_client(FakePlatform())
+    await apply_revision(client, "trial", "{}", 0)
+    applied = await apply_revision(client, "trial", "{} // late", 0)
+    assert isinstance(applied.unwrap_err(), ApplyConflict)
+    assert (await apply_revision(client, "trial", "{} // next", 1)).is_ok()
--- a/src/berylmast/settings/_load.py
+++ b/src/berylmast/settings/_load.py
@@ -2,9 +2,9 @@
 
 from pathlib import Path
 
-import pyjson5
 from pydantic import ValidationError
 
+from .._jsonc import JsoncError, decode_jsonc, describe_faults
 from ._models import DaemonSettings
 
 
@@ -18,17 +18,11 @@
     Raises SettingsError with one line per fault.
     """
     try:
-        data = pyjson5.decode(path.read_text())
-    except OSError as exc:
-        raise SettingsError(f"cannot read {path}: {exc.strerror}") from exc
-    except pyjson5.Json5DecoderException as exc:
-        raise SettingsError(f"{path} is not valid JSON with comments: {exc}") from exc
-    try:
-        return DaemonSettings.model_validate(data)
+        return DaemonSettings.model_validate(decode_jsonc(path.read_text()))
+    except (OSError, UnicodeDecodeError) as exc:
+        raise SettingsError(f"cannot read {path}: {exc}") from exc
+    except JsoncError as exc:
+        raise SettingsError(f"{path}: {exc}") from exc
     except ValidationError as exc:
-        lines = [
-            f"{path}: {'.'.join(str(part) for part in fault['loc'])}: "
-            f"{fault['msg']} (got {fault['input']!r})"
-            for fault in exc.errors()
-        ]
-        raise SettingsError("\n".join(lines)) from exc
+        faults = describe_faults(DaemonSettings, exc)
+        raise SettingsError("\n".join(f"{path}: {line}" for line in faults)) from exc
--- a/src/berylmast_dev/fleet.py
+++ b/src/berylmast_dev/fleet.py
@@ -131,6 +131,7 @@
                 str(path),
                 "--environment=demo",
                 f"--platform={HOST}:{self.platform_port}",
+                "--base=0",
             ],
             check=True,
         )
