Record attempts in bounds, query lost ones, hold idempotency keys

The ledger of attempts grew without bound, a lost stream left the caller with an unknown outcome at best (ExchangeLost arrived wrapped in an ExceptionGroup and was not caught), and Idempotency-Key was not used. Adds the frames Outcome, KeyBegin, KeyState and KeyFinish behind the existing ones.

--- a/src/berylmast/backends/__init__.py
+++ b/src/berylmast/backends/__init__.py
@@ -1,6 +1,7 @@
 """The owner of the local backend server: attempt ledger, admission, dispatch."""
 
-from .ledger import AttemptLedger, AttemptState
+from .keys import KeyLedger
+from .ledger import AttemptLedger
 from .owner import Owner
 
-__all__ = ["AttemptLedger", "AttemptState", "Owner"]
+__all__ = ["AttemptLedger", "KeyLedger", "Owner"]
--- /dev/null
+++ b/src/berylmast/backends/headers.py
@@ -0,0 +1,24 @@
+"""The headers that the owner sets on a request to the backend server."""
+
+from dataclasses import replace
+
+from ..model import RequestHead
+
+_DEADLINE = b"berylmast-deadline-ms"
+_RETRY = b"berylmast-retry"
+_REQUEST_ID = b"x-request-id"
+_OWN = frozenset({_DEADLINE, _RETRY, _REQUEST_ID})
+
+
+def make_backend_head(head: RequestHead, remaining_ms: int) -> RequestHead:
+    """Return the head as the backend server receives it.
+
+    A nested call passes these headers on: the request id, the time that remains in
+    milliseconds, and the retry mark, so that retries do not multiply along a path.
+    """
+    headers = [(key, value) for key, value in head.headers if key.lower() not in _OWN]
+    headers.append((_REQUEST_ID, head.request_id.encode("latin-1")))
+    headers.append((_DEADLINE, str(remaining_ms).encode()))
+    if head.retry:
+        headers.append((_RETRY, b"1"))
+    return replace(head, deadline_ms=remaining_ms, headers=headers)
--- /dev/null
+++ b/src/berylmast/backends/keys.py
@@ -0,0 +1,115 @@
+"""The records of callers' idempotency keys that this daemon holds.
+
+A key is kept for KEY_WINDOW_S after its request ended, or after its deadline if no end
+was reported; from the deadline on its outcome counts as unknown. At most MAX_KEYS are
+held: a full ledger refuses new keys, since a request whose key is evicted could run
+twice.
+Kept answers are bounded by MAX_KEPT_BYTES, the oldest is dropped first.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+
+import anyio
+
+from ..daemons.frames import KeyBegin, KeyFinish
+from ..model import AttemptId, KeptAnswer, KeyStatus
+
+KEY_WINDOW_S = 600.0
+MAX_KEYS = 32_768
+MAX_KEPT_BYTES = 8 * 1024 * 1024
+
+_KeyId = tuple[str, str, str]
+
+
+@dataclass(frozen=True, slots=True)
+class KeyRecord:
+    """One key; ``since_s`` is the time of its end, or the deadline while it runs."""
+
+    token: AttemptId
+    fingerprint: str
+    status: KeyStatus
+    since_s: float
+    answer: KeptAnswer | None = None
+
+
+class KeyLedger:
+    """Holds keys by (service, tenant, key)."""
+
+    def __init__(self) -> None:
+        self._records: OrderedDict[_KeyId, KeyRecord] = OrderedDict()
+        self._kept_bytes = 0
+
+    def begin(self, frame: KeyBegin) -> tuple[KeyStatus, KeptAnswer | None]:
+        """Give the key to the asking request, or return the state of the earlier one."""
+        now_s = anyio.current_time()
+        key = (frame.service, frame.tenant, frame.key)
+        self._evict(now_s)
+        record = self._records.get(key)
+        if record is not None and now_s - record.since_s >= KEY_WINDOW_S:
+            self._drop(key)
+            record = None
+        if record is None:
+            if len(self._records) >= MAX_KEYS:
+                return KeyStatus.FULL, None
+            until_s = now_s + frame.deadline_ms / 1000
+            self._records[key] = KeyRecord(
+                frame.token, frame.fingerprint, KeyStatus.RUNNING, until_s
+            )
+            return KeyStatus.NEW, None
+        return _judge(record, frame, now_s)
+
+    def finish(self, frame: KeyFinish) -> None:
+        """Record the end of the request that was given the key; others are ignored."""
+        key = (frame.service, frame.tenant, frame.key)
+        record = self._records.get(key)
+        if record is None or record.token != frame.token:
+            return
+        self._drop(key)
+        if frame.status is KeyStatus.NOT_RUN:
+            return
+        answer = None
+        if frame.answer_status:
+            answer = KeptAnswer(frame.answer_status, frame.headers, frame.body)
+            self._kept_bytes += len(frame.body)
+        self._records[key] = replace(
+            record, status=frame.status, since_s=anyio.current_time(), answer=answer
+        )
+        self._trim_answers()
+
+    def _evict(self, now_s: float) -> None:
+        while self._records:
+            key, record = next(iter(self._records.items()))
+            if now_s - record.since_s < KEY_WINDOW_S:
+                return
+            self._drop(key)
+
+    def _trim_answers(self) -> None:
+        if self._kept_bytes <= MAX_KEPT_BYTES:
+            return
+        for key, record in self._records.items():
+            if record.answer is not None:
+                self._kept_bytes -= len(record.answer.body)
+                self._records[key] = replace(record, answer=None)
+            if self._kept_bytes <= MAX_KEPT_BYTES:
+                return
+
+    def _drop(self, key: _KeyId) -> None:
+        record = self._records.pop(key)
+        if record.answer is not None:
+            self._kept_bytes -= len(record.answer.body)
+
+
+def _judge(
+    record: KeyRecord, frame: KeyBegin, now_s: float
+) -> tuple[KeyStatus, KeptAnswer | None]:
+    if record.fingerprint != frame.fingerprint:
+        return KeyStatus.MISMATCH, None
+    if record.status is not KeyStatus.RUNNING:
+        return record.status, record.answer
+    if record.token == frame.token:
+        # The same request asks again since it lost the first reply.
+        return KeyStatus.NEW, None
+    if now_s >= record.since_s:
+        return KeyStatus.UNKNOWN, None
+    return KeyStatus.RUNNING, None
--- a/src/berylmast/backends/ledger.py
+++ b/src/berylmast/backends/ledger.py
@@ -1,35 +1,136 @@
-"""The owner's record of attempts: no attempt id is dispatched twice."""
+"""The owner's record of attempts: no attempt id is dispatched twice.
 
-from enum import StrEnum
+Bounds: an ended attempt is remembered for RETENTION_S, at most MAX_ENDED of them; their
+kept answers for ANSWER_RETENTION_S within MAX_KEPT_BYTES. Attempts that run are bounded
+by admission. An id that was evicted can't run again: the ids of an entry are ordered by
+(incarnation, counter), and the ledger keeps, per entry, the highest evicted one as a
+floor; no id at or below the floor is accepted. An id is taken from the counter when its
+Request is sent, so a first Request below the floor would be RETENTION_S late (less when
+MAX_ENDED evicts earlier); it is answered "unknown". Floors are kept for MAX_FLOORS
+entries, more than the daemons of the target fleet; the one raised longest ago is dropped
+first, and only then could an id that old run again.
+"""
 
-from ..model import AttemptId
+from collections import OrderedDict, deque
+from dataclasses import dataclass, replace
 
+import anyio
 
-class AttemptState(StrEnum):
-    """What the owner knows of an attempt."""
+from ..errors import ErrorKind
+from ..model import AttemptId, AttemptState, KeptAnswer
 
-    RUNNING = "running"
-    FINISHED = "finished"
-    REVOKED = "revoked"
+RETENTION_S = 60.0
+"""An entry asks within seconds after its stream was lost."""
+
+MAX_ENDED = 32_768
+ANSWER_RETENTION_S = 30.0
+MAX_KEPT_BYTES = 4 * 1024 * 1024
+MAX_FLOORS = 65_536
+
+
+@dataclass(frozen=True, slots=True)
+class Ending:
+    """How an attempt ended; ``kind`` and ``detail`` as in ``Refuse`` or ``Fail``."""
+
+    state: AttemptState
+    kind: ErrorKind | None = None
+    detail: str = ""
+    answer: KeptAnswer | None = None
+
+
+REVOKED = Ending(
+    AttemptState.REFUSED, ErrorKind.ATTEMPT_REVOKED, "the attempt never arrived"
+)
 
 
 class AttemptLedger:
-    """Remembers every attempt of this incarnation."""
+    """Remembers the attempts of this incarnation, within the bounds above."""
 
     def __init__(self) -> None:
-        self._states: dict[AttemptId, AttemptState] = {}
+        self._running: dict[AttemptId, anyio.Event] = {}
+        self._ended: OrderedDict[AttemptId, tuple[float, Ending]] = OrderedDict()
+        self._kept: deque[tuple[float, AttemptId, int]] = deque()
+        self._kept_bytes = 0
+        self._floors: OrderedDict[str, tuple[int, int]] = OrderedDict()
+
+    def __len__(self) -> int:
+        return len(self._running) + len(self._ended)
 
     def begin(self, attempt: AttemptId) -> bool:
-        """Record an attempt before dispatch; False if its id is already known."""
-        if attempt in self._states:
+        """Record an attempt before dispatch; False if its id was ever used."""
+        if self.peek(attempt).state is not AttemptState.NOT_SEEN:
             return False
-        self._states[attempt] = AttemptState.RUNNING
+        self._running[attempt] = anyio.Event()
         return True
 
-    def finish(self, attempt: AttemptId) -> None:
-        """Record that an attempt has ended."""
-        self._states[attempt] = AttemptState.FINISHED
+    def finish(self, attempt: AttemptId, ending: Ending) -> None:
+        """Record how an attempt that began has ended; wakes those who wait for it."""
+        event = self._running.pop(attempt)
+        self._remember(attempt, ending)
+        event.set()
+
+    def peek(self, attempt: AttemptId) -> Ending:
+        """Return what is known of an attempt without changing it."""
+        self._evict()
+        if attempt in self._running:
+            return Ending(AttemptState.RUNNING)
+        if attempt in self._ended:
+            return self._ended[attempt][1]
+        floor = self._floors.get(attempt.entry)
+        if floor is not None and _order(attempt) <= floor:
+            return Ending(AttemptState.FORGOTTEN)
+        return Ending(AttemptState.NOT_SEEN)
+
+    def query(self, attempt: AttemptId) -> Ending:
+        """Return what is known of an attempt; one not seen is refused from now on."""
+        ending = self.peek(attempt)
+        if ending.state is AttemptState.NOT_SEEN:
+            self._remember(attempt, REVOKED)
+        return ending
+
+    async def wait_end(self, attempt: AttemptId) -> Ending:
+        """Wait until a running attempt has ended and return how."""
+        event = self._running.get(attempt)
+        if event is not None:
+            await event.wait()
+        return self.peek(attempt)
+
+    def _remember(self, attempt: AttemptId, ending: Ending) -> None:
+        now_s = anyio.current_time()
+        self._ended[attempt] = (now_s, ending)
+        if ending.answer is not None:
+            size = len(ending.answer.body)
+            self._kept.append((now_s, attempt, size))
+            self._kept_bytes += size
+        self._evict()
+
+    def _evict(self) -> None:
+        now_s = anyio.current_time()
+        while self._kept and (
+            now_s - self._kept[0][0] >= ANSWER_RETENTION_S
+            or self._kept_bytes > MAX_KEPT_BYTES
+        ):
+            self._drop_answer()
+        while self._ended:
+            attempt, (ended_s, _) = next(iter(self._ended.items()))
+            if now_s - ended_s < RETENTION_S and len(self._ended) <= MAX_ENDED:
+                return
+            del self._ended[attempt]
+            self._raise_floor(attempt)
+
+    def _drop_answer(self) -> None:
+        _, attempt, size = self._kept.popleft()
+        self._kept_bytes -= size
+        if attempt in self._ended:
+            ended_s, ending = self._ended[attempt]
+            self._ended[attempt] = (ended_s, replace(ending, answer=None))
+
+    def _raise_floor(self, attempt: AttemptId) -> None:
+        known = self._floors.pop(attempt.entry, (0, 0))
+        self._floors[attempt.entry] = max(known, _order(attempt))
+        if len(self._floors) > MAX_FLOORS:
+            self._floors.popitem(last=False)
+
 
-    def query(self, attempt: AttemptId) -> AttemptState:
-        """Return the state of an attempt; an unknown one is refused from now on."""
-        return self._states.setdefault(attempt, AttemptState.REVOKED)
+def _order(attempt: AttemptId) -> tuple[int, int]:
+    return (attempt.incarnation, attempt.counter)
--- a/src/berylmast/backends/owner.py
+++ b/src/berylmast/backends/owner.py
@@ -1,12 +1,19 @@
 """Runs the requests that entries send to the local backend server."""
 
+from collections.abc import Callable
+from dataclasses import replace
+
 import anyio
 
-from ..daemons import Exchange
+from ..daemons import Exchange, ExchangeLost
 from ..daemons.frames import (
     Fail,
+    KeyBegin,
+    KeyFinish,
+    KeyState,
     Load,
     OpeningFrame,
+    Outcome,
     Probe,
     Query,
     Refuse,
@@ -14,10 +21,19 @@
 )
 from ..errors import ErrorKind
 from ..limits import AdmissionController
-from ..model import AttemptResult, RequestHead
+from ..model import AttemptResult, AttemptState, LoadReport, RequestHead
+from ..telemetry import log_event
 from .client import BackendClient
 from .dispatch import dispatch_request
-from .ledger import AttemptLedger
+from .headers import make_backend_head
+from .keys import KeyLedger
+from .ledger import AttemptLedger, Ending
+from .recorder import AttemptExchange
+
+_ABANDONED = Ending(AttemptState.FAILED, ErrorKind.CANCELLED, "the entry gave up")
+_NOT_DISPATCHED = Ending(
+    AttemptState.REFUSED, ErrorKind.ATTEMPT_REVOKED, "the entry gave up before dispatch"
+)
 
 
 class Owner:
@@ -28,53 +44,151 @@
         admission: AdmissionController,
         ledger: AttemptLedger,
         client: BackendClient,
+        keys: KeyLedger | None = None,
     ) -> None:
         self._admission = admission
         self._ledger = ledger
         self._client = client
+        self._keys = keys or KeyLedger()
 
     async def accept(self, exchange: Exchange, frame: OpeningFrame) -> None:
         """Serve one exchange that an entry opened."""
+        try:
+            await self._serve(exchange, frame)
+        except ExchangeLost:
+            pass
+
+    async def _serve(self, exchange: Exchange, frame: OpeningFrame) -> None:
         match frame:
             case Request():
                 await self._serve_request(exchange, frame.head)
             case Probe():
                 await exchange.send(Load(exchange.id, self._admission.report()))
             case Query():
-                self._ledger.query(frame.attempt)
+                await self._answer_query(exchange, frame)
+            case KeyBegin():
+                status, answer = self._keys.begin(frame)
+                reply = KeyState(exchange.id, status)
+                if answer is not None:
+                    reply = replace(
+                        reply,
+                        answer_status=answer.status,
+                        headers=answer.headers,
+                        body=answer.body,
+                    )
+                await exchange.send(reply)
+            case KeyFinish():
+                self._keys.finish(frame)
+                await exchange.send(KeyState(exchange.id, frame.status))
+
+    async def _answer_query(self, exchange: Exchange, frame: Query) -> None:
+        ending = self._ledger.query(frame.attempt)
+        if ending.state is AttemptState.RUNNING:
+            await exchange.send(Outcome(exchange.id, ending.state))
+            ending = await self._ledger.wait_end(frame.attempt)
+        reply = Outcome(exchange.id, ending.state, ending.kind, ending.detail)
+        if ending.answer is not None:
+            reply = replace(
+                reply,
+                answer_status=ending.answer.status,
+                headers=ending.answer.headers,
+                body=ending.answer.body,
+            )
+        await exchange.send(reply)
 
     async def _serve_request(self, exchange: Exchange, head: RequestHead) -> None:
         if not self._ledger.begin(head.attempt):
-            await self._refuse(
-                exchange, ErrorKind.ATTEMPT_REVOKED, "attempt id already used"
-            )
+            await self._refuse_repeat(exchange, head)
             return
+        recorder = AttemptExchange(exchange, head)
+        dispatched = False
+
+        def mark_dispatched() -> None:
+            nonlocal dispatched
+            dispatched = True
+
+        try:
+            await self._admit(recorder, exchange, head, mark_dispatched)
+        finally:
+            ending = recorder.ending or (_ABANDONED if dispatched else _NOT_DISPATCHED)
+            self._ledger.finish(head.attempt, ending)
+
+    async def _refuse_repeat(self, exchange: Exchange, head: RequestHead) -> None:
+        """Refuse an id that was used; only one that never ran is refused as not run."""
+        state = self._ledger.peek(head.attempt).state
+        detail = "attempt id already used"
+        report = self._admission.report()
+        if state is AttemptState.REFUSED:
+            await exchange.send(
+                Refuse(exchange.id, ErrorKind.ATTEMPT_REVOKED, detail, report)
+            )
+        else:
+            await exchange.send(
+                Fail(exchange.id, ErrorKind.DUPLICATE_UNKNOWN, detail, report)
+            )
+
+    async def _admit(
+        self,
+        recorder: AttemptExchange,
+        exchange: Exchange,
+        head: RequestHead,
+        mark_dispatched: Callable[[], None],
+    ) -> None:
+        arrived_s = anyio.current_time()
         permit = await self._admission.acquire(head)
         if permit.is_err():
             refusal = permit.unwrap_err()
-            self._ledger.finish(head.attempt)
-            await self._refuse(exchange, refusal.kind, refusal.detail)
+            await recorder.send(
+                Refuse(exchange.id, refusal.kind, refusal.detail, self._report())
+            )
             return
         started_s = anyio.current_time()
+        remaining_ms = head.deadline_ms - int((started_s - arrived_s) * 1000)
         ok = False
         try:
-            with anyio.move_on_after(head.deadline_ms / 1000) as scope:
-                ok = await dispatch_request(
-                    exchange, head, self._client, self._admission.report
-                )
-            if scope.cancelled_caught:
-                await self._fail(
-                    exchange, ErrorKind.DEADLINE_UNKNOWN, "deadline passed"
+            if exchange.lost:
+                return
+            if remaining_ms <= 0:
+                detail = "deadline passed in the queue"
+                await recorder.send(
+                    Refuse(
+                        exchange.id,
+                        ErrorKind.DEADLINE_NOT_RUN,
+                        detail,
+                        self._report(),
+                    )
                 )
+                return
+            mark_dispatched()
+            ok = await self._dispatch(recorder, make_backend_head(head, remaining_ms))
         finally:
             latency_s = anyio.current_time() - started_s
             permit.unwrap().release(AttemptResult(ok, False, latency_s))
-            self._ledger.finish(head.attempt)
 
-    async def _refuse(self, exchange: Exchange, kind: ErrorKind, detail: str) -> None:
-        report = self._admission.report()
-        await exchange.send(Refuse(exchange.id, kind, detail, report))
+    async def _dispatch(self, recorder: AttemptExchange, head: RequestHead) -> bool:
+        ok = False
+        fault: BaseException | None = None
+        scope = anyio.move_on_after(head.deadline_ms / 1000)
+        try:
+            with scope:
+                ok = await dispatch_request(recorder, head, self._client, self._report)
+        except* ExchangeLost:
+            # Nobody is left to be told; the ledger records the attempt as abandoned.
+            pass
+        except* Exception as group:
+            # One faulty request must not end the other exchanges of its connection.
+            fault = group
+        if recorder.ending is not None:
+            return ok
+        if fault is not None:
+            log_event("dispatch_fault", attempt=str(head.attempt), error=repr(fault))
+            await self._fail(recorder, ErrorKind.INTERNAL, "fault at the owner")
+        elif scope.cancelled_caught:
+            await self._fail(recorder, ErrorKind.DEADLINE_UNKNOWN, "deadline passed")
+        return ok
+
+    def _report(self) -> LoadReport:
+        return self._admission.report()
 
     async def _fail(self, exchange: Exchange, kind: ErrorKind, detail: str) -> None:
-        report = self._admission.report()
-        await exchange.send(Fail(exchange.id, kind, detail, report))
+        await exchange.send(Fail(exchange.id, kind, detail, self._report()))
--- /dev/null
+++ b/src/berylmast/backends/recorder.py
@@ -0,0 +1,92 @@
+"""An owner's view of an exchange that records how the attempt ends."""
+
+import anyio
+
+from ..daemons import Exchange, ExchangeLost
+from ..daemons.frames import Body, End, Fail, Frame, Refuse, Reset, Response
+from ..model import (
+    MAX_KEPT_ANSWER_BYTES,
+    MAX_KEPT_HEADER_BYTES,
+    AttemptState,
+    KeptAnswer,
+    RequestHead,
+)
+from .ledger import Ending
+
+
+class AttemptExchange(Exchange):
+    """Passes frames on to an exchange and keeps the ending of its attempt.
+
+    A non-idempotent attempt whose whole request has arrived outlives its exchange: it
+    runs on, within its deadline, so that a query can return its answer. ``ending`` is
+    None until a closing frame was sent.
+    """
+
+    def __init__(self, inner: Exchange, head: RequestHead) -> None:
+        # The state of Exchange stays with ``inner``: every method in use is overridden.
+        self.id = inner.id
+        self.lost = False
+        self.peer_incarnation = None
+        self.ending: Ending | None = None
+        self._inner = inner
+        self._outlives = not head.idempotent
+        self._request_whole = not head.has_body
+        self._keeps = not head.idempotent
+        self._head: Response | None = None
+        self._body = bytearray()
+
+    async def send(self, frame: Frame) -> None:
+        """Record a frame and send it.
+
+        Raises ExchangeLost if the connection has ended, unless the attempt outlives it.
+        """
+        self._record(frame)
+        try:
+            await self._inner.send(frame)
+        except ExchangeLost:
+            if not (self._outlives and self._request_whole):
+                raise
+
+    async def receive(self) -> Frame:
+        """Wait for the next frame; if the attempt outlives its exchange, for ever.
+
+        Raises ExchangeLost if the connection has ended before the request was whole.
+        """
+        try:
+            frame = await self._inner.receive()
+        except ExchangeLost:
+            if self._outlives and self._request_whole:
+                await anyio.sleep_forever()
+            raise
+        if isinstance(frame, End):
+            self._request_whole = True
+        return frame
+
+    def _record(self, frame: Frame) -> None:
+        match frame:
+            case Response():
+                self._head = frame
+                size = sum(len(key) + len(value) for key, value in frame.headers)
+                self._keeps = self._keeps and size <= MAX_KEPT_HEADER_BYTES
+            case Body():
+                self._record_body(frame.data)
+            case End():
+                self.ending = Ending(AttemptState.FINISHED, answer=self._make_answer())
+            case Refuse():
+                self.ending = Ending(AttemptState.REFUSED, frame.kind, frame.detail)
+            case Fail():
+                self.ending = Ending(AttemptState.FAILED, frame.kind, frame.detail)
+            case Reset():
+                self.ending = Ending(AttemptState.FAILED, frame.kind, "reset")
+
+    def _record_body(self, data: bytes) -> None:
+        if len(self._body) + len(data) > MAX_KEPT_ANSWER_BYTES:
+            self._keeps = False
+            self._body.clear()
+        if self._keeps:
+            self._body += data
+
+    def _make_answer(self) -> KeptAnswer | None:
+        if not self._keeps or self._head is None:
+            return None
+        return KeptAnswer(self._head.status, self._head.headers, bytes(self._body))
--- /dev/null
+++ b/src/berylmast/callers/attempt.py
@@ -0,0 +1,167 @@
+"""One attempt of a request at one backend server's owner."""
+
+from collections.abc import Callable
+
+import anyio
+from result import Err, Ok, Result
+
+from ..daemons import ConnectionLost, Exchange, ExchangeLost
+from ..daemons.frames import Body, Continue, End, Fail, Refuse, Request, Reset, Response
+from ..errors import ErrorKind, Refusal
+from ..model import AttemptResult, Endpoint, Headers
+from ..routing import Router
+from .body import CallerBody, CallerDisconnected
+from .classify import Classified
+from .context import AnswerSink, Forwarder, Trace
+from .outcome import query_outcome, refuse_after_dispatch
+
+OWN_ANSWER_HEADERS = frozenset(
+    {b"berylmast-outcome", b"berylmast-error", b"berylmast-replayed"}
+)
+"""Set by this system only; a backend server may repeat those of a nested call."""
+
+
+async def run_attempt(
+    forwarder: Forwarder,
+    endpoint: Endpoint,
+    req: Classified,
+    body: CallerBody,
+    answer: AnswerSink,
+    trace: Trace,
+) -> Result[None, Refusal]:
+    """Send a request to one owner and pass its answer on.
+
+    If the stream is lost after a non-idempotent request was sent, the owner is asked
+    what became of it. A refusal with outcome not-run proves that this attempt did not
+    run and never will.
+    """
+    router = forwarder.router
+    started_s = anyio.current_time()
+    before = trace.may_have_run
+    router.record_start(endpoint.backend)
+    result: Result[None, Refusal] = Err(Refusal(ErrorKind.CANCELLED, "cancelled"))
+    try:
+        result = await _send_and_settle(forwarder, endpoint, req, body, answer, trace)
+        if result.is_err() and result.unwrap_err().not_run:
+            trace.may_have_run = before
+    finally:
+        refused = result.is_err() and result.unwrap_err().not_run
+        latency_s = anyio.current_time() - started_s
+        router.record_result(
+            endpoint.backend, AttemptResult(result.is_ok(), refused, latency_s)
+        )
+    return result
+
+
+async def _send_and_settle(
+    forwarder: Forwarder,
+    endpoint: Endpoint,
+    req: Classified,
+    body: CallerBody,
+    answer: AnswerSink,
+    trace: Trace,
+) -> Result[None, Refusal]:
+    try:
+        async with forwarder.open_exchange(endpoint) as exchange:
+            incarnation = exchange.peer_incarnation
+            result = await _talk(forwarder.router, exchange, req, body, answer, trace)
+    except ConnectionLost as exc:
+        return Err(Refusal(ErrorKind.PEER_UNREACHABLE, str(exc)))
+    if result is not None:
+        return result
+    if answer.started:
+        return Err(Refusal(ErrorKind.ANSWER_CUT, "the stream to the owner ended"))
+    if req.head.idempotent or incarnation is None:
+        return Err(Refusal(ErrorKind.PEER_LOST, "the stream to the owner ended"))
+    settled = await query_outcome(
+        forwarder.open_exchange, endpoint, req.head.attempt, incarnation, answer
+    )
+    trace.answered = settled.is_ok()
+    return settled
+
+
+async def _talk(
+    router: Router,
+    exchange: Exchange,
+    req: Classified,
+    body: CallerBody,
+    answer: AnswerSink,
+    trace: Trace,
+) -> Result[None, Refusal] | None:
+    """Return how the attempt ended, None if its stream was lost after the Request."""
+    try:
+        await exchange.send(Request(exchange.id, req.head))
+    except ExchangeLost:
+        return Err(Refusal(ErrorKind.PEER_UNREACHABLE, "the stream to the owner ended"))
+    trace.may_have_run = True
+    result: Result[None, Refusal] | None = Err(
+        Refusal(ErrorKind.BODY_CUT, "the caller left before its body was whole")
+    )
+    async with anyio.create_task_group() as tg:
+
+        def start_body() -> None:
+            trace.body_spent = trace.body_spent or not body.eager
+            tg.start_soon(_send_body, body, exchange, tg.cancel_scope)
+
+        if req.head.has_body and body.eager:
+            start_body()
+        try:
+            result = await _receive_answer(
+                router, exchange, req, body, answer, start_body
+            )
+            trace.answered = result.is_ok()
+        except ExchangeLost:
+            result = None
+        tg.cancel_scope.cancel()
+    return result
+
+
+async def _send_body(
+    body: CallerBody, exchange: Exchange, scope: anyio.CancelScope
+) -> None:
+    try:
+        await body.send_to(exchange)
+    except CallerDisconnected:
+        scope.cancel()
+    except ExchangeLost:
+        # The receiving side notices as well, and still reads the frames that arrived.
+        pass
+
+
+async def _receive_answer(
+    router: Router,
+    exchange: Exchange,
+    req: Classified,
+    body: CallerBody,
+    answer: AnswerSink,
+    start_body: Callable[[], None],
+) -> Result[None, Refusal]:
+    while True:
+        frame = await exchange.receive()
+        match frame:
+            case Continue():
+                if req.head.has_body and not body.eager:
+                    start_body()
+            case Response():
+                router.record_load(frame.load)
+                await answer.start(frame.status, drop_own_headers(frame.headers))
+            case Body():
+                await answer.send_part(frame.data)
+            case End():
+                await answer.finish()
+                return Ok(None)
+            case Refuse():
+                router.record_load(frame.load)
+                return Err(Refusal(frame.kind, frame.detail))
+            case Fail():
+                router.record_load(frame.load)
+                return Err(refuse_after_dispatch(frame.kind, frame.detail))
+            case Reset():
+                return Err(refuse_after_dispatch(frame.kind, "the owner gave up"))
+            case _:
+                return Err(Refusal(ErrorKind.INTERNAL, "unexpected frame"))
+
+
+def drop_own_headers(headers: Headers) -> Headers:
+    """Return a backend server's headers without those that state our outcome."""
+    return [(k, v) for k, v in headers if k.lower() not in OWN_ANSWER_HEADERS]
--- /dev/null
+++ b/src/berylmast/callers/context.py
@@ -0,0 +1,58 @@
+"""What the attempts of a request share."""
+
+from collections.abc import Callable, Sequence
+from contextlib import AbstractAsyncContextManager
+from dataclasses import dataclass
+from typing import Protocol
+
+from ..daemons import Exchange
+from ..limits import RetryBudget
+from ..model import AttemptId, Endpoint, Headers
+from ..routing import Router
+
+OpenExchange = Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]
+
+
+class AnswerSink(Protocol):
+    """Takes the backend server's answer; ``started`` once its head is out."""
+
+    started: bool
+
+    async def start(self, status: int, headers: Headers) -> None:
+        """Take the head."""
+
+    async def send_part(self, data: bytes) -> None:
+        """Take a part of the body."""
+
+    async def finish(self) -> None:
+        """Take the end: the answer is whole."""
+
+
+@dataclass(frozen=True, slots=True)
+class Forwarder:
+    """What the attempts of every request need.
+
+    ``endpoints`` gives all ready endpoints of a service, for the holders of keys.
+    """
+
+    router: Router
+    retries: RetryBudget
+    open_exchange: OpenExchange
+    next_attempt: Callable[[], AttemptId]
+    endpoints: Callable[[str], Sequence[Endpoint]]
+
+
+@dataclass(slots=True)
+class Trace:
+    """What happened to one request.
+
+    ``may_have_run`` holds while some attempt was sent and is not proved not to have
+    run; ``body_spent`` once a body that is not kept was handed on; ``answered`` once
+    the whole answer is with the caller.
+    """
+
+    backend: str = ""
+    attempts: int = 0
+    may_have_run: bool = False
+    body_spent: bool = False
+    answered: bool = False
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -1,161 +1,123 @@
 """The attempts of one request: choose, send, retry where that is safe."""
 
-from collections.abc import Callable
-from contextlib import AbstractAsyncContextManager
-from dataclasses import dataclass, replace
+from dataclasses import replace
 
 import anyio
 from result import Err, Ok, Result
 
-from ..daemons import ConnectionLost, Exchange, ExchangeLost
-from ..daemons.frames import Body, Continue, End, Fail, Refuse, Request, Reset, Response
 from ..errors import ErrorKind, Refusal
-from ..limits import RetryBudget
-from ..model import AttemptId, AttemptResult, Endpoint
-from ..routing import Router
-from .answer import CallerAnswer
+from .attempt import run_attempt
 from .body import CallerBody
 from .classify import Classified
+from .context import AnswerSink, Forwarder, OpenExchange, Trace
+from .keyed import run_keyed
+
+__all__ = ["Forwarder", "OpenExchange", "Trace", "forward_request"]
 
 MAX_ATTEMPTS = 3
 
-OpenExchange = Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]
 
+async def forward_request(
+    forwarder: Forwarder,
+    req: Classified,
+    body: CallerBody,
+    answer: AnswerSink,
+    trace: Trace,
+) -> Result[None, Refusal]:
+    """Run attempts until one answers, within the deadline of the request.
 
-@dataclass(frozen=True, slots=True)
-class Forwarder:
-    """What the attempts of every request need."""
+    A returned refusal whose outcome is not-run proves that no attempt was dispatched.
+    If ``answer.started`` by then, the answer is cut and the caller must see that.
+    """
+    deadline_s = anyio.current_time() + req.head.deadline_ms / 1000
 
-    router: Router
-    retries: RetryBudget
-    open_exchange: OpenExchange
-    next_attempt: Callable[[], AttemptId]
+    async def run(sink: AnswerSink) -> Result[None, Refusal]:
+        return await _run_in_time(forwarder, req, body, sink, trace, deadline_s)
 
+    if req.head.idempotency_key is None or req.head.idempotent:
+        return await run(answer)
+    return await run_keyed(forwarder, req, answer, trace, deadline_s, run)
 
-@dataclass(slots=True)
-class Trace:
-    """What happened to one request, for its log line."""
 
-    backend: str = ""
-    attempts: int = 0
+async def _run_in_time(
+    forwarder: Forwarder,
+    req: Classified,
+    body: CallerBody,
+    answer: AnswerSink,
+    trace: Trace,
+    deadline_s: float,
+) -> Result[None, Refusal]:
+    result: Result[None, Refusal] = Err(Refusal(ErrorKind.CANCELLED, "cancelled"))
+    with anyio.CancelScope(deadline=deadline_s) as scope:
+        result = await _run_attempts(forwarder, req, body, answer, trace, deadline_s)
+    if not scope.cancelled_caught:
+        return result
+    if trace.answered:
+        return Ok(None)
+    return Err(_make_deadline_refusal(trace))
 
 
-async def forward_request(
+def _make_deadline_refusal(trace: Trace) -> Refusal:
+    if trace.may_have_run:
+        return Refusal(ErrorKind.DEADLINE_UNKNOWN, "deadline passed during an attempt")
+    return Refusal(ErrorKind.DEADLINE_NOT_RUN, "deadline passed before any dispatch")
+
+
+async def _run_attempts(
     forwarder: Forwarder,
     req: Classified,
     body: CallerBody,
-    answer: CallerAnswer,
+    answer: AnswerSink,
     trace: Trace,
+    deadline_s: float,
 ) -> Result[None, Refusal]:
-    """Run attempts until one answers; an error before the answer's head is returned."""
+    """Try backend servers in turn.
+
+    The refusal returned is the first that leaves the outcome open, else the last one: a
+    later refusal before dispatch must not hide that an earlier attempt may have run.
+    """
+    service = req.service.service
+    forwarder.retries.record_first_try(service, req.service.budgets.retry_ratio)
     tried: set[str] = set()
-    deadline_s = anyio.current_time() + req.head.deadline_ms / 1000
-    forwarder.retries.record_first_try(
-        req.service.service, req.service.budgets.retry_ratio
-    )
-    last: Result[None, Refusal] | None = None
+    verdict: Refusal | None = None
     while trace.attempts < MAX_ATTEMPTS:
         choice = forwarder.router.choose(
             req.service, exclude=tried, body_bytes=body.length or 0
         )
         if choice.is_err():
-            return last or Err(choice.unwrap_err())
-        if tried and not forwarder.retries.try_spend(req.service.service):
+            return Err(verdict or choice.unwrap_err())
+        if tried and not forwarder.retries.try_spend(service):
             break
         endpoint = choice.unwrap()
         tried.add(endpoint.backend)
-        trace.attempts += 1
-        trace.backend = endpoint.backend
         remaining_ms = int((deadline_s - anyio.current_time()) * 1000)
         if remaining_ms <= 0:
-            return Err(Refusal(ErrorKind.DEADLINE_NOT_RUN, "deadline passed"))
-        head = replace(req.head, deadline_ms=remaining_ms)
-        if trace.attempts > 1:
-            head = replace(head, attempt=forwarder.next_attempt())
-        last = await _run_attempt(
-            forwarder, endpoint, replace(req, head=head), body, answer
+            return Err(verdict or _make_deadline_refusal(trace))
+        trace.attempts += 1
+        trace.backend = endpoint.backend
+        head = replace(
+            req.head,
+            # Taken when it is sent: the owner's ledger relies on recent counters.
+            attempt=forwarder.next_attempt(),
+            deadline_ms=remaining_ms,
+            retry=req.head.retry or trace.attempts > 1,
         )
-        if last.is_ok() or answer.started or not _may_retry(req, last.unwrap_err()):
-            return last
-    return last or Err(Refusal(ErrorKind.NO_BACKEND, "no attempt was possible"))
+        attempt = replace(req, head=head)
+        result = await run_attempt(forwarder, endpoint, attempt, body, answer, trace)
+        if result.is_ok():
+            return result
+        refusal = result.unwrap_err()
+        if verdict is None or verdict.not_run:
+            verdict = refusal
+        if answer.started or not _may_retry(req, refusal, trace):
+            break
+    return Err(verdict or Refusal(ErrorKind.NO_BACKEND, "no attempt was possible"))
 
 
-def _may_retry(req: Classified, refusal: Refusal) -> bool:
-    if req.head.retry:
+def _may_retry(req: Classified, refusal: Refusal, trace: Trace) -> bool:
+    """Tell whether another attempt is safe: a retried call is not retried again."""
+    if req.head.retry or trace.body_spent:
+        return False
+    if refusal.kind is ErrorKind.BODY_CUT:
         return False
     return refusal.not_run or req.head.idempotent
-
-
-async def _run_attempt(
-    forwarder: Forwarder,
-    endpoint: Endpoint,
-    req: Classified,
-    body: CallerBody,
-    answer: CallerAnswer,
-) -> Result[None, Refusal]:
-    router = forwarder.router
-    started_s = anyio.current_time()
-    router.record_start(endpoint.backend)
-    result: Result[None, Refusal] = Err(Refusal(ErrorKind.CANCELLED, "cancelled"))
-    try:
-        async with forwarder.open_exchange(endpoint) as exchange:
-            result = await _talk(router, exchange, req, body, answer)
-    except ConnectionLost as exc:
-        result = Err(Refusal(ErrorKind.PEER_UNREACHABLE, str(exc)))
-    except ExchangeLost:
-        result = Err(Refusal(ErrorKind.PEER_LOST, "the stream to the owner ended"))
-    finally:
-        refused = result.is_err() and result.unwrap_err().not_run
-        latency_s = anyio.current_time() - started_s
-        router.record_result(
-            endpoint.backend, AttemptResult(result.is_ok(), refused, latency_s)
-        )
-    return result
-
-
-async def _talk(
-    router: Router,
-    exchange: Exchange,
-    req: Classified,
-    body: CallerBody,
-    answer: CallerAnswer,
-) -> Result[None, Refusal]:
-    await exchange.send(Request(exchange.id, req.head))
-    result: Result[None, Refusal] = Ok(None)
-    async with anyio.create_task_group() as tg:
-        if req.head.has_body and body.eager:
-            tg.start_soon(body.send_to, exchange)
-        result = await _receive_answer(router, exchange, req, body, answer, tg)
-        tg.cancel_scope.cancel()
-    return result
-
-
-async def _receive_answer(
-    router: Router,
-    exchange: Exchange,
-    req: Classified,
-    body: CallerBody,
-    answer: CallerAnswer,
-    tg: anyio.abc.TaskGroup,
-) -> Result[None, Refusal]:
-    while True:
-        frame = await exchange.receive()
-        match frame:
-            case Continue():
-                if req.head.has_body and not body.eager:
-                    tg.start_soon(body.send_to, exchange)
-            case Response():
-                router.record_load(frame.load)
-                await answer.start(frame.status, frame.headers)
-            case Body():
-                await answer.send_part(frame.data)
-            case End():
-                await answer.finish()
-                return Ok(None)
-            case Refuse() | Fail():
-                router.record_load(frame.load)
-                return Err(Refusal(frame.kind, frame.detail))
-            case Reset():
-                return Err(Refusal(frame.kind, "the owner gave up the request"))
-            case _:
-                return Err(Refusal(ErrorKind.INTERNAL, "unexpected frame"))
--- /dev/null
+++ b/src/berylmast/callers/outcome.py
@@ -0,0 +1,85 @@
+"""Asks an owner what became of an attempt whose stream was lost."""
+
+import anyio
+from result import Err, Ok, Result
+
+from ..daemons import ConnectionLost, Exchange, ExchangeLost
+from ..daemons.frames import Outcome, Query
+from ..errors import ErrorKind, Refusal
+from ..model import AttemptId, AttemptState, Endpoint
+from .context import AnswerSink, OpenExchange
+
+QUERY_TRIES = 3
+QUERY_PAUSE_S = 0.1
+"""A cut that also hits the first new stream is often over by then."""
+
+
+def refuse_after_dispatch(kind: ErrorKind, detail: str) -> Refusal:
+    """Return a refusal that never claims not-run, whatever kind a peer sent."""
+    refusal = Refusal(kind, detail)
+    if refusal.not_run:
+        return Refusal(ErrorKind.INTERNAL, f"{kind} after dispatch: {detail}")
+    return refusal
+
+
+async def query_outcome(
+    open_exchange: OpenExchange,
+    endpoint: Endpoint,
+    attempt: AttemptId,
+    incarnation: int,
+    answer: AnswerSink,
+) -> Result[None, Refusal]:
+    """Ask over new streams; a kept answer is replayed, a running attempt waited for.
+
+    The caller's scope bounds the wait. If the owner can't be reached or is another
+    incarnation, which has no record of the attempt, the outcome stays unknown.
+    """
+    for number in range(QUERY_TRIES):
+        if number:
+            await anyio.sleep(QUERY_PAUSE_S)
+        try:
+            async with open_exchange(endpoint) as exchange:
+                if exchange.peer_incarnation != incarnation:
+                    return _refuse_unknown("the owner restarted")
+                outcome = await _ask(exchange, attempt)
+        except (ConnectionLost, ExchangeLost):
+            continue
+        return await _settle(outcome, answer)
+    return _refuse_unknown("the owner can't be reached any more")
+
+
+async def _ask(exchange: Exchange, attempt: AttemptId) -> Outcome:
+    await exchange.send(Query(exchange.id, attempt))
+    while True:
+        frame = await exchange.receive()
+        if not isinstance(frame, Outcome):
+            raise ExchangeLost
+        if frame.state is not AttemptState.RUNNING:
+            return frame
+
+
+async def _settle(outcome: Outcome, answer: AnswerSink) -> Result[None, Refusal]:
+    match outcome.state:
+        case AttemptState.NOT_SEEN:
+            kind = ErrorKind.ATTEMPT_REVOKED
+            return Err(Refusal(kind, "the request never reached the owner"))
+        case AttemptState.REFUSED:
+            kind = outcome.kind or ErrorKind.ATTEMPT_REVOKED
+            return Err(Refusal(kind, outcome.detail))
+        case AttemptState.FAILED:
+            kind = outcome.kind or ErrorKind.INTERNAL
+            return Err(refuse_after_dispatch(kind, outcome.detail))
+        case AttemptState.FINISHED if outcome.answer_status:
+            await answer.start(outcome.answer_status, outcome.headers)
+            await answer.send_part(outcome.body)
+            await answer.finish()
+            return Ok(None)
+        case AttemptState.FINISHED:
+            kind = ErrorKind.ANSWER_CUT
+            return Err(Refusal(kind, "the request ran; its answer was lost"))
+        case _:
+            return _refuse_unknown("the owner no longer remembers the attempt")
+
+
+def _refuse_unknown(detail: str) -> Result[None, Refusal]:
+    return Err(Refusal(ErrorKind.PEER_LOST, detail))
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -53,6 +53,7 @@
             retries=RetryBudget(),
             open_exchange=_make_opener(pool, owner, cfg.daemon_id),
             next_attempt=_make_attempts(identity),
+            endpoints=directory.endpoints,
         )
         if owner is not None:
             listener = PeerListener(cfg.peers, identity, owner.accept)
--- a/src/berylmast/daemons/connection.py
+++ b/src/berylmast/daemons/connection.py
@@ -124,6 +124,7 @@
         if self.closed:
             raise ConnectionLost("the connection is closed")
         exchange = Exchange(self._next_id, self.write)
+        exchange.peer_incarnation = self.peer.incarnation if self.peer else None
         self._next_id += 1
         self._add_exchange(exchange)
         return exchange
--- a/src/berylmast/daemons/exchange.py
+++ b/src/berylmast/daemons/exchange.py
@@ -28,12 +28,14 @@
     """Sends and receives the frames of one request; both sides hold one.
 
     ``write`` queues a frame on the connection without waiting. Body frames wait for
-    credit, so that what is queued stays within the window.
+    credit, so that what is queued stays within the window. ``peer_incarnation`` is that
+    of the daemon that the dialling side reached, None inside one process.
     """
 
     def __init__(self, exchange_id: int, write: Callable[[Frame], None]) -> None:
         self.id = exchange_id
         self.lost = False
+        self.peer_incarnation: int | None = None
         self._write = write
         self._inbox_in, self._inbox = anyio.create_memory_object_stream[Frame](math.inf)
         self._credit = WINDOW_BYTES
--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -8,7 +8,14 @@
 from dataclasses import dataclass
 
 from ..errors import ErrorKind
-from ..model import AttemptId, Headers, LoadReport, RequestHead
+from ..model import (
+    AttemptId,
+    AttemptState,
+    Headers,
+    KeyStatus,
+    LoadReport,
+    RequestHead,
+)
 
 CONNECTION = 0
 """Exchange id of frames that concern the whole connection."""
@@ -148,6 +155,65 @@
     attempt: AttemptId
 
 
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Answer to a query; after ``RUNNING`` a second one follows at the attempt's end.
+
+    ``answer_status`` is 0 if no answer was kept; else ``headers`` and ``body`` are it.
+    """
+
+    exchange: int
+    state: AttemptState
+    kind: ErrorKind | None = None
+    detail: str = ""
+    answer_status: int = 0
+    headers: Headers = ()
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyBegin:
+    """Opens an exchange: may a request with this idempotency key run?
+
+    ``token`` names the asking request, so that asking twice is harmless;
+    ``deadline_ms`` is the time that remains for it, in milliseconds.
+    """
+
+    exchange: int
+    service: str
+    tenant: str
+    key: str
+    fingerprint: str
+    token: AttemptId
+    deadline_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyState:
+    """Answer to ``KeyBegin`` and ``KeyFinish``; the answer fields as in ``Outcome``."""
+
+    exchange: int
+    status: KeyStatus
+    answer_status: int = 0
+    headers: Headers = ()
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyFinish:
+    """Opens an exchange: what became of the request that was given this key."""
+
+    exchange: int
+    service: str
+    tenant: str
+    key: str
+    token: AttemptId
+    status: KeyStatus
+    answer_status: int = 0
+    headers: Headers = ()
+    body: bytes = b""
+
+
 Frame = (
     Hello
     | Request
@@ -165,7 +231,11 @@
     | Pong
     | GoAway
     | Query
+    | Outcome
+    | KeyBegin
+    | KeyState
+    | KeyFinish
 )
 
-OpeningFrame = Request | Probe | Query
-OPENING_FRAMES = (Request, Probe, Query)
+OpeningFrame = Request | Probe | Query | KeyBegin | KeyFinish
+OPENING_FRAMES = (Request, Probe, Query, KeyBegin, KeyFinish)
--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ...errors import ErrorKind
-from ...model import AttemptId, LoadReport, RequestHead
+from ...model import AttemptId, AttemptState, KeyStatus, LoadReport, RequestHead
 from .. import frames
 from ..codec import FrameReader, ProtocolError, decode_frame, encode_frame
 
@@ -41,6 +41,14 @@
     frames.Pong(),
     frames.GoAway(),
     frames.Query(1, AttemptId("orders-n1", 7, 12)),
+    frames.Outcome(1, AttemptState.RUNNING, headers=[]),
+    frames.Outcome(1, AttemptState.FINISHED, None, "", 200, [(b"x", b"y")], b"abc"),
+    frames.Outcome(1, AttemptState.FAILED, ErrorKind.BACKEND_CUT, "cut", headers=[]),
+    frames.KeyBegin(1, "orders", "t", "k", "POST", AttemptId("n1", 7, 12), 900),
+    frames.KeyState(1, KeyStatus.FINISHED, 200, [(b"x", b"y")], b"abc"),
+    frames.KeyFinish(
+        1, "orders", "t", "k", AttemptId("n1", 7, 12), KeyStatus.UNKNOWN, headers=[]
+    ),
 ]
 
 
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -170,3 +170,42 @@
     ok: bool
     refused: bool
     latency_s: float
+
+
+class AttemptState(StrEnum):
+    """What an owner answers to a query for an attempt id."""
+
+    NOT_SEEN = "not-seen"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FAILED = "failed"
+    REFUSED = "refused"
+    FORGOTTEN = "forgotten"
+
+
+class KeyStatus(StrEnum):
+    """What the holder of an idempotency key records or answers."""
+
+    NEW = "new"
+    RUNNING = "running"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not-run"
+    MISMATCH = "mismatch"
+    FULL = "full"
+
+
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A whole small answer of a backend server, kept to be replayed."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+MAX_KEPT_ANSWER_BYTES = 16 * 1024
+"""Longest body that is kept; it travels in one frame, as long as a body frame."""
+
+MAX_KEPT_HEADER_BYTES = 16 * 1024
+"""Answers with longer headers are not kept, so that the frame stays in its limit."""
