Test one attempt against every link and backend server fault

A cut connection cancelled the attempts that came on it, so a query could only answer 'failed' for a request that the backend server had half run. The owner now carries non-idempotent requests in a task group of its own. FakeFleet joins real entries and owners over links in memory; the tests compare what the caller is told with the backend servers' ledgers at 5 steps x 4 link faults, and 3 steps of backend server cuts and stalls.

--- a/src/berylmast/backends/keys.py
+++ b/src/berylmast/backends/keys.py
@@ -41,7 +41,7 @@
         self._kept_bytes = 0
 
     def begin(self, frame: KeyBegin) -> tuple[KeyStatus, KeptAnswer | None]:
-        """Give the key to the asking request, or return the state of the earlier one."""
+        """Give the key to the asking request, or return what is recorded."""
         now_s = anyio.current_time()
         key = (frame.service, frame.tenant, frame.key)
         self._evict(now_s)
--- a/src/berylmast/backends/ledger.py
+++ b/src/berylmast/backends/ledger.py
@@ -7,8 +7,8 @@
 floor; no id at or below the floor is accepted. An id is taken from the counter when its
 Request is sent, so a first Request below the floor would be RETENTION_S late (less when
 MAX_ENDED evicts earlier); it is answered "unknown". Floors are kept for MAX_FLOORS
-entries, more than the daemons of the target fleet; the one raised longest ago is dropped
-first, and only then could an id that old run again.
+entries, more than the daemons of the target fleet; the one raised longest ago is
+dropped first, and only then could an id that old run again.
 """
 
 from collections import OrderedDict, deque
--- a/src/berylmast/backends/owner.py
+++ b/src/berylmast/backends/owner.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 import anyio
+from anyio.abc import TaskGroup, TaskStatus
 
 from ..daemons import Exchange, ExchangeLost
 from ..daemons.frames import (
@@ -37,7 +38,11 @@
 
 
 class Owner:
-    """The only sender of work to the local backend server."""
+    """The only sender of work to the local backend server.
+
+    While ``run`` runs, non-idempotent requests outlive the connection they came on, so
+    that a query over a new one can return their answer.
+    """
 
     def __init__(
         self,
@@ -50,6 +55,19 @@
         self._ledger = ledger
         self._client = client
         self._keys = keys or KeyLedger()
+        self._tg: TaskGroup | None = None
+
+    async def run(
+        self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Carry the requests that outlive their connection, until cancelled."""
+        async with anyio.create_task_group() as tg:
+            self._tg = tg
+            try:
+                task_status.started()
+                await anyio.sleep_forever()
+            finally:
+                self._tg = None
 
     async def accept(self, exchange: Exchange, frame: OpeningFrame) -> None:
         """Serve one exchange that an entry opened."""
@@ -61,7 +79,7 @@
     async def _serve(self, exchange: Exchange, frame: OpeningFrame) -> None:
         match frame:
             case Request():
-                await self._serve_request(exchange, frame.head)
+                await self._take_request(exchange, frame.head)
             case Probe():
                 await exchange.send(Load(exchange.id, self._admission.report()))
             case Query():
@@ -96,6 +114,23 @@
             )
         await exchange.send(reply)
 
+    async def _take_request(self, exchange: Exchange, head: RequestHead) -> None:
+        if self._tg is None or head.idempotent:
+            await self._serve_request(exchange, head)
+            return
+        done = anyio.Event()
+
+        async def serve() -> None:
+            try:
+                await self._serve_request(exchange, head)
+            except ExchangeLost:
+                pass
+            finally:
+                done.set()
+
+        self._tg.start_soon(serve)
+        await done.wait()
+
     async def _serve_request(self, exchange: Exchange, head: RequestHead) -> None:
         if not self._ledger.begin(head.attempt):
             await self._refuse_repeat(exchange, head)
--- /dev/null
+++ b/src/berylmast/callers/tests/test_once.py
@@ -0,0 +1,240 @@
+"""Guards against requests that run twice and against untruthful outcomes.
+
+Each test checks what the caller is told against the backend servers' own ledgers.
+"""
+
+from collections.abc import Callable
+
+import anyio
+import pytest
+
+from ...daemons import frames
+from ...daemons.frames import Frame
+from ...errors import ErrorKind
+from ...tests.fakes import (
+    Call,
+    FakeBackend,
+    FakeFleet,
+    FakeStream,
+    Step,
+    make_body,
+    run_fleet,
+)
+
+pytestmark = pytest.mark.anyio
+
+FAULTS: dict[str, Callable[[FakeFleet, FakeStream], None]] = {
+    "cut": lambda fleet, link: link.cut(),
+    "silent": lambda fleet, link: link.silence(),
+    "restarted": lambda fleet, link: fleet.restart(link.owner),
+    "stopped": lambda fleet, link: fleet.stop(link.owner),
+}
+
+
+def break_at(fleet: FakeFleet, frame_type: type[Frame], fault: str) -> None:
+    """Lose the first frame of a type and apply a fault to its link."""
+    done = False
+
+    def on_frame(link: FakeStream, frame: Frame) -> bool:
+        nonlocal done
+        if done or not isinstance(frame, frame_type):
+            return True
+        done = True
+        FAULTS[fault](fleet, link)
+        return False
+
+    fleet.on_frame = on_frame
+
+
+async def check_truthful(fleet: FakeFleet, call: Call, *, idempotent: bool) -> None:
+    """Compare an outcome with the ledgers, also after everything has settled."""
+    runs_then = fleet.count_runs()["r1"]
+    await anyio.sleep(120)
+    runs = fleet.count_runs()["r1"]
+    if not idempotent:
+        assert runs <= 1
+    if call.outcome == "not-run":
+        assert runs == 0
+    if call.outcome in ("answered", "failed"):
+        assert runs_then >= 1
+    assert call.answer.finished == (call.outcome == "answered")
+    if call.answer.finished:
+        assert call.answer.body == b"onetwo"
+
+
+@pytest.mark.parametrize(
+    ("step", "fault", "outcome"),
+    [
+        (frames.Request, "cut", "answered"),
+        (frames.Request, "silent", "answered"),
+        (frames.Request, "restarted", "unknown"),
+        (frames.Request, "stopped", "unknown"),
+        (frames.Continue, "cut", "answered"),
+        (frames.Continue, "silent", "answered"),
+        (frames.Continue, "restarted", "unknown"),
+        (frames.Continue, "stopped", "unknown"),
+        (frames.Response, "cut", "answered"),
+        (frames.Response, "silent", "answered"),
+        (frames.Response, "restarted", "unknown"),
+        (frames.Response, "stopped", "unknown"),
+        (frames.Body, "cut", "failed"),
+        (frames.Body, "silent", "failed"),
+        (frames.Body, "restarted", "failed"),
+        (frames.Body, "stopped", "failed"),
+        (frames.End, "cut", "failed"),
+        (frames.End, "silent", "failed"),
+        (frames.End, "restarted", "failed"),
+        (frames.End, "stopped", "failed"),
+    ],
+)
+@pytest.mark.parametrize("idempotent", [False, True])
+async def test_link_fault_at_each_step(
+    step: type[Frame], fault: str, outcome: str, idempotent: bool
+) -> None:
+    async with run_fleet() as fleet:
+        break_at(fleet, step, fault)
+        call = await fleet.entry().call(idempotent=idempotent)
+        # An idempotent request is retried until its answer has begun.
+        assert call.outcome == (
+            "answered" if idempotent and outcome == "unknown" else outcome
+        )
+        assert call.took_s < 5
+        await check_truthful(fleet, call, idempotent=idempotent)
+
+
+def cut(step: Step) -> Callable[[FakeBackend], None]:
+    return lambda backend: setattr(backend, "cut_at", step)
+
+
+def stall(step: Step) -> Callable[[FakeBackend], None]:
+    return lambda backend: setattr(backend, "stall_at", step)
+
+
+@pytest.mark.parametrize(
+    ("fault", "idempotent", "kind"),
+    [
+        (cut(Step.CONNECT), False, ErrorKind.BACKEND_UNREACHABLE),
+        (cut(Step.RUN), False, ErrorKind.BACKEND_CUT),
+        (cut(Step.ANSWER), False, ErrorKind.BACKEND_CUT),
+        (stall(Step.RUN), False, ErrorKind.DEADLINE_UNKNOWN),
+        (stall(Step.ANSWER), False, ErrorKind.DEADLINE_UNKNOWN),
+        (cut(Step.CONNECT), True, ErrorKind.BACKEND_UNREACHABLE),
+        (cut(Step.RUN), True, ErrorKind.BACKEND_CUT),
+        (cut(Step.ANSWER), True, ErrorKind.BACKEND_CUT),
+        (stall(Step.RUN), True, ErrorKind.DEADLINE_UNKNOWN),
+        (stall(Step.ANSWER), True, ErrorKind.DEADLINE_UNKNOWN),
+    ],
+)
+async def test_backend_server_fault_at_each_step(
+    fault: Callable[[FakeBackend], None], idempotent: bool, kind: ErrorKind
+) -> None:
+    async with run_fleet() as fleet:
+        for backend in fleet.backends.values():
+            fault(backend)
+        call = await fleet.entry().call(idempotent=idempotent, deadline_ms=2000)
+        assert call.refusal is not None
+        assert call.refusal.kind is kind
+        assert call.took_s <= 2
+        await check_truthful(fleet, call, idempotent=idempotent)
+
+
+@pytest.mark.parametrize("local", [False, True])
+async def test_local_path_is_as_truthful_as_the_remote_one(local: bool) -> None:
+    async with run_fleet("b1") as fleet:
+        fleet.backends["b1"].cut_at = Step.RUN
+        entry = fleet.entry(local="b1" if local else None)
+        call = await entry.call()
+        assert call.refusal is not None
+        assert call.refusal.kind is ErrorKind.BACKEND_CUT
+        await check_truthful(fleet, call, idempotent=False)
+
+
+@pytest.mark.parametrize("local", [False, True])
+async def test_deadline_bounds_a_silent_backend_server(local: bool) -> None:
+    async with run_fleet("b1") as fleet:
+        fleet.backends["b1"].stall_at = Step.RUN
+        entry = fleet.entry(local="b1" if local else None)
+        call = await entry.call(deadline_ms=700)
+        assert call.outcome == "unknown"
+        assert call.took_s == pytest.approx(0.7)
+
+
+async def test_deadline_during_connect_is_not_run() -> None:
+    """Guards against an entry that waits for an owner's Hello past the deadline."""
+    async with run_fleet("b1") as fleet:
+        break_at(fleet, frames.Hello, "silent")
+        call = await fleet.entry().call(deadline_ms=300)
+        assert call.refusal is not None
+        assert call.refusal.kind is ErrorKind.DEADLINE_NOT_RUN
+        assert call.took_s == pytest.approx(0.3)
+        await check_truthful(fleet, call, idempotent=False)
+
+
+async def test_deadline_during_a_query_is_unknown() -> None:
+    async with run_fleet("b1") as fleet:
+        fleet.backends["b1"].stall_at = Step.RUN
+        break_at(fleet, frames.Continue, "cut")
+        call = await fleet.entry().call(deadline_ms=900)
+        assert call.refusal is not None
+        assert call.refusal.kind is ErrorKind.DEADLINE_UNKNOWN
+        assert call.took_s == pytest.approx(0.9)
+
+
+async def test_request_that_arrives_after_its_query_is_refused() -> None:
+    """Guards against a run after "not seen" sent the request elsewhere."""
+    async with run_fleet("b1") as fleet:
+        held: list[Frame] = []
+
+        def hold_request(link: FakeStream, frame: Frame) -> bool:
+            if isinstance(frame, frames.Request) and not held:
+                held.append(frame)
+                link.cut()
+                return False
+            return True
+
+        fleet.on_frame = hold_request
+        entry = fleet.entry()
+        call = await entry.call()
+        assert call.refusal is not None
+        assert call.refusal.kind is ErrorKind.ATTEMPT_REVOKED
+        late = held[0]
+        assert isinstance(late, frames.Request)
+        async with entry.open_exchange(fleet.endpoint("b1")) as exchange:
+            await exchange.send(frames.Request(exchange.id, late.head))
+            assert isinstance(await exchange.receive(), frames.Refuse)
+        assert fleet.count_runs()["r1"] == 0
+
+
+async def test_large_answer_is_not_kept_and_the_outcome_says_failed() -> None:
+    async with run_fleet() as fleet:
+        for backend in fleet.backends.values():
+            backend.parts = (b"x" * 20_000,)
+        break_at(fleet, frames.Response, "cut")
+        call = await fleet.entry().call()
+        assert call.refusal is not None
+        assert call.refusal.kind is ErrorKind.ANSWER_CUT
+        assert fleet.count_runs()["r1"] == 1
+
+
+async def test_request_without_its_whole_body_does_not_outlive_its_stream() -> None:
+    """Guards against a cut body that passes for a whole one."""
+    async with run_fleet("b1") as fleet:
+        break_at(fleet, frames.End, "cut")
+        body = make_body(b"abc", length=3)
+        call = await fleet.entry().call(body=body, has_body=True)
+        assert call.outcome == "unknown"
+        await anyio.sleep(60)
+        assert fleet.count_runs()["r1"] == 0
+
+
+async def test_backend_server_cannot_state_our_outcome() -> None:
+    """Guards against a nested call's error headers that pass for this call's."""
+    async with run_fleet("b1") as fleet:
+        fleet.backends["b1"].headers = [
+            (b"berylmast-outcome", b"not-run"),
+            (b"Berylmast-Error", b"shed"),
+            (b"berylmast-replayed", b"true"),
+            (b"x-own", b"1"),
+        ]
+        call = await fleet.entry().call()
+        assert call.answer.headers == {b"x-own": b"1"}
--- /dev/null
+++ b/src/berylmast/callers/tests/test_retries.py
@@ -0,0 +1,137 @@
+"""Guards against unsafe retries and against retries that multiply."""
+
+import anyio
+import pytest
+
+from ...daemons import frames
+from ...errors import ErrorKind
+from ...tests.fakes import Step, make_body, run_fleet
+from ..forward import MAX_ATTEMPTS
+from .test_once import break_at
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.mark.parametrize(
+    ("cut_at", "idempotent", "retry_mark", "attempts"),
+    [
+        (Step.CONNECT, False, False, 2),
+        (Step.CONNECT, False, True, 1),
+        (Step.CONNECT, True, False, 2),
+        (Step.RUN, False, False, 1),
+        (Step.RUN, True, False, 2),
+        (Step.RUN, True, True, 1),
+        (Step.ANSWER, True, False, 1),
+    ],
+)
+async def test_retried_only_where_safe(
+    cut_at: Step, idempotent: bool, retry_mark: bool, attempts: int
+) -> None:
+    async with run_fleet() as fleet:
+        for backend in fleet.backends.values():
+            backend.cut_at = cut_at
+        call = await fleet.entry().call(idempotent=idempotent, retry=retry_mark)
+        assert call.trace.attempts == attempts
+
+
+@pytest.mark.parametrize("tokens", [0, 1, 5])
+async def test_budget_is_spent_before_each_retry(tokens: int) -> None:
+    names = tuple(f"b{n}" for n in range(6))
+    async with run_fleet(*names) as fleet:
+        for name in names:
+            fleet.stop(name)
+        entry = fleet.entry()
+        while entry.retries.try_spend("orders"):
+            pass
+        entry.retries.record_first_try("orders", tokens)
+        call = await entry.call()
+        assert call.trace.attempts == min(1 + tokens, MAX_ATTEMPTS)
+        assert call.outcome == "not-run"
+
+
+async def test_later_refusal_does_not_hide_an_earlier_possible_run() -> None:
+    """Guards against "not run" for a request whose first attempt may have run."""
+    async with run_fleet() as fleet:
+        entry = fleet.entry()
+        for backend in fleet.backends.values():
+            backend.cut_at = Step.RUN
+
+        def fail_next(link: object, frame: frames.Frame) -> bool:
+            if isinstance(frame, frames.Fail):
+                for backend in fleet.backends.values():
+                    backend.cut_at = Step.CONNECT
+            return True
+
+        fleet.on_frame = fail_next
+        call = await entry.call(idempotent=True)
+        assert call.trace.attempts == 2
+        assert fleet.count_runs()["r1"] == 1
+        assert call.outcome == "unknown"
+
+
+@pytest.mark.parametrize(
+    ("length", "outcome", "attempts"), [(6, "answered", 2), (None, "not-run", 1)]
+)
+async def test_body_that_was_not_kept_is_not_sent_again(
+    length: int | None, outcome: str, attempts: int
+) -> None:
+    """Guards against a retry with an empty body in place of the spent one."""
+    async with run_fleet() as fleet:
+
+        def refuse_first(link: object, frame: frames.Frame) -> bool:
+            if isinstance(frame, frames.Refuse):
+                for backend in fleet.backends.values():
+                    backend.cut_at = None
+            return True
+
+        for backend in fleet.backends.values():
+            backend.cut_at = Step.CONNECT
+        fleet.on_frame = refuse_first
+        body = make_body(b"abc", b"def", length=length)
+        call = await fleet.entry().call(body=body, has_body=True)
+        assert (call.outcome, call.trace.attempts) == (outcome, attempts)
+        received = [d for b in fleet.backends.values() for _, d in b.received]
+        assert received == ([b"abcdef"] if outcome == "answered" else [])
+
+
+@pytest.mark.parametrize("fault", ["cut", None])
+async def test_backend_server_receives_id_deadline_and_retry_mark(
+    fault: str | None,
+) -> None:
+    """Guards against nested calls that retry again or outlast their caller."""
+    async with run_fleet() as fleet:
+        if fault:
+            break_at(fleet, frames.Request, fault)
+        sent = [(b"berylmast-deadline-ms", b"99999"), (b"X-Request-Id", b"other")]
+        entry = fleet.entry()
+        for endpoint in fleet.directory.endpoints("orders"):
+            async with entry.open_exchange(endpoint):
+                pass
+        await entry.call(headers=sent, deadline_ms=5000)
+        values = next(v for b in fleet.backends.values() for v, _ in b.received)
+        assert values[b"x-request-id"] == b"r1"
+        assert (b"berylmast-retry" in values) == (fault is not None)
+        assert int(values[b"berylmast-deadline-ms"]) <= 5000
+
+
+async def test_time_in_the_queue_reduces_the_deadline_sent_on() -> None:
+    async with run_fleet("b1") as fleet:
+        fleet.set_slots(1)
+        async with anyio.create_task_group() as tg:
+            entry = fleet.entry()
+            fleet.backends["b1"].part_pause_s = 0
+            tg.start_soon(entry.call)
+            await anyio.sleep(0.1)
+            await entry.call(deadline_ms=1000)
+        values, _ = fleet.backends["b1"].received[1]
+        assert int(values[b"berylmast-deadline-ms"]) == pytest.approx(900, abs=2)
+
+
+async def test_lost_stream_of_an_uploading_request_is_no_crash() -> None:
+    """Guards against ExchangeLost that arrives wrapped in an ExceptionGroup."""
+    async with run_fleet("b1") as fleet:
+        break_at(fleet, frames.Body, "stopped")
+        body = make_body(b"x" * 400_000, b"y", length=None)
+        call = await fleet.entry().call(body=body, has_body=True)
+        assert call.refusal is not None
+        assert call.refusal.kind is ErrorKind.PEER_LOST
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -56,6 +56,7 @@
             endpoints=directory.endpoints,
         )
         if owner is not None:
+            await tg.start(owner.run)
             listener = PeerListener(cfg.peers, identity, owner.accept)
             await tg.start(listener.run)
             tg.start_soon(announce_endpoint, client, _make_endpoint(cfg, identity))
@@ -112,14 +113,14 @@
 ) -> Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]:
     def open_exchange(endpoint: Endpoint) -> AbstractAsyncContextManager[Exchange]:
         if owner is not None and endpoint.backend == daemon_id:
-            return _open_local(owner)
+            return open_local(owner)
         return pool.exchange(endpoint)
 
     return open_exchange
 
 
 @asynccontextmanager
-async def _open_local(owner: Owner) -> AsyncIterator[Exchange]:
+async def open_local(owner: Owner) -> AsyncIterator[Exchange]:
     """Serve the local backend server without a socket."""
     entry_side, owner_side = connect_exchanges()
 
--- a/src/berylmast/tests/fakes.py
+++ b/src/berylmast/tests/fakes.py
@@ -8,7 +8,7 @@
 from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from enum import StrEnum
 from itertools import count
 from random import Random
@@ -28,6 +28,7 @@
 from ..callers.body import CallerBody
 from ..callers.classify import Classified
 from ..callers.forward import Forwarder, Trace, forward_request
+from ..daemon import open_local
 from ..daemons import ConnectionLost, Exchange, Identity, PeerConnection
 from ..daemons.codec import FrameReader, encode_frame
 from ..daemons.frames import Frame, Reset
@@ -176,10 +177,9 @@
         self.silent = self.other.silent = True
 
     def cut(self) -> None:
-        """End the link; what the ends have not yet received is lost."""
+        """End the link both ways; what was sent before still arrives."""
         self.silence()
         for end in (self, self.other):
-            # Closes both directions for both ends at once.
             end.send_stream.close()  # type: ignore[attr-defined]
 
 
@@ -221,7 +221,7 @@
 
 @dataclass
 class Call:
-    """One finished call: its answer, the refusal if any, how long it took in seconds."""
+    """One finished call; ``took_s`` is in seconds."""
 
     answer: FakeAnswer
     refusal: Refusal | None
@@ -237,8 +237,9 @@
 class FakeEntry:
     """The entry role of one daemon."""
 
-    def __init__(self, fleet: "FakeFleet", name: str) -> None:
+    def __init__(self, fleet: "FakeFleet", name: str, local: str | None) -> None:
         self.fleet = fleet
+        self._local = local
         self.identity = Identity(name, 1)
         self.retries = RetryBudget()
         self._connections: dict[str, PeerConnection] = {}
@@ -255,7 +256,11 @@
 
     @asynccontextmanager
     async def open_exchange(self, endpoint: Endpoint) -> AsyncIterator[Exchange]:
-        """Open an exchange as ``PeerPool`` does."""
+        """Open an exchange as the daemon does: in memory if the owner is local."""
+        if endpoint.backend == self._local:
+            async with open_local(self.fleet.owners[self._local]) as exchange:
+                yield exchange
+            return
         conn = self._connections.get(endpoint.backend)
         if conn is None or conn.closed:
             conn = await self.fleet.dial(self.identity, endpoint.backend)
@@ -300,6 +305,19 @@
                 Endpoint(name, SERVICE, name, 1, "r", "f", incarnation=1, seq=1)
             )
 
+    def entry(self, name: str = "e1", local: str | None = None) -> FakeEntry:
+        """Return a new entry; ``local`` names the owner in the same process."""
+        return FakeEntry(self, name, local)
+
+    def endpoint(self, name: str) -> Endpoint:
+        """Return the record of an endpoint."""
+        endpoints = self.directory.endpoints(SERVICE)
+        return next(e for e in endpoints if e.backend == name)
+
+    def set_slots(self, slots: int) -> None:
+        """Change the slots of every backend server."""
+        self.slice = replace(self.slice, slots=slots)
+
     def restart(self, name: str) -> None:
         """Cut the links of an owner and start a new incarnation without records."""
         self.cut(name)
@@ -310,6 +328,7 @@
         self.ledgers[name] = AttemptLedger()
         backend = self.backends[name]
         self.owners[name] = Owner(admission, self.ledgers[name], backend, KeyLedger())
+        self._tg.start_soon(self.owners[name].run)
 
     def cut(self, name: str) -> None:
         """Cut the links of an owner; new ones work."""
