Test keys, ledgers, retries and the table of errors

Guards: repeats through the same and another entry, simultaneous repeats, loss or restart or departure of either holder, an entry that dies, bounds of both ledgers, doubled requests on one and on two connections, every error kind.

--- /dev/null
+++ b/src/berylmast/backends/tests/test_keys.py
@@ -0,0 +1,78 @@
+"""Guards against keys that are evicted early or held without bound."""
+
+import anyio
+import pytest
+
+from ...daemons.frames import KeyBegin, KeyFinish
+from ...model import AttemptId, KeyStatus
+from .. import keys as module
+from ..keys import KEY_WINDOW_S, KeyLedger
+
+pytestmark = pytest.mark.anyio
+
+
+def begin(key: str, token: int = 1, deadline_ms: int = 1000) -> KeyBegin:
+    return KeyBegin(1, "s", "t", key, "f", AttemptId("e", 1, token), deadline_ms)
+
+
+def finish(key: str, token: int = 1, body: bytes = b"") -> KeyFinish:
+    status = KeyStatus.FINISHED
+    return KeyFinish(1, "s", "t", key, AttemptId("e", 1, token), status, 200, [], body)
+
+
+async def test_full_ledger_refuses_rather_than_evicts(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(module, "MAX_KEYS", 2)
+    ledger = KeyLedger()
+    assert [ledger.begin(begin(k))[0] for k in "abc"] == [
+        KeyStatus.NEW,
+        KeyStatus.NEW,
+        KeyStatus.FULL,
+    ]
+    await anyio.sleep(KEY_WINDOW_S + 2)
+    assert ledger.begin(begin("c"))[0] is KeyStatus.NEW
+
+
+async def test_same_token_may_ask_again_and_others_may_not() -> None:
+    ledger = KeyLedger()
+    tokens = (1, 1, 2)
+    assert [ledger.begin(begin("a", token))[0] for token in tokens] == [
+        KeyStatus.NEW,
+        KeyStatus.NEW,
+        KeyStatus.RUNNING,
+    ]
+
+
+async def test_end_reported_by_another_request_is_ignored() -> None:
+    ledger = KeyLedger()
+    ledger.begin(begin("a", 1))
+    ledger.finish(finish("a", 2))
+    assert ledger.begin(begin("a", 3))[0] is KeyStatus.RUNNING
+
+
+async def test_kept_answers_are_bounded_in_bytes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(module, "MAX_KEPT_BYTES", 250)
+    ledger = KeyLedger()
+    for key in "abcd":
+        ledger.begin(begin(key))
+        ledger.finish(finish(key, body=b"x" * 100))
+    states = [ledger.begin(begin(key, 2)) for key in "abcd"]
+    assert [status for status, _ in states] == [KeyStatus.FINISHED] * 4
+    assert [answer is not None for _, answer in states] == [False, False, True, True]
+
+
+@pytest.mark.parametrize("deadline_ms", [1000, 3_600_000])
+async def test_running_key_is_unknown_from_its_deadline_for_a_window(
+    deadline_ms: int,
+) -> None:
+    ledger = KeyLedger()
+    ledger.begin(begin("a", 1, deadline_ms))
+    await anyio.sleep(deadline_ms / 1000)
+    assert ledger.begin(begin("a", 2))[0] is KeyStatus.UNKNOWN
+    await anyio.sleep(KEY_WINDOW_S - 1)
+    assert ledger.begin(begin("a", 2))[0] is KeyStatus.UNKNOWN
+    await anyio.sleep(1)
+    assert ledger.begin(begin("a", 2))[0] is KeyStatus.NEW
--- /dev/null
+++ b/src/berylmast/backends/tests/test_ledger.py
@@ -0,0 +1,102 @@
+"""Guards against a second dispatch of an id and against records without bound."""
+
+import anyio
+import pytest
+
+from ...errors import ErrorKind
+from ...model import AttemptId, AttemptState, KeptAnswer
+from .. import ledger as module
+from ..ledger import ANSWER_RETENTION_S, RETENTION_S, AttemptLedger, Ending
+
+pytestmark = pytest.mark.anyio
+
+FINISHED = Ending(AttemptState.FINISHED, answer=KeptAnswer(200, [], b"x" * 100))
+REFUSED = Ending(AttemptState.REFUSED, ErrorKind.OVERLOADED)
+
+
+def make_id(counter: int, incarnation: int = 1, entry: str = "e1") -> AttemptId:
+    return AttemptId(entry, incarnation, counter)
+
+
+@pytest.mark.parametrize("ending", [None, FINISHED, REFUSED])
+@pytest.mark.parametrize("later_s", [0.0, RETENTION_S - 1, RETENTION_S + 1, 1e6])
+async def test_id_is_never_dispatched_twice(
+    ending: Ending | None, later_s: float
+) -> None:
+    ledger = AttemptLedger()
+    assert ledger.begin(make_id(5))
+    if ending is not None:
+        ledger.finish(make_id(5), ending)
+    await anyio.sleep(later_s)
+    assert not ledger.begin(make_id(5))
+
+
+@pytest.mark.parametrize("later_s", [0.0, RETENTION_S + 1])
+async def test_queried_id_is_refused_for_good(later_s: float) -> None:
+    ledger = AttemptLedger()
+    assert ledger.query(make_id(5)).state is AttemptState.NOT_SEEN
+    await anyio.sleep(later_s)
+    assert not ledger.begin(make_id(5))
+    assert ledger.query(make_id(5)).state is not AttemptState.NOT_SEEN
+
+
+async def test_evicted_id_is_forgotten_not_unseen() -> None:
+    """Guards against "not seen", which claims not-run, for an attempt that ran."""
+    ledger = AttemptLedger()
+    ledger.begin(make_id(5))
+    ledger.finish(make_id(5), FINISHED)
+    await anyio.sleep(RETENTION_S)
+    assert ledger.query(make_id(5)).state is AttemptState.FORGOTTEN
+    assert len(ledger) == 0
+
+
+@pytest.mark.parametrize(
+    ("attempt", "accepted"),
+    [
+        (make_id(4), False),
+        (make_id(5), False),
+        (make_id(6), True),
+        (make_id(1, incarnation=2), True),
+        (make_id(9, incarnation=0), False),
+        (make_id(1, entry="e2"), True),
+    ],
+)
+async def test_floor_refuses_only_what_may_have_been_evicted(
+    attempt: AttemptId, accepted: bool
+) -> None:
+    ledger = AttemptLedger()
+    ledger.begin(make_id(5))
+    ledger.finish(make_id(5), REFUSED)
+    await anyio.sleep(RETENTION_S)
+    assert ledger.begin(attempt) is accepted
+
+
+async def test_count_is_bounded_and_evicted_ids_stay_refused(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(module, "MAX_ENDED", 10)
+    ledger = AttemptLedger()
+    for counter in range(1, 101):
+        assert ledger.begin(make_id(counter))
+        ledger.finish(make_id(counter), REFUSED)
+    assert len(ledger) == 10
+    assert not any(ledger.begin(make_id(counter)) for counter in range(1, 101))
+
+
+async def test_kept_answers_are_bounded_in_time_and_bytes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(module, "MAX_KEPT_BYTES", 250)
+    ledger = AttemptLedger()
+    for counter in range(1, 6):
+        ledger.begin(make_id(counter))
+        ledger.finish(make_id(counter), FINISHED)
+
+    def count_kept() -> int:
+        endings = [ledger.peek(make_id(counter)) for counter in range(1, 6)]
+        assert all(e.state is AttemptState.FINISHED for e in endings)
+        return sum(e.answer is not None for e in endings)
+
+    assert count_kept() == 2
+    await anyio.sleep(ANSWER_RETENTION_S)
+    assert count_kept() == 0
--- /dev/null
+++ b/src/berylmast/backends/tests/test_owner.py
@@ -0,0 +1,92 @@
+"""Guards against doubled requests and faults that pass for refusals."""
+
+import anyio
+import pytest
+
+from ...callers.outcome import refuse_after_dispatch
+from ...daemons import frames
+from ...errors import ErrorKind, Outcome, Refusal
+from ...tests.fakes import FakeBackend, make_head, run_fleet
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.mark.parametrize("idempotent", [False, True])
+@pytest.mark.parametrize("entries", [("e1", "e1"), ("e1", "e2")])
+@pytest.mark.parametrize("pause_s", [0.0, 0.1, 5.0, 100.0])
+async def test_doubled_request_runs_once(
+    idempotent: bool, entries: tuple[str, str], pause_s: float
+) -> None:
+    async with run_fleet("b1") as fleet:
+        head = make_head(idempotent=idempotent)
+        by_name = {name: fleet.entry(name) for name in set(entries)}
+        endings: list[frames.Frame] = []
+
+        async def send(name: str) -> None:
+            opened = by_name[name].open_exchange(fleet.endpoint("b1"))
+            async with opened as exchange:
+                await exchange.send(frames.Request(exchange.id, head))
+                while True:
+                    frame = await exchange.receive()
+                    if isinstance(frame, frames.End | frames.Fail | frames.Refuse):
+                        endings.append(frame)
+                        return
+
+        async with anyio.create_task_group() as tg:
+            for name in entries:
+                tg.start_soon(send, name)
+                await anyio.sleep(pause_s)
+        assert fleet.count_runs() == {"r1": 1}
+        # "Refuse" would claim that the request did not run.
+        assert {type(frame) for frame in endings} == {frames.End, frames.Fail}
+
+
+async def test_doubled_frame_on_an_open_exchange_runs_once() -> None:
+    async with run_fleet("b1") as fleet:
+        opened = fleet.entry().open_exchange(fleet.endpoint("b1"))
+        async with opened as exchange:
+            for _ in range(2):
+                await exchange.send(frames.Request(exchange.id, make_head()))
+            await anyio.sleep(10)
+        assert fleet.count_runs() == {"r1": 1}
+
+
+async def test_request_in_the_queue_whose_stream_is_lost_never_runs() -> None:
+    async with run_fleet("b1") as fleet:
+        fleet.set_slots(0)
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(fleet.entry().call)
+            await anyio.sleep(0.1)
+            fleet.cut("b1")
+            fleet.set_slots(6)
+            tg.cancel_scope.cancel()
+        await anyio.sleep(60)
+        assert fleet.count_runs() == {}
+
+
+async def test_fault_in_one_dispatch_leaves_its_connection_open(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against one faulty request that loses all others of its connection."""
+
+    def fail(self: FakeBackend, *args: object) -> None:
+        raise RuntimeError("fault")
+
+    async with run_fleet("b1") as fleet:
+        entry = fleet.entry()
+        monkeypatch.setattr(FakeBackend, "send", fail)
+        call = await entry.call(idempotent=True, retry=True)
+        assert call.refusal is not None
+        assert call.refusal.kind is ErrorKind.INTERNAL
+        assert call.outcome == Outcome.UNKNOWN
+        monkeypatch.undo()
+        assert (await entry.call()).outcome == "answered"
+        assert fleet.dials == ["b1"]
+
+
+@pytest.mark.parametrize("kind", list(ErrorKind))
+def test_fail_and_reset_never_claim_not_run(kind: ErrorKind) -> None:
+    refusal = refuse_after_dispatch(kind, "detail")
+    assert not refusal.not_run
+    if not Refusal(kind, "").not_run:
+        assert refusal.kind is kind
--- /dev/null
+++ b/src/berylmast/tests/test_errors.py
@@ -0,0 +1,49 @@
+"""Guards against error answers that leave the outcome out or claim too much."""
+
+from typing import Any
+
+import pytest
+
+from ..callers.answer import CallerAnswer
+from ..errors import ANSWERS, ErrorKind, Outcome, Refusal
+
+pytestmark = pytest.mark.anyio
+
+# Kinds of an end after dispatch, or whose time of dispatch is not known.
+MAY_HAVE_RUN = {
+    ErrorKind.BODY_CUT,
+    ErrorKind.DEADLINE_UNKNOWN,
+    ErrorKind.PEER_LOST,
+    ErrorKind.BACKEND_CUT,
+    ErrorKind.ANSWER_CUT,
+    ErrorKind.DUPLICATE_RUNNING,
+    ErrorKind.DUPLICATE_UNKNOWN,
+    ErrorKind.CANCELLED,
+    ErrorKind.INTERNAL,
+}
+
+
+@pytest.mark.parametrize("kind", list(ErrorKind))
+async def test_error_answer_states_its_outcome(kind: ErrorKind) -> None:
+    sent: list[dict[str, Any]] = []
+
+    async def send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    await CallerAnswer(send, "r1").send_error(Refusal(kind, "detail"))
+    headers = dict(sent[0]["headers"])
+    assert sent[0]["status"] == ANSWERS[kind].status >= 400
+    assert headers[b"berylmast-outcome"].decode() in set(Outcome)
+    assert headers[b"berylmast-outcome"].decode() == ANSWERS[kind].outcome
+    assert headers[b"berylmast-error"].decode() == kind
+    assert headers[b"x-request-id"] == b"r1"
+    assert (b"retry-after" in headers) == (ANSWERS[kind].retry_after_s is not None)
+
+
+@pytest.mark.parametrize("kind", list(ErrorKind))
+def test_not_run_is_claimed_only_by_kinds_before_dispatch(kind: ErrorKind) -> None:
+    assert Refusal(kind, "").not_run == (kind not in MAY_HAVE_RUN)
+
+
+def test_table_is_complete() -> None:
+    assert set(ANSWERS) == set(ErrorKind)
