--- a/src/berylmast/backends/tests/test_owner.py
+++ b/src/berylmast/backends/tests/test_owner.py
@@ -1,5 +1,7 @@
 """Guards against doubled requests and faults that pass for refusals."""
 
+from functools import partial
+
 import anyio
 import pytest
 
@@ -53,14 +55,27 @@
 
 async def test_request_in_the_queue_whose_stream_is_lost_never_runs() -> None:
     async with run_fleet("b1") as fleet:
-        fleet.set_slots(0)
+        fleet.set_slots(1)
+        entry = fleet.entry()
         async with anyio.create_task_group() as tg:
-            tg.start_soon(fleet.entry().call)
+            tg.start_soon(entry.call)
+            await anyio.sleep(0.1)
+            tg.start_soon(partial(entry.call, request_id="queued"))
             await anyio.sleep(0.1)
             fleet.cut("b1")
-            fleet.set_slots(6)
-            tg.cancel_scope.cancel()
         await anyio.sleep(60)
+        assert fleet.count_runs() == {"r1": 1}
+
+
+async def test_request_without_time_left_is_refused() -> None:
+    async with run_fleet("b1") as fleet:
+        opened = fleet.entry().open_exchange(fleet.endpoint("b1"))
+        async with opened as exchange:
+            head = make_head(deadline_ms=0)
+            await exchange.send(frames.Request(exchange.id, head))
+            reply = await exchange.receive()
+        assert isinstance(reply, frames.Refuse)
+        assert reply.kind is ErrorKind.DEADLINE_NOT_RUN
         assert fleet.count_runs() == {}
 
 
--- a/src/berylmast/callers/tests/test_keyed.py
+++ b/src/berylmast/callers/tests/test_keyed.py
@@ -1,5 +1,7 @@
 """Guards against a second run of a request whose idempotency key was used."""
 
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from dataclasses import replace
 from typing import Any
 
@@ -7,7 +9,7 @@
 import pytest
 
 from ...backends.keys import KEY_WINDOW_S
-from ...daemons import frames
+from ...daemons import Exchange, frames
 from ...errors import ErrorKind
 from ...model import Endpoint, EndpointState
 from ...tests.fakes import SERVICE, Call, FakeFleet, Step, make_body, run_fleet
@@ -158,6 +160,33 @@
         assert fleet.count_runs()["r1"] <= 1
 
 
+@pytest.mark.parametrize(
+    ("sent", "repeat"), [(True, ErrorKind.DUPLICATE_UNKNOWN), (False, None)]
+)
+async def test_cancelled_call_frees_its_key_only_if_it_was_not_sent(
+    sent: bool, repeat: ErrorKind | None
+) -> None:
+    async with run_fleet(*NAMES) as fleet:
+        entry = fleet.entry("e1")
+
+        @asynccontextmanager
+        async def hang(endpoint: Endpoint) -> AsyncIterator[Exchange]:
+            async with entry.open_exchange(endpoint) as exchange:
+                # The third one, after those with the two holders, is the attempt's.
+                opened.append(endpoint)
+                if not sent and len(opened) == 3:
+                    await anyio.sleep_forever()
+                yield exchange
+
+        opened: list[Endpoint] = []
+        entry.forwarder = replace(entry.forwarder, open_exchange=hang)
+        with anyio.move_on_after(0.1):
+            await entry.call(idempotency_key="k1")
+        again = await call(fleet, "e2")
+        assert (again.refusal.kind if again.refusal else None) is repeat
+        assert fleet.count_runs() == {"r1": 1}
+
+
 @pytest.mark.parametrize("rank", range(KEY_HOLDERS))
 @pytest.mark.parametrize("fault", ["stop", "restart", "cut", "leave"])
 async def test_loss_of_one_holder_keeps_the_record(rank: int, fault: str) -> None:
--- a/src/berylmast/callers/tests/test_once.py
+++ b/src/berylmast/callers/tests/test_once.py
@@ -170,6 +170,24 @@
         await check_truthful(fleet, call, idempotent=False)
 
 
+async def test_deadline_after_a_refused_attempt_is_not_run() -> None:
+    """Guards against "unknown" where every attempt so far was refused."""
+    async with run_fleet() as fleet:
+        for backend in fleet.backends.values():
+            backend.cut_at = Step.CONNECT
+
+        def silence_next_dial(link: FakeStream, frame: Frame) -> bool:
+            if isinstance(frame, frames.Hello) and len(fleet.dials) == 2:
+                link.silence()
+            return True
+
+        fleet.on_frame = silence_next_dial
+        call = await fleet.entry().call(deadline_ms=500)
+        assert call.trace.attempts == 2
+        assert call.refusal is not None
+        assert call.refusal.kind is ErrorKind.DEADLINE_NOT_RUN
+
+
 async def test_deadline_during_a_query_is_unknown() -> None:
     async with run_fleet("b1") as fleet:
         fleet.backends["b1"].stall_at = Step.RUN
@@ -223,6 +241,7 @@
         body = make_body(b"abc", length=3)
         call = await fleet.entry().call(body=body, has_body=True)
         assert call.outcome == "unknown"
+        assert call.took_s < 1
         await anyio.sleep(60)
         assert fleet.count_runs()["r1"] == 0
 
--- a/src/berylmast/tests/fakes.py
+++ b/src/berylmast/tests/fakes.py
@@ -121,7 +121,8 @@
         if self.cut_at is Step.CONNECT:
             raise BackendUnreachable("refused")
         data = b"".join([part async for part in body]) if body is not None else b""
-        values = dict(headers)
+        values = {key.lower(): value for key, value in headers}
+        assert len(values) == len(headers), "a header was set twice"
         self.runs.append(values[b"x-request-id"].decode())
         self.received.append((values, data))
         await anyio.sleep(self.run_s)
@@ -321,6 +322,7 @@
     def restart(self, name: str) -> None:
         """Cut the links of an owner and start a new incarnation without records."""
         self.cut(name)
+        self.unreachable.discard(name)
         self._incarnations[name] += 1
         admission = AdmissionController(
             name, self._incarnations[name], lambda: self.slice
@@ -337,7 +339,7 @@
             link.cut()
 
     def stop(self, name: str) -> None:
-        """Cut the links of an owner and refuse new ones."""
+        """Cut the links of an owner and refuse new ones; ``restart`` allows them."""
         self.unreachable.add(name)
         self.cut(name)
 
