--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -59,9 +59,11 @@
             retries=RetryBudget(),
             open_exchange=_make_opener(pool, owner, cfg.daemon_id),
             next_attempt=_make_attempts(identity),
+            endpoints=directory.endpoints,
         )
         listener = PeerListener(cfg.peers, identity, owner.accept if owner else None)
-        if admission is not None:
+        if admission is not None and owner is not None:
+            await tg.start(owner.run)
             await tg.start(listener.run)
             lifecycle.add_listener(_make_leave_listener(admission, listener))
             tg.start_soon(announce_endpoint, client, _make_endpoint(cfg, identity))
@@ -155,14 +157,14 @@
 ) -> Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]:
     def open_exchange(endpoint: Endpoint) -> AbstractAsyncContextManager[Exchange]:
         if owner is not None and endpoint.backend == daemon_id:
-            return _open_local(owner)
+            return open_local(owner)
         return pool.exchange(endpoint)
 
     return open_exchange
 
 
 @asynccontextmanager
-async def _open_local(owner: Owner) -> AsyncIterator[Exchange]:
+async def open_local(owner: Owner) -> AsyncIterator[Exchange]:
     """Serve the local backend server without a socket."""
     entry_side, owner_side = connect_exchanges()
 
