Choose backend servers from load reports, errors, locality and budgets

Cause: the router knew only its own requests in flight; a slow or failing backend server kept its share of the traffic.

Change: the hot/cold policy, ejection, cold-start ramp, probes within a budget, locality with a link budget, and a benchmark of the policies. The End frame carries a load report, an attempt's result the backend server's status.

--- a/src/berylmast/backends/dispatch.py
+++ b/src/berylmast/backends/dispatch.py
@@ -1,6 +1,7 @@
 """Sends one admitted request to the backend server and streams its answer back."""
 
 from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
 
 import anyio
 from anyio.abc import ObjectReceiveStream, ObjectSendStream, TaskGroup
@@ -20,8 +21,9 @@
 ) -> bool:
     """Run a request until its answer is whole or the entry gives up.
 
-    Returns whether the backend server answered. Sends ``Refuse`` if nothing reached the
-    backend server, ``Fail`` if the request may have run.
+    Returns whether the backend server answered, and not with a 5xx status. Sends
+    ``Refuse`` if nothing reached the backend server, ``Fail`` if the request may have
+    run.
     """
     ok = False
 
@@ -71,8 +73,8 @@
         async with client.send(
             head.method, head.target, head.headers, content
         ) as answer:
-            await _send_answer(exchange, answer, report())
-        return True
+            await _send_answer(exchange, answer, report)
+        return answer.status < 500
     except BackendUnreachable as exc:
         await exchange.send(
             Refuse(exchange.id, ErrorKind.BACKEND_UNREACHABLE, str(exc), report())
@@ -85,9 +87,12 @@
 
 
 async def _send_answer(
-    exchange: Exchange, answer: BackendAnswer, load: LoadReport
+    exchange: Exchange, answer: BackendAnswer, report: Callable[[], LoadReport]
 ) -> None:
-    await exchange.send(Response(exchange.id, answer.status, answer.headers, load))
+    await exchange.send(Response(exchange.id, answer.status, answer.headers, report()))
     async for chunk in answer.body:
         await exchange.send_body(chunk)
-    await exchange.send(End(exchange.id))
+    load = report()
+    # This request still holds its slot, but it is over for the entry.
+    load = replace(load, in_flight=max(0, load.in_flight - 1))
+    await exchange.send(End(exchange.id, load=load))
--- a/src/berylmast/callers/answer.py
+++ b/src/berylmast/callers/answer.py
@@ -16,6 +16,7 @@
     def __init__(self, send: Any, request_id: str) -> None:
         self.started = False
         self.status = 0
+        self.body_bytes = 0
         self._send = send
         self._request_id = request_id
 
@@ -33,6 +34,7 @@
 
     async def send_part(self, data: bytes) -> None:
         """Send a part of the body."""
+        self.body_bytes += len(data)
         await self._send(
             {"type": "http.response.body", "body": data, "more_body": True}
         )
--- a/src/berylmast/callers/body.py
+++ b/src/berylmast/callers/body.py
@@ -18,6 +18,7 @@
 
     def __init__(self, receive: Any, length: int | None) -> None:
         self.length = length
+        self.read_bytes = 0
         self._receive = receive
         self._kept: list[bytes] = []
         self._whole = length == 0
@@ -54,4 +55,5 @@
             raise CallerDisconnected
         self._whole = not message.get("more_body", False)
         part: bytes = message.get("body", b"")
+        self.read_bytes += len(part)
         return part
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -56,7 +56,10 @@
     last: Result[None, Refusal] | None = None
     while trace.attempts < MAX_ATTEMPTS:
         choice = forwarder.router.choose(
-            req.service, exclude=tried, body_bytes=body.length or 0
+            req.service,
+            exclude=tried,
+            body_bytes=body.length or 0,
+            idempotent=req.head.idempotent,
         )
         if choice.is_err():
             return last or Err(choice.unwrap_err())
@@ -95,7 +98,7 @@
 ) -> Result[None, Refusal]:
     router = forwarder.router
     started_s = anyio.current_time()
-    router.record_start(endpoint.backend)
+    router.record_start(endpoint.backend, body.length or 0)
     result: Result[None, Refusal] = Err(Refusal(ErrorKind.CANCELLED, "cancelled"))
     try:
         async with forwarder.open_exchange(endpoint) as exchange:
@@ -105,10 +108,18 @@
     except ExchangeLost:
         result = Err(Refusal(ErrorKind.PEER_LOST, "the stream to the owner ended"))
     finally:
-        refused = result.is_err() and result.unwrap_err().not_run
-        latency_s = anyio.current_time() - started_s
+        error = result.unwrap_err() if result.is_err() else None
         router.record_result(
-            endpoint.backend, AttemptResult(result.is_ok(), refused, latency_s)
+            endpoint.backend,
+            AttemptResult(
+                ok=error is None,
+                refused=error is not None and error.not_run,
+                latency_s=anyio.current_time() - started_s,
+                status=answer.status if answer.started else None,
+                kind=None if error is None else error.kind,
+                sent_bytes=body.read_bytes,
+                answer_bytes=answer.body_bytes,
+            ),
         )
     return result
 
@@ -150,6 +161,8 @@
             case Body():
                 await answer.send_part(frame.data)
             case End():
+                if frame.load is not None:
+                    router.record_load(frame.load)
                 await answer.finish()
                 return Ok(None)
             case Refuse() | Fail():
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -3,7 +3,7 @@
 import os
 import signal
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from itertools import count
 from random import Random
@@ -21,9 +21,9 @@
 from .membership import Directory
 from .membership.sync import announce_endpoint, follow_platform
 from .model import AttemptId, Endpoint, ServiceSlice
-from .operators.admin import make_admin_app
+from .operators.admin import Report, make_admin_app
 from .platform import PlatformClient
-from .routing import Router
+from .routing import Prober, Router
 from .settings import DaemonSettings
 from .telemetry import Sight, log_event
 
@@ -48,6 +48,14 @@
     client = PlatformClient(cfg.platform)
     async with anyio.create_task_group() as tg:
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
+        prober = Prober(
+            pool,
+            router.probe_budget,
+            find_stale=_make_stale_finder(router, cfg.daemon_id),
+            record_load=router.record_load,
+            rng=Random(),
+        )
+        tg.start_soon(prober.run)
         forwarder = Forwarder(
             router=router,
             retries=RetryBudget(),
@@ -62,7 +70,11 @@
         callers = make_server(
             make_app(directory, cfg.limits, forwarder, sight), cfg.callers
         )
-        admin = make_server(make_admin_app({"status": sight.summarise}), cfg.admin)
+        reports: dict[str, Report] = {
+            "status": sight.summarise,
+            "routing": router.summarise,
+        }
+        admin = make_server(make_admin_app(reports), cfg.admin)
         tg.start_soon(callers.serve)
         tg.start_soon(admin.serve)
         log_event("started", daemon=cfg.daemon_id, callers=cfg.callers)
@@ -106,6 +118,13 @@
     return lambda: AttemptId(identity.daemon, identity.incarnation, next(counter))
 
 
+def _make_stale_finder(
+    router: Router, daemon_id: str
+) -> Callable[[], Sequence[Endpoint]]:
+    """Return the endpoints to probe; the local one needs no connection to itself."""
+    return lambda: [e for e in router.find_stale() if e.backend != daemon_id]
+
+
 def _make_opener(
     pool: PeerPool, owner: Owner | None, daemon_id: str
 ) -> Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]:
--- a/src/berylmast/daemons/codec.py
+++ b/src/berylmast/daemons/codec.py
@@ -53,9 +53,11 @@
 
 def _find_nested(cls: type[Any]) -> list[tuple[int, type[Any]]]:
     return [
-        (index, field.type)
+        (index, option)
         for index, field in enumerate(fields(cls))
-        if isinstance(field.type, type) and is_dataclass(field.type)
+        # The options of a union such as ``LoadReport | None``, else the type itself.
+        for option in get_args(field.type) or (field.type,)
+        if isinstance(option, type) and is_dataclass(option)
     ]
 
 
--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -59,10 +59,14 @@
 
 @dataclass(frozen=True, slots=True)
 class End:
-    """The body is whole. A body without this frame was cut."""
+    """The body is whole. A body without this frame was cut.
+
+    An owner adds its load: that of the answer's head is older by the body's time.
+    """
 
     exchange: int
     trailers: Headers = ()
+    load: LoadReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -31,6 +31,7 @@
     frames.Response(1, 200, [(b"x", b"y")], LOAD),
     frames.Body(1, b"abc"),
     frames.End(1, [(b"checksum", b"1")]),
+    frames.End(1, [], LOAD),
     frames.Credit(1, 4096),
     frames.Reset(1, ErrorKind.CANCELLED),
     frames.Refuse(1, ErrorKind.OVERLOADED, "no slot", LOAD),
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from .errors import ErrorKind
+
 Headers = Sequence[tuple[bytes, bytes]]
 
 
@@ -131,12 +133,23 @@
     link_bytes_per_s: int = 250_000
 
 
+class PolicyName(StrEnum):
+    """The policies that a document may name; see ``routing.policies``."""
+
+    RANDOM = "random"
+    ROUND_ROBIN = "round_robin"
+    LEAST_IN_FLIGHT = "least_in_flight"
+    POWER_OF_TWO = "power_of_two"
+    HOT_COLD = "hot_cold"
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceSlice:
     """The part of an accepted document that concerns one service.
 
     ``priorities`` are ordered, the most urgent first. ``region_weights`` is the current
     step of a shift between buildings; an empty mapping leaves the choice to locality.
+    Without ``ejection``, backend servers that answer errors stay in the choice.
     """
 
     service: str
@@ -151,6 +164,7 @@
     tenant_header: str = "x-tenant"
     budgets: Budgets = Budgets()
     max_body_bytes: int = 1 << 30
+    ejection: bool = True
 
     def rank(self, priority: str) -> int:
         """Return the position of a priority, 0 being the most urgent."""
@@ -164,9 +178,15 @@
 class AttemptResult:
     """What one attempt came to, for load, limits and histograms.
 
-    ``latency_s`` is in seconds from the start of the attempt.
+    ``latency_s`` is in seconds from the start of the attempt. ``status`` is the backend
+    server's, None if it did not answer; ``kind`` is the error of an attempt that is not
+    ``ok``. ``sent_bytes`` and ``answer_bytes`` are the sizes of the bodies.
     """
 
     ok: bool
     refused: bool
     latency_s: float
+    status: int | None = None
+    kind: ErrorKind | None = None
+    sent_bytes: int = 0
+    answer_bytes: int = 0
--- a/src/berylmast/operators/document.py
+++ b/src/berylmast/operators/document.py
@@ -3,7 +3,7 @@
 import pyjson5
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from ..model import Budgets, Priority, Route, ServiceSlice
+from ..model import Budgets, PolicyName, Priority, Route, ServiceSlice
 
 
 class DocumentError(Exception):
@@ -44,11 +44,12 @@
     """One service and how its requests are treated."""
 
     hosts: frozenset[str] = Field(min_length=1)
-    policy: str = "hot_cold"
+    policy: PolicyName = PolicyName.HOT_COLD
     slots: int = Field(ge=1, description="concurrent requests of one backend server")
     connections: int = Field(260, ge=1)
     max_body_bytes: int = Field(1 << 30, ge=0)
     region_weights: dict[str, float] = {}
+    ejection: bool = Field(True, description="leave out servers that answer errors")
     routes: tuple[RouteModel, ...] = Field(min_length=1)
 
 
@@ -103,4 +104,5 @@
         tenant_header=document.tenant_header,
         budgets=Budgets(**document.budgets.model_dump()),
         max_body_bytes=model.max_body_bytes,
+        ejection=model.ejection,
     )
--- a/src/berylmast/routing/__init__.py
+++ b/src/berylmast/routing/__init__.py
@@ -1,6 +1,7 @@
-"""Choosing a backend server: policies, load table, locality."""
+"""Choosing a backend server: policies, load table, locality, probes and budgets."""
 
 from .policies import POLICIES, Candidate, Policy
+from .probes import ProbeBudget, Prober
 from .router import Router
 
-__all__ = ["POLICIES", "Candidate", "Policy", "Router"]
+__all__ = ["POLICIES", "Candidate", "Policy", "ProbeBudget", "Prober", "Router"]
--- /dev/null
+++ b/src/berylmast/routing/ejection.py
@@ -0,0 +1,108 @@
+"""Ejection of backend servers that answer with errors, and their readmission."""
+
+from collections import deque
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+MAX_CONSECUTIVE_ERRORS = 5
+WINDOW_RESULTS = 20
+MIN_WINDOW_RESULTS = 10
+MAX_ERROR_RATIO = 0.5
+FIRST_BACKOFF_S = 1.0
+MAX_BACKOFF_S = 60.0
+TRIALS_TO_READMIT = 3
+MAX_TRIAL_WAIT_S = 30.0
+"""A trial whose result is lost must not block readmission for ever."""
+
+MAX_EJECTED_SHARE = 0.5
+"""If more of a set than this answers errors, its backend servers are hardly the cause,
+and ejecting them would overload the rest."""
+
+
+@dataclass(slots=True)
+class _Record:
+    consecutive: int = 0
+    results: deque[bool] = field(default_factory=lambda: deque(maxlen=WINDOW_RESULTS))
+    ejected_s: float | None = None
+    backoff_s: float = FIRST_BACKOFF_S
+    next_trial_s: float = 0.0
+    trials_passed: int = 0
+    trial_running: bool = False
+
+    def must_eject(self) -> bool:
+        """Tell whether the errors reach one of the limits."""
+        if self.consecutive >= MAX_CONSECUTIVE_ERRORS:
+            return True
+        count = len(self.results)
+        return (
+            count >= MIN_WINDOW_RESULTS and sum(self.results) >= MAX_ERROR_RATIO * count
+        )
+
+
+class Ejections:
+    """Which backend servers get no traffic but trial requests."""
+
+    def __init__(self) -> None:
+        self._records: dict[str, _Record] = {}
+
+    def record(self, backend: str, error: bool, now_s: float) -> bool:
+        """Count a result; True if it readmits an ejected backend server."""
+        record = self._records.setdefault(backend, _Record())
+        record.consecutive = record.consecutive + 1 if error else 0
+        record.results.append(error)
+        if record.ejected_s is not None:
+            return self._judge_trial(record, error, now_s)
+        if record.must_eject():
+            record.ejected_s = now_s
+            record.next_trial_s = now_s + record.backoff_s
+            record.trials_passed = 0
+        return False
+
+    def _judge_trial(self, record: _Record, error: bool, now_s: float) -> bool:
+        # Requests sent before the ejection may still fail; they are no trials.
+        if error and record.trial_running:
+            record.backoff_s = min(2 * record.backoff_s, MAX_BACKOFF_S)
+            record.next_trial_s = now_s + record.backoff_s
+            record.trials_passed = 0
+        record.trial_running = False
+        if error:
+            return False
+        record.trials_passed += 1
+        record.next_trial_s = now_s
+        if record.trials_passed < TRIALS_TO_READMIT:
+            return False
+        record.ejected_s = None
+        record.results.clear()
+        # Kept in part, so that one that fails again soon stays away for longer.
+        record.backoff_s = max(record.backoff_s / 2, FIRST_BACKOFF_S)
+        return True
+
+    def find_ejected(self, backends: Sequence[str]) -> list[str]:
+        """Return the ejected of a set, longest ejected first, within the share."""
+        ejected = [
+            (record.ejected_s, backend)
+            for backend in backends
+            if (record := self._records.get(backend)) is not None
+            and record.ejected_s is not None
+        ]
+        count = int(len(backends) * MAX_EJECTED_SHARE)
+        return [backend for _, backend in sorted(ejected)[:count]]
+
+    def is_trial_due(self, backend: str, now_s: float) -> bool:
+        """Tell whether an ejected backend server may get a trial request now."""
+        record = self._records.get(backend)
+        return (
+            record is not None
+            and record.ejected_s is not None
+            and now_s >= record.next_trial_s
+        )
+
+    def start_trial(self, backend: str, now_s: float) -> None:
+        """Hold back further trials until this one has a result."""
+        record = self._records[backend]
+        record.trial_running = True
+        record.next_trial_s = now_s + MAX_TRIAL_WAIT_S
+
+    def forget(self, backend: str) -> None:
+        """Drop the record of a backend server that restarted."""
+        self._records.pop(backend, None)
--- /dev/null
+++ b/src/berylmast/routing/locality.py
@@ -0,0 +1,61 @@
+"""Which regions and failure domains come first."""
+
+from collections.abc import Mapping, Sequence
+from random import Random
+
+from ..model import Endpoint
+from .policies import Candidate, find_best
+
+SPILL_SHARE = 0.5
+"""Below this share of its slots a backend server of the own failure domain is kept even
+if others are less loaded; nothing waits there yet."""
+
+
+def group_by_region(endpoints: Sequence[Endpoint]) -> dict[str, list[Endpoint]]:
+    """Return the endpoints of each region."""
+    groups: dict[str, list[Endpoint]] = {}
+    for endpoint in endpoints:
+        groups.setdefault(endpoint.region, []).append(endpoint)
+    return groups
+
+
+def order_regions(
+    present: Sequence[str], own: str, weights: Mapping[str, float], rng: Random
+) -> list[str]:
+    """Return the regions in the order in which they are tried.
+
+    With weights, the order is drawn by them; a region without weight is never used.
+    Without, the own region comes first and the others follow in random order.
+    """
+    if not weights:
+        others = [region for region in present if region != own]
+        rng.shuffle(others)
+        return [own, *others] if own in present else others
+    left = {region: weights.get(region, 0.0) for region in present}
+    left = {region: weight for region, weight in left.items() if weight > 0}
+    order: list[str] = []
+    while left:
+        drawn = rng.choices(list(left), list(left.values()))[0]
+        order.append(drawn)
+        del left[drawn]
+    return order
+
+
+def prefer_domain(candidates: Sequence[Candidate], domain: str) -> Sequence[Candidate]:
+    """Return the candidates of the own failure domain that are not overloaded.
+
+    Returns all candidates if there is none: with few backend servers in each domain, a
+    strict preference would send all of an entry's traffic to one of them.
+    """
+    local = [
+        c
+        for c in find_best(_cool_if_idle(candidates))
+        if c.endpoint.failure_domain == domain
+    ]
+    return local or candidates
+
+
+def _cool_if_idle(candidates: Sequence[Candidate]) -> list[Candidate]:
+    return [
+        c for c in candidates if not c.hot or c.in_flight + 1 <= SPILL_SHARE * c.limit
+    ]
--- a/src/berylmast/routing/policies.py
+++ b/src/berylmast/routing/policies.py
@@ -1,19 +1,35 @@
 """The policies that choose among candidates; each is a plain function."""
 
+import math
 from collections.abc import Callable, Mapping, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
-from ..model import Endpoint
+from ..model import Endpoint, PolicyName
+
+HOT_QUANTILE = 0.84
+"""Candidates above this quantile of requests in flight are hot, as in Prequal."""
+
+LATENCY_TIE = 1.5
+"""Latency estimates within this factor of the lowest count as equal: the estimates
+carry noise, and a strict minimum would send every entry to the same backend server."""
+
+ERROR_COST = 20.0
+"""Added multiples of the latency at an error ratio of 1; one recent error is enough to
+put a backend server behind every other."""
+
+HIGH_ERROR_RATE = 0.1
+"""Among only hot candidates, those above this error ratio come last."""
 
 
 @dataclass(frozen=True, slots=True)
 class Candidate:
     """An endpoint with what the entry knows of its load.
 
-    ``in_flight`` is the last report plus the entry's own requests since; ``own`` counts
-    only the entry's own requests under way. ``latency_ms`` is in milliseconds;
-    ``age_s`` is the age of the report in seconds, infinite if there is none.
+    ``in_flight`` is estimated from the last report plus the entry's own requests since;
+    ``own`` counts only the entry's own requests under way. ``latency_ms`` is in
+    milliseconds; ``age_s`` is the age of the report in seconds, infinite if there is
+    none. ``limit`` is the number of slots. ``last_chosen`` grows with every choice.
     """
 
     endpoint: Endpoint
@@ -21,6 +37,16 @@
     own: int
     latency_ms: float
     age_s: float
+    limit: int = 1
+    error_rate: float = 0.0
+    last_chosen: int = 0
+    hot: bool = False
+
+    @property
+    def cost(self) -> float:
+        """Return the expected latency in ms, with errors and queueing counted in."""
+        queueing = max(1.0, (self.in_flight + 1) / self.limit)
+        return self.latency_ms * queueing * (1 + ERROR_COST * self.error_rate)
 
 
 Policy = Callable[[Sequence[Candidate], Random], Candidate]
@@ -32,19 +58,59 @@
     return rng.choice(candidates)
 
 
+def choose_round_robin(candidates: Sequence[Candidate], rng: Random) -> Candidate:
+    """Choose the endpoint whose last turn is longest ago."""
+    return min(candidates, key=lambda c: (c.last_chosen, rng.random()))
+
+
 def choose_least_in_flight(candidates: Sequence[Candidate], rng: Random) -> Candidate:
     """Choose the endpoint with the fewest of this entry's own requests."""
     return min(candidates, key=lambda c: (c.own, rng.random()))
 
 
 def choose_power_of_two(candidates: Sequence[Candidate], rng: Random) -> Candidate:
-    """Choose the less loaded of two drawn at random."""
+    """Choose the one with fewer of this entry's own requests of two drawn at random."""
     drawn = rng.sample(candidates, min(2, len(candidates)))
     return min(drawn, key=lambda c: c.own)
 
 
+def mark_hot(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Mark the candidates whose requests in flight exceed the quantile."""
+    if not candidates:
+        return []
+    ordered = sorted(c.in_flight for c in candidates)
+    threshold = ordered[math.ceil(HOT_QUANTILE * len(ordered)) - 1]
+    return [replace(c, hot=c.in_flight > threshold) for c in candidates]
+
+
+def find_best(candidates: Sequence[Candidate]) -> list[Candidate]:
+    """Return the cold candidates of about the lowest cost; none if all are hot."""
+    cold = [c for c in candidates if not c.hot]
+    if not cold:
+        return []
+    bound = LATENCY_TIE * min(c.cost for c in cold)
+    return [c for c in cold if c.cost <= bound]
+
+
+def choose_hot_cold(candidates: Sequence[Candidate], rng: Random) -> Candidate:
+    """Choose the lowest latency among the cold, else the fewest in flight.
+
+    The rule of Prequal (Wydrowski et al., "Load is not what you should balance",
+    NSDI 2024). About equal latencies are decided by requests in flight, then at random.
+    """
+    best = find_best(candidates)
+    if best:
+        return min(best, key=lambda c: (c.in_flight, rng.random()))
+    return min(
+        candidates,
+        key=lambda c: (c.error_rate > HIGH_ERROR_RATE, c.in_flight, rng.random()),
+    )
+
+
 POLICIES: Mapping[str, Policy] = {
-    "random": choose_random,
-    "least_in_flight": choose_least_in_flight,
-    "power_of_two": choose_power_of_two,
+    PolicyName.RANDOM: choose_random,
+    PolicyName.ROUND_ROBIN: choose_round_robin,
+    PolicyName.LEAST_IN_FLIGHT: choose_least_in_flight,
+    PolicyName.POWER_OF_TWO: choose_power_of_two,
+    PolicyName.HOT_COLD: choose_hot_cold,
 }
--- /dev/null
+++ b/src/berylmast/routing/probes.py
@@ -0,0 +1,127 @@
+"""Probes for load reports, off the critical path and within a budget."""
+
+from collections.abc import Callable, Sequence
+from random import Random
+from weakref import WeakSet
+
+import anyio
+
+from ..daemons import ConnectionLost, Exchange, ExchangeLost, PeerConnection, PeerPool
+from ..daemons.codec import encode_frame
+from ..daemons.frames import Hello, Load, Probe
+from ..model import Budgets, Endpoint, LoadReport
+from ._bucket import TokenBucket
+
+PROBE_INTERVAL_S = 0.1
+PROBE_TIMEOUT_S = 0.5
+STALE_REPORT_S = 0.5
+"""Older reports are probed; below it, probes would add little to those of answers."""
+
+BURST_S = 1.0
+BURST_PROBES = 5.0
+RESERVED_BYTES = 512
+"""Taken before a probe, corrected with the actual bytes after it."""
+
+
+class ProbeBudget:
+    """Limits probes to bytes per second and a ratio of requests."""
+
+    def __init__(self) -> None:
+        self.probes = 0
+        self.bytes_used = 0
+        self.calls = 0
+        self._bytes = TokenBucket()
+        self._ratio = TokenBucket()
+        self._budgets = Budgets(probe_bytes_per_s=0, probe_ratio=0)
+
+    def record_call(self, budgets: Budgets) -> None:
+        """Earn the share of a probe that comes with one request."""
+        self.calls += 1
+        self._budgets = budgets
+        self._ratio.earn(budgets.probe_ratio, BURST_PROBES)
+
+    def try_reserve(self, now_s: float) -> bool:
+        """Take one probe from the budget; False if it does not allow one now."""
+        rate = self._budgets.probe_bytes_per_s
+        self._bytes.refill(now_s, rate, rate * BURST_S)
+        if self._bytes.tokens < RESERVED_BYTES or self._ratio.tokens < 1:
+            return False
+        self._bytes.take(RESERVED_BYTES)
+        self._ratio.take(1)
+        self.probes += 1
+        return True
+
+    def settle(self, size: int) -> None:
+        """Correct one reservation with the bytes sent and received."""
+        self._bytes.take(size - RESERVED_BYTES)
+        self.bytes_used += size
+
+
+class Prober:
+    """Asks the owners of stale endpoints for their load."""
+
+    def __init__(
+        self,
+        pool: PeerPool,
+        budget: ProbeBudget,
+        *,
+        find_stale: Callable[[], Sequence[Endpoint]],
+        record_load: Callable[[LoadReport], None],
+        rng: Random,
+    ) -> None:
+        self._pool = pool
+        self._budget = budget
+        self._find_stale = find_stale
+        self._record_load = record_load
+        self._rng = rng
+        self._pending: set[str] = set()
+        self._met: WeakSet[PeerConnection] = WeakSet()
+
+    async def run(self) -> None:
+        """Probe until cancelled."""
+        async with anyio.create_task_group() as tg:
+            while True:
+                self._start_probes(tg)
+                await anyio.sleep(PROBE_INTERVAL_S)
+
+    def _start_probes(self, tg: anyio.abc.TaskGroup) -> None:
+        stale = [e for e in self._find_stale() if e.backend not in self._pending]
+        self._rng.shuffle(stale)
+        for endpoint in stale:
+            if not self._budget.try_reserve(anyio.current_time()):
+                return
+            self._pending.add(endpoint.backend)
+            tg.start_soon(self._probe, endpoint)
+
+    async def _probe(self, endpoint: Endpoint) -> None:
+        size = 0
+        try:
+            with anyio.move_on_after(PROBE_TIMEOUT_S):
+                conn = await self._pool.connect(endpoint)
+                size += self._measure_hello(conn)
+                exchange = conn.open_exchange()
+                try:
+                    size += await self._ask(exchange)
+                finally:
+                    conn.close_exchange(exchange)
+        except (ConnectionLost, ExchangeLost):
+            pass  # The missing report ages; attempts count the failure.
+        finally:
+            self._budget.settle(size or RESERVED_BYTES)
+            self._pending.discard(endpoint.backend)
+
+    async def _ask(self, exchange: Exchange) -> int:
+        probe = Probe(exchange.id)
+        await exchange.send(probe)
+        frame = await exchange.receive()
+        if isinstance(frame, Load):
+            self._record_load(frame.load)
+        return len(encode_frame(probe)) + len(encode_frame(frame))
+
+    def _measure_hello(self, conn: PeerConnection) -> int:
+        """Return the bytes of both greetings if the probe may have dialled."""
+        if conn in self._met or conn.peer is None:
+            return 0
+        self._met.add(conn)
+        hello = Hello(0, 1, conn.peer.daemon, conn.peer.incarnation)
+        return 2 * len(encode_frame(hello))
--- /dev/null
+++ b/src/berylmast/routing/ramp.py
@@ -0,0 +1,70 @@
+"""Cold start: a new backend server begins with few requests of each entry."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass
+
+from ..model import Endpoint
+
+START_GRACE_S = 5.0
+"""Backend servers seen this soon after the service's first call are not new: it is this
+entry that has just started, and limiting all of them would refuse its whole traffic."""
+
+FIRST_LIMIT = 1
+SUCCESSES_PER_SLOT = 4
+SECONDS_PER_SLOT = 2.0
+RAMP_S = 20.0
+
+
+@dataclass(slots=True)
+class _Start:
+    incarnation: int
+    seen_s: float
+    ramping: bool
+    successes: int = 0
+
+
+class Ramp:
+    """Limits this entry's own requests to a newly seen backend server."""
+
+    def __init__(self) -> None:
+        self._first_call_s: dict[str, float] = {}
+        self._starts: dict[str, _Start] = {}
+
+    def observe(self, endpoints: Sequence[Endpoint], now_s: float) -> list[str]:
+        """Note the endpoints of a call; returns those that restarted."""
+        restarted = []
+        for endpoint in endpoints:
+            known = self._starts.get(endpoint.backend)
+            if known is not None and known.incarnation == endpoint.incarnation:
+                continue
+            if known is not None:
+                restarted.append(endpoint.backend)
+            first_s = self._first_call_s.setdefault(endpoint.service, now_s)
+            ramping = now_s - first_s > START_GRACE_S
+            self._starts[endpoint.backend] = _Start(
+                endpoint.incarnation, now_s, ramping
+            )
+        return restarted
+
+    def record_success(self, backend: str) -> None:
+        """Raise the limit after a good answer."""
+        start = self._starts.get(backend)
+        if start is not None:
+            start.successes += 1
+
+    def has_room(self, backend: str, own: int, now_s: float) -> bool:
+        """Tell whether a backend server may get one more of this entry's requests."""
+        start = self._starts.get(backend)
+        if start is None or not start.ramping:
+            return True
+        age_s = now_s - start.seen_s
+        if age_s >= RAMP_S:
+            start.ramping = False
+            return True
+        grown = start.successes // SUCCESSES_PER_SLOT + int(age_s / SECONDS_PER_SLOT)
+        return own < FIRST_LIMIT + grown
+
+    def prune(self, backends: frozenset[str]) -> None:
+        """Drop the backend servers that are gone."""
+        for backend in [b for b in self._starts if b not in backends]:
+            del self._starts[backend]
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -1,7 +1,6 @@
-"""The entry's view of the backend servers and its choice among them."""
+"""The entry's choice among the backend servers of a service."""
 
-from collections.abc import Collection
-from dataclasses import dataclass
+from collections.abc import Collection, Sequence
 from random import Random
 
 import anyio
@@ -10,81 +9,217 @@
 from ..errors import ErrorKind, Refusal
 from ..membership import Directory
 from ..model import AttemptResult, Endpoint, LoadReport, ServiceSlice
-from .policies import POLICIES, Candidate
+from .ejection import Ejections
+from .link_budget import LinkBudget
+from .load_table import LoadTable, is_error
+from .locality import group_by_region, order_regions, prefer_domain
+from .policies import POLICIES, Candidate, mark_hot
+from .probes import STALE_REPORT_S, ProbeBudget
+from .ramp import Ramp
 
+RECENT_CALL_S = 5.0
+"""Only endpoints of services called this recently are probed."""
 
-@dataclass(slots=True)
-class _Load:
-    report: LoadReport | None = None
-    received_s: float = 0.0
-    own: int = 0
-    started_since: int = 0
+PRUNE_INTERVAL_S = 30.0
+FORGET_SERVICE_S = 600.0
 
 
 class Router:
-    """Holds the load table of this entry and chooses endpoints."""
+    """Chooses endpoints from reports, results and the budgets of this entry."""
 
     def __init__(
         self, directory: Directory, *, region: str, failure_domain: str, rng: Random
     ) -> None:
+        self.probe_budget = ProbeBudget()
+        self.link_budget = LinkBudget()
         self._directory = directory
         self._region = region
         self._failure_domain = failure_domain
         self._rng = rng
-        self._loads: dict[str, _Load] = {}
+        self._loads = LoadTable()
+        self._ejections = Ejections()
+        self._ramp = Ramp()
+        self._called: dict[str, float] = {}
+        self._chosen: dict[str, Endpoint] = {}
+        self._pruned_s = 0.0
 
     def choose(
-        self, service: ServiceSlice, *, exclude: Collection[str], body_bytes: int = 0
+        self,
+        service: ServiceSlice,
+        *,
+        exclude: Collection[str],
+        body_bytes: int = 0,
+        idempotent: bool = True,
     ) -> Result[Endpoint, Refusal]:
         """Choose a backend server for one attempt.
 
         ``exclude`` names backend servers already tried; ``body_bytes`` is the known
-        length of the request's body, counted against the link budget.
+        length of the request's body, counted against the link budget. Only an
+        ``idempotent`` request may be a trial of an ejected backend server.
         """
-        ready = [
-            endpoint
-            for endpoint in self._directory.endpoints(service.service)
-            if endpoint.backend not in exclude
-        ]
-        if not ready:
-            return Err(
-                Refusal(ErrorKind.NO_BACKEND, f"no backend server of {service.service}")
-            )
-        local = [e for e in ready if e.region == self._region] or ready
-        candidates = [self._make_candidate(endpoint) for endpoint in local]
-        return Ok(POLICIES[service.policy](candidates, self._rng).endpoint)
+        now_s = anyio.current_time()
+        self.probe_budget.record_call(service.budgets)
+        self._called[service.service] = now_s
+        if now_s - self._pruned_s >= PRUNE_INTERVAL_S:
+            self._prune(now_s)
+        groups = group_by_region(self._find_ready(service.service, now_s))
+        refusal = Refusal(
+            ErrorKind.NO_BACKEND, f"no backend server of {service.service}"
+        )
+        last_resort: Endpoint | None = None
+        order = order_regions(
+            list(groups), self._region, service.region_weights, self._rng
+        )
+        for region in order:
+            left = [e for e in groups[region] if e.backend not in exclude]
+            if not left:
+                continue
+            if region != self._region and not self._link_has_room(
+                service, body_bytes, now_s
+            ):
+                refusal = Refusal(
+                    ErrorKind.LINK_BUDGET, f"the link to {region} has no budget left"
+                )
+                continue
+            chosen = self._choose_in(service, groups[region], left, idempotent, now_s)
+            if chosen is not None:
+                return self._accept(chosen)
+            last_resort = last_resort or self._rng.choice(left)
+        if last_resort is not None:
+            return self._accept(last_resort)
+        return Err(refusal)
 
-    def record_start(self, backend: str) -> None:
+    def record_start(self, backend: str, body_bytes: int = 0) -> None:
         """Count a request that this entry sends to a backend server."""
-        load = self._get_load(backend)
-        load.own += 1
-        load.started_since += 1
+        self._loads.record_start(backend, anyio.current_time())
+        endpoint = self._chosen.get(backend)
+        if endpoint is not None and endpoint.region != self._region:
+            self.link_budget.charge(endpoint.service, backend, body_bytes)
 
     def record_result(self, backend: str, result: AttemptResult) -> None:
         """Count the end of a request counted by ``record_start``."""
-        self._get_load(backend).own -= 1
+        now_s = anyio.current_time()
+        self._loads.record_result(backend, result, now_s)
+        endpoint = self._chosen.get(backend)
+        if endpoint is not None and endpoint.region != self._region:
+            self.link_budget.settle(
+                endpoint.service, backend, result.sent_bytes, result.answer_bytes
+            )
+        error = is_error(result)
+        if not error and not result.ok:
+            return  # A refusal or a caller that left says nothing of its health.
+        if not error:
+            self._ramp.record_success(backend)
+        if self._ejections.record(backend, error, now_s):
+            self._loads.forgive(backend)
 
     def record_load(self, report: LoadReport) -> None:
         """Keep a report unless a newer one of the same backend server is known."""
-        load = self._get_load(report.backend)
-        known = load.report
-        if known is not None and (known.incarnation, known.seq) >= (
-            report.incarnation,
-            report.seq,
-        ):
-            return
-        load.report = report
-        load.received_s = anyio.current_time()
-        load.started_since = 0
-
-    def _get_load(self, backend: str) -> _Load:
-        return self._loads.setdefault(backend, _Load())
-
-    def _make_candidate(self, endpoint: Endpoint) -> Candidate:
-        load = self._get_load(endpoint.backend)
-        report = load.report
-        if report is None:
-            return Candidate(endpoint, load.own, load.own, 0.0, float("inf"))
-        age_s = anyio.current_time() - load.received_s
-        in_flight = report.in_flight + report.queued + load.started_since
-        return Candidate(endpoint, in_flight, load.own, report.latency_ms, age_s)
+        self._loads.record_load(report, anyio.current_time())
+
+    def find_stale(self) -> list[Endpoint]:
+        """Return the endpoints of recently called services whose report is too old."""
+        now_s = anyio.current_time()
+        return [
+            endpoint
+            for service, called_s in self._called.items()
+            if now_s - called_s <= RECENT_CALL_S
+            for endpoint in self._find_probed(service)
+            if self._loads.get_age(endpoint.backend, now_s) >= STALE_REPORT_S
+        ]
+
+    def summarise(self) -> dict[str, object]:
+        """Return the counters of the budgets, for operators."""
+        return {
+            "calls": self.probe_budget.calls,
+            "probes": self.probe_budget.probes,
+            "probe_bytes": self.probe_budget.bytes_used,
+            "link_bytes": self.link_budget.bytes_used,
+            "link_refused": self.link_budget.refused,
+        }
+
+    def _prune(self, now_s: float) -> None:
+        """Forget services that are no longer called and backend servers that left."""
+        self._pruned_s = now_s
+        for service in list(self._called):
+            if now_s - self._called[service] > FORGET_SERVICE_S:
+                del self._called[service]
+        kept = frozenset(
+            endpoint.backend
+            for service in self._called
+            for endpoint in self._directory.endpoints(service)
+        )
+        for backend in [b for b in self._chosen if b not in kept]:
+            if not self._loads.count_own(backend):
+                del self._chosen[backend]
+                self._ejections.forget(backend)
+        self._loads.prune(kept)
+        self._ramp.prune(kept)
+
+    def _find_probed(self, service: str) -> list[Endpoint]:
+        """Return the endpoints of the regions that calls normally reach."""
+        found = self._directory.service(service)
+        weights = found.region_weights if found is not None else {}
+        groups = group_by_region(self._directory.endpoints(service))
+        order = order_regions(list(groups), self._region, weights, self._rng)
+        regions = order if weights else order[:1]
+        return [endpoint for region in regions for endpoint in groups[region]]
+
+    def _find_ready(self, service: str, now_s: float) -> list[Endpoint]:
+        endpoints = self._directory.endpoints(service)
+        for backend in self._ramp.observe(endpoints, now_s):
+            self._ejections.forget(backend)
+            self._loads.forgive(backend)
+        return [e for e in endpoints if not self._loads.is_draining(e)]
+
+    def _link_has_room(
+        self, service: ServiceSlice, body_bytes: int, now_s: float
+    ) -> bool:
+        return self.link_budget.has_room(
+            service.service, body_bytes, service.budgets.link_bytes_per_s, now_s
+        )
+
+    def _accept(self, endpoint: Endpoint) -> Result[Endpoint, Refusal]:
+        self._chosen[endpoint.backend] = endpoint
+        return Ok(endpoint)
+
+    def _choose_in(
+        self,
+        service: ServiceSlice,
+        group: Sequence[Endpoint],
+        left: Sequence[Endpoint],
+        idempotent: bool,
+        now_s: float,
+    ) -> Endpoint | None:
+        """Choose in one region; None if all that are left there are ejected."""
+        ejected: list[str] = []
+        if service.ejection:
+            ejected = self._ejections.find_ejected([e.backend for e in group])
+        if idempotent:
+            for endpoint in left:
+                if endpoint.backend in ejected and self._ejections.is_trial_due(
+                    endpoint.backend, now_s
+                ):
+                    self._ejections.start_trial(endpoint.backend, now_s)
+                    return endpoint
+        usable = {e.backend for e in left if e.backend not in ejected}
+        # Heat is a matter of the whole region, whatever this request has tried.
+        marked = mark_hot(self._loads.make_candidates(group, now_s))
+        candidates = self._limit_new(
+            [c for c in marked if c.endpoint.backend in usable], now_s
+        )
+        if not candidates:
+            return None
+        preferred = prefer_domain(candidates, self._failure_domain)
+        return POLICIES[service.policy](preferred, self._rng).endpoint
+
+    def _limit_new(
+        self, candidates: Sequence[Candidate], now_s: float
+    ) -> Sequence[Candidate]:
+        """Leave out new backend servers that have enough, unless that leaves none."""
+        limited = [
+            c
+            for c in candidates
+            if self._ramp.has_room(c.endpoint.backend, c.own, now_s)
+        ]
+        return limited or candidates
--- /dev/null
+++ b/src/berylmast_dev/bench_routing.py
@@ -0,0 +1,219 @@
+"""Measures the policies with a slow and with a failing backend server.
+
+Prints one Markdown table per fault, of the time from the fault until the end. Every
+policy gets the same load on the same processes, one after the other; a policy comes into
+force as an operator would do it, through a new document.
+"""
+
+import json
+import tempfile
+from collections.abc import Sequence
+from concurrent.futures import ProcessPoolExecutor
+from dataclasses import dataclass, field
+from multiprocessing import get_context
+from pathlib import Path
+
+import anyio
+import httpcore
+from cyclopts import App
+
+from ._bench_load import send_load
+from .fleet import (
+    HOST,
+    PORTS_PER_MEMBER,
+    Fleet,
+    Member,
+    control_backend,
+    find_ports,
+    run_fleet,
+)
+
+SERVERS = 8
+SLOTS = 6
+MEAN_MS = 40.0
+UTILISATION = 0.55
+WORKERS = 3
+"""Processes that send the load; one spends over half a core at the full rate."""
+
+BEFORE_S = 3.0
+AFTER_S = 7.0
+SETTLE_S = 1.0
+POLICIES = ("random", "round_robin", "least_in_flight", "power_of_two", "hot_cold")
+CHOSEN = "hot_cold"
+FAULTS: dict[str, dict[str, object]] = {
+    "one server slowed tenfold": {"slow": 10.0},
+    "one server failing fast": {"fail": True},
+}
+NO_FAULT = {"slow": 1.0, "fail": False}
+
+
+@dataclass(slots=True)
+class Run:
+    """What callers saw of one policy after the fault; latencies in milliseconds."""
+
+    policy: str
+    latencies_ms: list[float] = field(default_factory=list)
+    errors: int = 0
+    probes: int = 0
+    probe_bytes: int = 0
+    calls: int = 0
+
+    def get_percentile(self, percent: float) -> float:
+        """Return a latency; failed requests count as longer than any answer."""
+        ordered = sorted(self.latencies_ms)
+        index = int(percent / 100 * (len(ordered) + self.errors))
+        return ordered[index] if index < len(ordered) else float("inf")
+
+
+def make_members() -> list[Member]:
+    """Return the backend servers of one service in one failure domain."""
+    first = find_ports(SERVERS * PORTS_PER_MEMBER)
+    return [
+        Member(
+            name=f"pages-{number}",
+            service="pages",
+            region="north",
+            failure_domain="n1",
+            slots=SLOTS,
+            mean_ms=MEAN_MS,
+            port=first + PORTS_PER_MEMBER * number,
+        )
+        for number in range(SERVERS)
+    ]
+
+
+def make_document(policy: str, ejection: bool) -> str:
+    """Return a document with one service that uses a policy."""
+    route = {"path": "/", "idempotent": True, "priority": "normal"}
+    service = {
+        "hosts": ["pages"],
+        "policy": policy,
+        "ejection": ejection,
+        "slots": SLOTS,
+        "routes": [{**route, "deadline_ms": 5000}],
+    }
+    return json.dumps(
+        {"priorities": [{"name": "normal"}], "services": {"pages": service}}
+    )
+
+
+async def _read_counters(members: list[Member]) -> dict[str, int]:
+    totals = {"calls": 0, "probes": 0, "probe_bytes": 0}
+    async with httpcore.AsyncConnectionPool() as pool:
+        for member in members:
+            res = await pool.request("GET", f"http://{HOST}:{member.port + 2}/routing")
+            report = json.loads(res.content)
+            for name in totals:
+                totals[name] += report[name]
+    return totals
+
+
+async def _measure(
+    workers: ProcessPoolExecutor,
+    members: list[Member],
+    policy: str,
+    fault: dict[str, object],
+    victim: Member,
+) -> Run:
+    run = Run(policy)
+    entries = [member.entry for member in members]
+    rate = UTILISATION * SERVERS * SLOTS / (MEAN_MS / 1000) / WORKERS
+    results: list[tuple[float, float]] = []
+
+    async def send(seed: int) -> None:
+        fut = workers.submit(send_load, entries, rate, BEFORE_S + AFTER_S, seed)
+        results.extend(await anyio.to_thread.run_sync(fut.result))
+
+    before: dict[str, int] = {}
+    async with anyio.create_task_group() as tg:
+        for seed in range(WORKERS):
+            tg.start_soon(send, seed)
+        await anyio.sleep(BEFORE_S)
+        before = await _read_counters(members)
+        await control_backend(victim, **fault)
+    after = await _read_counters(members)
+    await control_backend(victim, **NO_FAULT)
+    seen = [latency_s for due_s, latency_s in results if due_s >= BEFORE_S]
+    run.latencies_ms = [s * 1000 for s in seen if s != float("inf")]
+    run.errors = len(seen) - len(run.latencies_ms)
+    run.calls = after["calls"] - before["calls"]
+    run.probes = after["probes"] - before["probes"]
+    run.probe_bytes = after["probe_bytes"] - before["probe_bytes"]
+    await anyio.sleep(SETTLE_S)
+    return run
+
+
+def print_table(fault: str, runs: list[Run]) -> None:
+    """Print the runs of one fault; "failed" is the latency of a failed request."""
+    print(f"\n{fault}:\n")
+    print("| policy | requests | errors | p50 ms | p99 ms | p99.9 ms ", end="")
+    print("| probes/request | probe bytes/request |")
+    print("|---|---|---|---|---|---|---|---|")
+    for run in runs:
+        values = [run.get_percentile(percent) for percent in (50, 99, 99.9)]
+        shown = ["failed" if v == float("inf") else f"{v:.0f}" for v in values]
+        calls = max(1, run.calls)
+        print(
+            f"| {run.policy} | {len(run.latencies_ms) + run.errors} | {run.errors} "
+            f"| {' | '.join(shown)} | {run.probes / calls:.3f} "
+            f"| {run.probe_bytes / calls:.2f} |"
+        )
+
+
+def print_verdict(runs: list[Run]) -> None:
+    """Say whether the chosen policy has the lowest p99."""
+    p99 = {run.policy: run.get_percentile(99) for run in runs}
+    chosen = p99.pop(CHOSEN, float("inf"))
+    won = all(chosen < value for value in p99.values())
+    print(f"\n{CHOSEN} beats every baseline on p99: {'yes' if won else 'no'}")
+
+
+cli = App(name="bench_routing", help=__doc__)
+
+
+@cli.default
+def run(*, baseline_ejection: bool = False, policies: tuple[str, ...] = ()) -> None:
+    """Measure all policies, or those that are named.
+
+    With ``baseline_ejection``, the baselines too leave out servers that answer errors.
+    """
+    options = {"use_uvloop": True}
+    anyio.run(_run, baseline_ejection, policies or POLICIES, backend_options=options)
+
+
+async def _apply(fleet: Fleet, path: Path, policy: str, ejection: bool) -> None:
+    path.write_text(make_document(policy, ejection))
+    await anyio.to_thread.run_sync(fleet.apply_document, path)
+    # Longer than the interval at which daemons ask the platform for a new document.
+    await anyio.sleep(1.0)
+
+
+async def _run(baseline_ejection: bool, policies: Sequence[str]) -> None:
+    members = make_members()
+    # Spawned, since a copy of this process would share its event loop.
+    context = get_context("spawn")
+    with (
+        tempfile.TemporaryDirectory(prefix="berylmast-bench-") as folder,
+        ProcessPoolExecutor(WORKERS, context) as workers,
+    ):
+        path = Path(folder) / "document.json"
+        path.write_text(make_document(CHOSEN, True))
+        async with run_fleet(members, path) as fleet:
+            number = 0
+            for fault, control in FAULTS.items():
+                runs = []
+                for policy in policies:
+                    ejection = baseline_ejection or policy == CHOSEN
+                    await _apply(fleet, path, policy, ejection)
+                    # Each run has another victim: nothing is left over from the last.
+                    victim = members[number % SERVERS]
+                    runs.append(
+                        await _measure(workers, members, policy, control, victim)
+                    )
+                    number += 1
+                print_table(fault, runs)
+                print_verdict(runs)
+
+
+if __name__ == "__main__":
+    cli()
