Test the policies, load table, ejection, ramp, locality and budgets

Fault found by a test: the preference for the own failure domain applied the hot/cold costs within one domain too, so every policy chose by them. It now only decides whether the domain is kept or left.

--- a/src/berylmast/routing/locality.py
+++ b/src/berylmast/routing/locality.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Mapping, Sequence
 from random import Random
+from statistics import fmean
 
 from ..model import Endpoint
-from .policies import Candidate, find_best
+from .policies import LATENCY_TIE, Candidate
 
 SPILL_SHARE = 0.5
 """Below this share of its slots a backend server of the own failure domain is kept even
@@ -47,15 +48,17 @@
     Returns all candidates if there is none: with few backend servers in each domain, a
     strict preference would send all of an entry's traffic to one of them.
     """
-    local = [
-        c
-        for c in find_best(_cool_if_idle(candidates))
-        if c.endpoint.failure_domain == domain
-    ]
-    return local or candidates
-
-
-def _cool_if_idle(candidates: Sequence[Candidate]) -> list[Candidate]:
-    return [
-        c for c in candidates if not c.hot or c.in_flight + 1 <= SPILL_SHARE * c.limit
-    ]
+    local = [c for c in candidates if c.endpoint.failure_domain == domain]
+    if not local or len(local) == len(candidates):
+        return candidates
+    mean = fmean([c.in_flight for c in candidates])
+    lowest = min(c.cost for c in candidates)
+    kept = [c for c in local if _is_kept(c, mean, lowest)]
+    return kept or candidates
+
+
+def _is_kept(candidate: Candidate, mean: float, lowest: float) -> bool:
+    if candidate.cost > LATENCY_TIE * lowest:
+        return False
+    idle = candidate.in_flight + 1 <= SPILL_SHARE * candidate.limit
+    return idle or candidate.in_flight <= mean
--- /dev/null
+++ b/src/berylmast/routing/tests/test_router.py
@@ -0,0 +1,281 @@
+"""Guards against the wrong order of regions, trials, ramps and withdrawn endpoints."""
+
+from collections import Counter
+from typing import Any
+
+import anyio
+import pytest
+
+from ...errors import ErrorKind
+from ...model import AttemptResult, Budgets, Endpoint, ServiceSlice
+from ..ramp import RAMP_S, START_GRACE_S
+from ..router import Router
+from .make import (
+    OK,
+    STATUS_500,
+    UNREACHABLE,
+    make_endpoint,
+    make_report,
+    make_router,
+    make_slice,
+)
+
+pytestmark = pytest.mark.anyio
+
+OWN = make_endpoint("own", "north", "n1")
+NEAR = make_endpoint("near", "north", "n2")
+FAR = make_endpoint("far", "south", "s1")
+PAGES = make_slice()
+
+
+def choose(router: Router, service: ServiceSlice = PAGES, **options: Any) -> str:
+    """Return the name of the chosen backend server, or the kind of the refusal."""
+    result = router.choose(service, **({"exclude": ()} | options))
+    if result.is_err():
+        return result.unwrap_err().kind
+    return result.unwrap().backend
+
+
+def run_request(router: Router, result: AttemptResult = OK, **options: Any) -> str:
+    name = choose(router, **options)
+    router.record_start(name, options.get("body_bytes", 0))
+    router.record_result(name, result)
+    return name
+
+
+def eject(router: Router, *backends: str) -> None:
+    for backend in backends:
+        for _ in range(5):
+            router.record_start(backend)
+            router.record_result(backend, UNREACHABLE)
+
+
+NO_LINK = make_slice(budgets=Budgets(link_bytes_per_s=0))
+
+
+@pytest.mark.parametrize(
+    ("endpoints", "service", "exclude", "expected"),
+    [
+        ([], PAGES, (), {"no-backend"}),
+        ([OWN, NEAR, FAR], PAGES, (), {"own"}),
+        ([NEAR, FAR], PAGES, (), {"near"}),
+        ([OWN, NEAR, FAR], PAGES, ("own",), {"near"}),
+        ([FAR], PAGES, (), {"far"}),
+        ([OWN, FAR], PAGES, ("own",), {"far"}),
+        ([FAR], NO_LINK, (), {"link-budget"}),
+        ([OWN, FAR], NO_LINK, ("own",), {"link-budget"}),
+        ([OWN, FAR], make_slice(region_weights={"south": 1.0}), (), {"far"}),
+        ([OWN], make_slice(region_weights={"south": 1.0}), (), {"no-backend"}),
+        ([OWN, FAR], make_slice(region_weights={"north": 0, "south": 1}), (), {"far"}),
+        ([OWN, FAR], make_slice(region_weights={"north": 1, "south": 0}), (), {"own"}),
+        (
+            [OWN, FAR],
+            make_slice(
+                region_weights={"south": 1}, budgets=Budgets(link_bytes_per_s=0)
+            ),
+            (),
+            {"link-budget"},
+        ),
+    ],
+)
+async def test_order_of_regions(
+    endpoints: list[Endpoint],
+    service: ServiceSlice,
+    exclude: tuple[str, ...],
+    expected: set[str],
+) -> None:
+    router, _ = make_router(*endpoints)
+    assert {choose(router, service, exclude=exclude) for _ in range(30)} == expected
+
+
+async def test_region_weights_share_the_traffic() -> None:
+    service = make_slice(region_weights={"north": 3, "south": 1})
+    router, _ = make_router(OWN, FAR)
+    counts = Counter(choose(router, service) for _ in range(1000))
+    assert counts["far"] == pytest.approx(250, abs=60)
+
+
+async def test_hot_own_domain_spills_over_its_region_but_not_the_link() -> None:
+    """A strict preference would overload the one backend server of a domain."""
+    router, _ = make_router(OWN, NEAR, FAR)
+    counts: Counter[str] = Counter()
+    for name in ("own", "near", "far"):
+        router.record_load(make_report(name))
+    for _ in range(12):
+        name = choose(router)
+        router.record_start(name)
+        counts[name] += 1
+    assert counts["own"] in range(5, 9)
+    assert counts["far"] == 0
+
+
+async def test_slow_own_domain_spills() -> None:
+    router, _ = make_router(OWN, NEAR)
+    router.record_load(make_report("own", latency_ms=400.0))
+    router.record_load(make_report("near", latency_ms=40.0))
+    assert choose(router) == "near"
+
+
+async def test_far_region_serves_while_the_local_servers_are_ejected() -> None:
+    a, b = make_endpoint("a"), make_endpoint("b")
+    router, _ = make_router(a, b, FAR)
+    choose(router)
+    eject(router, "a")
+    assert choose(router) == "b"
+    assert choose(router, exclude=("b",)) == "far"
+    # Where nothing else is left, an ejected one is better than no answer.
+    assert choose(router, NO_LINK, exclude=("b",), idempotent=False) == "a"
+
+
+async def test_draining_servers_get_no_new_work_at_once() -> None:
+    router, directory = make_router(OWN, NEAR)
+    router.record_load(make_report("own", draining=True))
+    assert {choose(router) for _ in range(20)} == {"near"}
+    directory.mark_draining("near")
+    assert choose(router) == "no-backend"
+    # A new run of the daemon is not bound by the report of the last one.
+    directory.put_endpoint(make_endpoint("own", incarnation=2))
+    assert choose(router) == "own"
+
+
+async def test_fast_failing_server_draws_hardly_any_traffic() -> None:
+    """It has nothing in flight and the lowest latency; only the errors tell."""
+    names = [str(number) for number in range(8)]
+    router, _ = make_router(*[make_endpoint(name) for name in names])
+    failed = 0
+    for seq in range(1000):
+        name = choose(router)
+        router.record_start(name)
+        bad = name == "0"
+        failed += bad
+        await anyio.sleep(0.0001 if bad else 0.002)
+        router.record_load(make_report(name, seq, latency_ms=0.1 if bad else 2.0))
+        router.record_result(name, STATUS_500 if bad else OK)
+    assert 1 <= failed <= 10
+
+
+async def test_failing_service_keeps_half_of_its_servers() -> None:
+    names = [str(number) for number in range(4)]
+    router, _ = make_router(*[make_endpoint(name) for name in names])
+    chosen = [run_request(router, STATUS_500) for _ in range(200)]
+    assert len(set(chosen[-50:])) >= 2
+
+
+async def test_only_idempotent_requests_are_trials_and_few() -> None:
+    router, _ = make_router(make_endpoint("a"), make_endpoint("b"))
+    choose(router)
+    eject(router, "a")
+    await anyio.sleep(1.5)
+    assert {choose(router, idempotent=False) for _ in range(50)} == {"b"}
+    assert Counter(choose(router) for _ in range(50)) == {"a": 1, "b": 49}
+
+
+async def test_ejected_server_returns_after_good_trials() -> None:
+    router, _ = make_router(make_endpoint("a"), make_endpoint("b"))
+    choose(router)
+    eject(router, "a")
+    await anyio.sleep(1.5)
+    counts = Counter(run_request(router) for _ in range(60))
+    assert counts["a"] > 10
+
+
+async def test_without_ejection_the_document_keeps_errors_in_the_choice() -> None:
+    service = make_slice(ejection=False, policy="random")
+    router, _ = make_router(make_endpoint("a"), make_endpoint("b"))
+    choose(router)
+    eject(router, "a")
+    assert {choose(router, service) for _ in range(50)} == {"a", "b"}
+
+
+async def test_new_server_ramps_up() -> None:
+    router, directory = make_router(make_endpoint("a"))
+    choose(router)
+    await anyio.sleep(START_GRACE_S + 1)
+    directory.put_endpoint(make_endpoint("new"))
+    service = make_slice(policy="random")
+
+    def flood() -> int:
+        """Return how many requests the new server gets until it takes no more."""
+        started = 0
+        for _ in range(60):
+            if choose(router, service) == "new":
+                router.record_start("new")
+                started += 1
+        return started
+
+    assert flood() == 1
+    for _ in range(4):
+        router.record_start("new")
+        router.record_result("new", OK)
+    assert flood() == 1
+    await anyio.sleep(RAMP_S)
+    assert flood() > 10
+
+
+async def test_entry_that_has_just_started_does_not_limit_all() -> None:
+    router, directory = make_router(make_endpoint("a"))
+    choose(router)
+    await anyio.sleep(START_GRACE_S / 2)
+    directory.put_endpoint(make_endpoint("b"))
+    service = make_slice(policy="random")
+    counts: Counter[str] = Counter()
+    for _ in range(60):
+        name = choose(router, service)
+        router.record_start(name)
+        counts[name] += 1
+    assert min(counts["a"], counts["b"]) > 15
+
+
+async def test_traffic_across_the_link_stays_within_its_budget() -> None:
+    """Answers of unexpected size must be paid back by later requests."""
+    service = make_slice(budgets=Budgets(link_bytes_per_s=100_000))
+    router, _ = make_router(FAR)
+    total = 0
+    for _ in range(2_000):
+        await anyio.sleep(0.01)
+        if choose(router, service, body_bytes=10_000) != "far":
+            continue
+        router.record_start("far", 10_000)
+        done = AttemptResult(
+            True, False, 0.01, 200, sent_bytes=10_000, answer_bytes=50_000
+        )
+        router.record_result("far", done)
+        total += 60_000
+    assert 1_000_000 < total <= 100_000 * 21 + 60_000
+
+
+@pytest.mark.parametrize("weights", [{}, {"north": 1.0}, {"south": 1.0}])
+async def test_stale_endpoints_are_those_that_calls_reach(
+    weights: dict[str, float],
+) -> None:
+    router, _ = make_router(OWN, NEAR, FAR, region_weights=weights)
+    assert router.find_stale() == []
+    choose(router, make_slice(region_weights=weights))
+    expected = {"far"} if "south" in weights else {"own", "near"}
+    assert {e.backend for e in router.find_stale()} == expected
+    for name in expected:
+        router.record_load(make_report(name))
+    assert router.find_stale() == []
+    await anyio.sleep(1)
+    assert {e.backend for e in router.find_stale()} == expected
+    await anyio.sleep(10)
+    assert router.find_stale() == []
+
+
+async def test_refusal_names_the_link_as_a_closed_kind() -> None:
+    router, _ = make_router(FAR)
+    refusal = router.choose(NO_LINK, exclude=()).unwrap_err()
+    assert refusal.kind is ErrorKind.LINK_BUDGET
+    assert refusal.not_run
+
+
+async def test_servers_that_left_are_forgotten() -> None:
+    """Instances are replaced every day; the tables must not grow without bound."""
+    router, directory = make_router(OWN, NEAR)
+    run_request(router)
+    run_request(router, exclude=("own",))
+    directory.mark_draining("near")
+    await anyio.sleep(60)
+    choose(router)
+    assert set(router._loads._loads) == set(router._ramp._starts) == {"own"}
+    assert set(router._chosen) == {"own"}
--- a/src/berylmast_dev/bench_routing.py
+++ b/src/berylmast_dev/bench_routing.py
@@ -1,8 +1,8 @@
 """Measures the policies with a slow and with a failing backend server.
 
 Prints one Markdown table per fault, of the time from the fault until the end. Every
-policy gets the same load on the same processes, one after the other; a policy comes into
-force as an operator would do it, through a new document.
+policy gets the same load on the same processes, one after the other; a policy comes
+into force as an operator would do it, through a new document.
 """
 
 import json
