--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -58,7 +58,8 @@
         ``idempotent`` request may be a trial of an ejected backend server.
         """
         now_s = anyio.current_time()
-        self.probe_budget.record_call(service.budgets)
+        if not exclude:  # Retries are not requests: they earn no probes.
+            self.probe_budget.record_call(service.budgets)
         self._called[service.service] = now_s
         if now_s - self._pruned_s >= PRUNE_INTERVAL_S:
             self._prune(now_s)
--- /dev/null
+++ b/src/berylmast/routing/tests/test_forward.py
@@ -0,0 +1,137 @@
+"""Guards against results of attempts that do not reach the router."""
+
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from random import Random
+from typing import Any
+
+import anyio
+import pytest
+
+from ...callers.answer import CallerAnswer
+from ...callers.body import CallerBody
+from ...callers.classify import Classified
+from ...callers.forward import Forwarder, Trace, forward_request
+from ...daemons import Exchange, connect_exchanges
+from ...daemons.frames import Body, End, Fail, Frame, Refuse, Response
+from ...errors import ErrorKind
+from ...limits import RetryBudget
+from ...model import AttemptId, AttemptResult, Endpoint, LoadReport, RequestHead
+from ..router import Router
+from .make import make_endpoint, make_report, make_router, make_slice
+
+pytestmark = pytest.mark.anyio
+
+ATTEMPT = AttemptId("entry", 1, 1)
+HEAD = RequestHead(
+    request_id="r",
+    attempt=ATTEMPT,
+    service="pages",
+    priority="normal",
+    tenant="t",
+    idempotent=False,
+    idempotency_key=None,
+    deadline_ms=1000,
+    retry=False,
+    method="POST",
+    target="/",
+    headers=[],
+    has_body=True,
+)
+HEAD_LOAD = make_report("a", 1)
+LAST_LOAD = make_report("a", 2)
+
+
+class RecordingRouter(Router):
+    """Keeps what the attempts report."""
+
+    results: list[AttemptResult]
+    reports: list[LoadReport]
+
+    def __init__(self, *args: Any, **options: Any) -> None:
+        super().__init__(*args, **options)
+        self.results = []
+        self.reports = []
+
+    def record_result(self, backend: str, result: AttemptResult) -> None:
+        super().record_result(backend, result)
+        self.results.append(result)
+
+    def record_load(self, report: LoadReport) -> None:
+        super().record_load(report)
+        self.reports.append(report)
+
+
+async def send(message: Any) -> None:
+    """Stand in for the ASGI server."""
+
+
+async def receive() -> dict[str, Any]:
+    return {"type": "http.request", "body": b"12345", "more_body": False}
+
+
+async def run_attempt(
+    frames: Sequence[Frame],
+) -> tuple[list[AttemptResult], list[LoadReport]]:
+    """Forward one request to an owner that answers with these frames."""
+    directory = make_router(make_endpoint("a"))[1]
+    router = RecordingRouter(
+        directory, region="north", failure_domain="n1", rng=Random(1)
+    )
+
+    @asynccontextmanager
+    async def open_exchange(endpoint: Endpoint) -> AsyncIterator[Exchange]:
+        entry_side, owner_side = connect_exchanges()
+
+        async def answer() -> None:
+            while not isinstance(await owner_side.receive(), End):
+                pass
+            for frame in frames:
+                await owner_side.send(frame)
+
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(answer)
+            yield entry_side
+
+    forwarder = Forwarder(router, RetryBudget(), open_exchange, lambda: ATTEMPT)
+    with anyio.fail_after(5):
+        await forward_request(
+            forwarder,
+            Classified(HEAD, make_slice(), 5),
+            CallerBody(receive, 5),
+            CallerAnswer(send, "r"),
+            Trace(),
+        )
+    return router.results, router.reports
+
+
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+async def test_status_sizes_and_both_reports_of_an_answer(status: int) -> None:
+    """A 5xx answer is relayed as it is, but must count against its server."""
+    results, reports = await run_attempt(
+        [
+            Response(1, status, [], HEAD_LOAD),
+            Body(1, b"123"),
+            Body(1, b"4567"),
+            End(1, load=LAST_LOAD),
+        ]
+    )
+    assert reports == [HEAD_LOAD, LAST_LOAD]
+    (result,) = results
+    assert (result.ok, result.status, result.answer_bytes) == (True, status, 7)
+    assert result.sent_bytes == 5
+
+
+@pytest.mark.parametrize(
+    ("frame", "refused"),
+    [
+        (Refuse(1, ErrorKind.OVERLOADED, "full", HEAD_LOAD), True),
+        (Fail(1, ErrorKind.BACKEND_CUT, "reset", HEAD_LOAD), False),
+    ],
+)
+async def test_kind_and_report_of_an_error(frame: Refuse | Fail, refused: bool) -> None:
+    results, reports = await run_attempt([frame])
+    assert reports == [HEAD_LOAD]
+    (result,) = results
+    assert (result.ok, result.refused, result.kind) == (False, refused, frame.kind)
+    assert result.status is None
--- a/src/berylmast/routing/tests/test_router.py
+++ b/src/berylmast/routing/tests/test_router.py
@@ -269,6 +269,13 @@
     assert refusal.not_run
 
 
+async def test_retries_earn_no_probes() -> None:
+    router, _ = make_router(OWN, NEAR)
+    choose(router)
+    choose(router, exclude=("own",))
+    assert router.summarise()["calls"] == 1
+
+
 async def test_servers_that_left_are_forgotten() -> None:
     """Instances are replaced every day; the tables must not grow without bound."""
     router, directory = make_router(OWN, NEAR)
