--- a/src/berylmast/routing/ejection.py
+++ b/src/berylmast/routing/ejection.py
@@ -91,6 +91,10 @@
         count = int(len(backends) * MAX_EJECTED_SHARE)
         return ejected[:count]
 
+    def list_ejected(self) -> list[str]:
+        """Return all that are ejected, longest first, beyond the share too."""
+        return list(self._ejected)
+
     def is_trial_due(self, backend: str, now_s: float) -> bool:
         """Tell whether an ejected backend server may get a trial request now."""
         record = self._records.get(backend)
--- a/src/berylmast/routing/load_table.py
+++ b/src/berylmast/routing/load_table.py
@@ -72,11 +72,13 @@
 
     def get_error_rate(self, now_s: float) -> float:
         """Return the larger of this entry's error ratio and the reported one, aged."""
-        seen = self.error_rate * _decay(now_s - self.error_s, ERROR_HALF_LIFE_S)
-        if self.report is None:
-            return seen
-        age_s = now_s - self.latency_changed_s
-        return max(seen, self.report.error_rate * _decay(age_s, ERROR_HALF_LIFE_S))
+        seen = reported = 0.0
+        if self.error_rate:
+            seen = self.error_rate * _decay(now_s - self.error_s, ERROR_HALF_LIFE_S)
+        if self.report is not None and self.report.error_rate:
+            age_s = now_s - self.latency_changed_s
+            reported = self.report.error_rate * _decay(age_s, ERROR_HALF_LIFE_S)
+        return max(seen, reported)
 
 
 def _decay(age_s: float, half_life_s: float) -> float:
@@ -174,7 +176,10 @@
         ]
 
     def _get(self, backend: str) -> _Load:
-        return self._loads.setdefault(backend, _Load())
+        load = self._loads.get(backend)
+        if load is None:
+            load = self._loads[backend] = _Load()
+        return load
 
 
 def _make_candidate(
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -135,8 +135,9 @@
         ]
 
     def summarise(self) -> dict[str, object]:
-        """Return the counters of the budgets, for operators."""
+        """Return the ejected backend servers and the counters of the budgets."""
         return {
+            "ejected": self._ejections.list_ejected(),
             "calls": self.probe_budget.calls,
             "probes": self.probe_budget.probes,
             "probe_bytes": self.probe_budget.bytes_used,
--- a/src/berylmast/routing/tests/test_router.py
+++ b/src/berylmast/routing/tests/test_router.py
@@ -123,6 +123,7 @@
     eject(router, "a")
     assert choose(router) == "b"
     assert choose(router, exclude=("b",)) == "far"
+    assert router.summarise()["ejected"] == ["a"]
     # Where nothing else is left, an ejected one is better than no answer.
     assert choose(router, NO_LINK, exclude=("b",), idempotent=False) == "a"
 
--- a/src/berylmast_dev/bench_routing.py
+++ b/src/berylmast_dev/bench_routing.py
@@ -66,15 +66,15 @@
         return ordered[index] if index < len(ordered) else float("inf")
 
 
-def make_members() -> list[Member]:
-    """Return the backend servers of one service in one failure domain."""
+def make_members(domains: int) -> list[Member]:
+    """Return the backend servers of one service, spread over failure domains."""
     first = find_ports(SERVERS * PORTS_PER_MEMBER)
     return [
         Member(
             name=f"pages-{number}",
             service="pages",
             region="north",
-            failure_domain="n1",
+            failure_domain=f"n{number % domains}",
             slots=SLOTS,
             mean_ms=MEAN_MS,
             port=first + PORTS_PER_MEMBER * number,
@@ -173,13 +173,19 @@
 
 
 @cli.default
-def run(*, baseline_ejection: bool = False, policies: tuple[str, ...] = ()) -> None:
+def run(
+    *,
+    baseline_ejection: bool = False,
+    domains: int = 1,
+    policies: tuple[str, ...] = (),
+) -> None:
     """Measure all policies, or those that are named.
 
     With ``baseline_ejection``, the baselines too leave out servers that answer errors.
     """
     options = {"use_uvloop": True}
-    anyio.run(_run, baseline_ejection, policies or POLICIES, backend_options=options)
+    names = policies or POLICIES
+    anyio.run(_run, baseline_ejection, domains, names, backend_options=options)
 
 
 async def _apply(fleet: Fleet, path: Path, policy: str, ejection: bool) -> None:
@@ -189,8 +195,8 @@
     await anyio.sleep(1.0)
 
 
-async def _run(baseline_ejection: bool, policies: Sequence[str]) -> None:
-    members = make_members()
+async def _run(baseline_ejection: bool, domains: int, policies: Sequence[str]) -> None:
+    members = make_members(domains)
     # Spawned, since a copy of this process would share its event loop.
     context = get_context("spawn")
     with (
