Readmit servers of services without idempotent requests

Cause: only idempotent requests were trials, so such a service never got an ejected server back. Change: a due trial waits 30 s for an idempotent request, then any may be it.

--- a/src/berylmast/routing/ejection.py
+++ b/src/berylmast/routing/ejection.py
@@ -14,6 +14,10 @@
 MAX_TRIAL_WAIT_S = 30.0
 """A trial whose result is lost must not block readmission for ever."""
 
+IDEMPOTENT_WAIT_S = 30.0
+"""Time that a due trial waits for an idempotent request. Then any may be the trial: a
+service with none, such as one of switching commands, would never readmit a server."""
+
 MAX_EJECTED_SHARE = 0.5
 """If more of a set than this answers errors, its backend servers are hardly the cause,
 and ejecting them would overload the rest."""
@@ -95,14 +99,15 @@
         """Return all that are ejected, longest first, beyond the share too."""
         return list(self._ejected)
 
-    def is_trial_due(self, backend: str, now_s: float) -> bool:
-        """Tell whether an ejected backend server may get a trial request now."""
-        record = self._records.get(backend)
-        return (
-            record is not None
-            and record.ejected_s is not None
-            and now_s >= record.next_trial_s
-        )
+    def is_trial_due(
+        self, backend: str, now_s: float, *, idempotent: bool = True
+    ) -> bool:
+        """Tell whether this request may be the trial of an ejected backend server."""
+        record = self._ejected.get(backend)
+        if record is None:
+            return False
+        wait_s = 0.0 if idempotent else IDEMPOTENT_WAIT_S
+        return now_s >= record.next_trial_s + wait_s
 
     def start_trial(self, backend: str, now_s: float) -> None:
         """Hold back further trials until this one has a result."""
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -59,8 +59,8 @@
         """Choose a backend server for one attempt.
 
         ``exclude`` names backend servers already tried; ``body_bytes`` is the known
-        length of the request's body, counted against the link budget. Only an
-        ``idempotent`` request may be a trial of an ejected backend server.
+        length of the request's body, counted against the link budget. A request
+        that is not ``idempotent`` is a trial only if no other came for some time.
         """
         now_s = anyio.current_time()
         if not exclude:  # Retries are not requests: they earn no probes.
@@ -202,8 +202,8 @@
         ejected: list[str] = []
         if service.ejection:
             ejected = self._ejections.find_ejected({e.backend for e in group})
-        if ejected and idempotent:
-            trial = self._start_trial(left, ejected, now_s)
+        if ejected:
+            trial = self._start_trial(left, ejected, idempotent, now_s)
             if trial is not None:
                 return trial
         usable = [e for e in left if e.backend not in ejected]
@@ -217,11 +217,17 @@
         return POLICIES[service.policy](preferred, self._rng).endpoint
 
     def _start_trial(
-        self, left: Sequence[Endpoint], ejected: Collection[str], now_s: float
+        self,
+        left: Sequence[Endpoint],
+        ejected: Collection[str],
+        idempotent: bool,
+        now_s: float,
     ) -> Endpoint | None:
         for endpoint in left:
             backend = endpoint.backend
-            if backend in ejected and self._ejections.is_trial_due(backend, now_s):
+            if backend in ejected and self._ejections.is_trial_due(
+                backend, now_s, idempotent=idempotent
+            ):
                 self._ejections.start_trial(backend, now_s)
                 return endpoint
         return None
--- a/src/berylmast/routing/tests/test_router.py
+++ b/src/berylmast/routing/tests/test_router.py
@@ -8,6 +8,7 @@
 
 from ...errors import ErrorKind
 from ...model import AttemptResult, Budgets, Endpoint, ServiceSlice
+from ..ejection import IDEMPOTENT_WAIT_S
 from ..ramp import RAMP_S, START_GRACE_S
 from ..router import Router
 from .make import (
@@ -171,6 +172,17 @@
     assert Counter(choose(router) for _ in range(50)) == {"a": 1, "b": 49}
 
 
+async def test_service_without_idempotent_requests_readmits_late_but_does() -> None:
+    router, _ = make_router(make_endpoint("a"), make_endpoint("b"))
+    choose(router)
+    eject(router, "a")
+    await anyio.sleep(IDEMPOTENT_WAIT_S)
+    assert {choose(router, idempotent=False) for _ in range(20)} == {"b"}
+    await anyio.sleep(2)
+    counts = Counter(choose(router, idempotent=False) for _ in range(20))
+    assert counts == {"a": 1, "b": 19}
+
+
 async def test_ejected_server_returns_after_good_trials() -> None:
     router, _ = make_router(make_endpoint("a"), make_endpoint("b"))
     choose(router)
