--- a/src/berylmast/routing/tests/make.py
+++ b/src/berylmast/routing/tests/make.py
@@ -52,6 +52,9 @@
     return ServiceSlice(**(values | changes))
 
 
+PAGES = make_slice()
+
+
 def make_router(*endpoints: Endpoint, **changes: Any) -> tuple[Router, Directory]:
     directory = Directory()
     directory.put_slice(make_slice(**changes))
@@ -59,3 +62,25 @@
         directory.put_endpoint(endpoint)
     router = Router(directory, region="north", failure_domain="n1", rng=Random(1))
     return router, directory
+
+
+def choose(router: Router, service: ServiceSlice = PAGES, **options: Any) -> str:
+    """Return the name of the chosen backend server, or the kind of the refusal."""
+    result = router.choose(service, **({"exclude": ()} | options))
+    if result.is_err():
+        return result.unwrap_err().kind
+    return result.unwrap().backend
+
+
+def run_request(router: Router, result: AttemptResult = OK, **options: Any) -> str:
+    name = choose(router, **options)
+    router.record_start(name, options.get("body_bytes", 0))
+    router.record_result(name, result)
+    return name
+
+
+def eject(router: Router, *backends: str) -> None:
+    for backend in backends:
+        for _ in range(5):
+            router.record_start(backend)
+            router.record_result(backend, UNREACHABLE)
