--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -133,22 +133,23 @@
     link_bytes_per_s: int = 250_000
 
 
-class PolicyName(StrEnum):
-    """The policies that a document may name; see ``routing.policies``."""
+@dataclass(frozen=True, slots=True)
+class ShiftStep:
+    """One step of a shift between regions; ``starts_at_s`` is Unix time in seconds.
+
+    A step without a start time begins only when the document names it.
+    """
 
-    RANDOM = "random"
-    ROUND_ROBIN = "round_robin"
-    LEAST_IN_FLIGHT = "least_in_flight"
-    POWER_OF_TWO = "power_of_two"
-    HOT_COLD = "hot_cold"
+    weights: Mapping[str, float]
+    starts_at_s: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class ServiceSlice:
     """The part of an accepted document that concerns one service.
 
-    ``priorities`` are ordered, the most urgent first. ``region_weights`` is the current
-    step of a shift between buildings; an empty mapping leaves the choice to locality.
+    ``priorities`` are ordered, the most urgent first. ``region_weights`` are in force
+    where there is no ``shift``; an empty mapping leaves the choice to locality.
     Without ``ejection``, backend servers that answer errors stay in the choice.
     """
 
@@ -164,8 +165,24 @@
     tenant_header: str = "x-tenant"
     budgets: Budgets = Budgets()
     max_body_bytes: int = 1 << 30
+    shift: tuple[ShiftStep, ...] = ()
+    shift_current: int = 0
     ejection: bool = True
 
+    def weights_at(self, now_s: float) -> Mapping[str, float]:
+        """Return the region weights in force at a Unix time in seconds.
+
+        That is the step that the document names, or a later one whose date has passed.
+        """
+        if not self.shift:
+            return self.region_weights
+        begun = [
+            index
+            for index, step in enumerate(self.shift)
+            if step.starts_at_s is not None and step.starts_at_s <= now_s
+        ]
+        return self.shift[max([self.shift_current, *begun])].weights
+
     def rank(self, priority: str) -> int:
         """Return the position of a priority, 0 being the most urgent."""
         for index, entry in enumerate(self.priorities):
--- a/src/berylmast/routing/policies.py
+++ b/src/berylmast/routing/policies.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 from random import Random
 
-from ..model import Endpoint, PolicyName
+from ..model import Endpoint
 
 HOT_QUANTILE = 0.84
 """Candidates above this quantile of requests in flight are hot, as in Prequal."""
@@ -108,9 +108,9 @@
 
 
 POLICIES: Mapping[str, Policy] = {
-    PolicyName.RANDOM: choose_random,
-    PolicyName.ROUND_ROBIN: choose_round_robin,
-    PolicyName.LEAST_IN_FLIGHT: choose_least_in_flight,
-    PolicyName.POWER_OF_TWO: choose_power_of_two,
-    PolicyName.HOT_COLD: choose_hot_cold,
+    "random": choose_random,
+    "round_robin": choose_round_robin,
+    "least_in_flight": choose_least_in_flight,
+    "power_of_two": choose_power_of_two,
+    "hot_cold": choose_hot_cold,
 }
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -1,6 +1,7 @@
 """The entry's choice among the backend servers of a service."""
 
-from collections.abc import Collection, Sequence
+import time
+from collections.abc import Callable, Collection, Sequence
 from random import Random
 
 import anyio
@@ -33,7 +34,13 @@
     """Chooses endpoints from reports, results and the budgets of this entry."""
 
     def __init__(
-        self, directory: Directory, *, region: str, failure_domain: str, rng: Random
+        self,
+        directory: Directory,
+        *,
+        region: str,
+        failure_domain: str,
+        rng: Random,
+        unix_time: Callable[[], float] = time.time,
     ) -> None:
         self.probe_budget = ProbeBudget()
         self.link_budget = LinkBudget()
@@ -41,6 +48,8 @@
         self._region = region
         self._failure_domain = failure_domain
         self._rng = rng
+        # The steps of a shift begin at dates; all else uses the runtime's clock.
+        self._unix_time = unix_time
         self._loads = LoadTable()
         self._ejections = Ejections()
         self._ramp = Ramp()
@@ -74,7 +83,10 @@
         )
         last_resort: Endpoint | None = None
         order = order_regions(
-            list(groups), self._region, service.region_weights, self._rng
+            list(groups),
+            self._region,
+            service.weights_at(self._unix_time()),
+            self._rng,
         )
         for region in order:
             left = [e for e in groups[region] if e.backend not in exclude]
@@ -166,7 +178,7 @@
     def _find_probed(self, service: str) -> list[Endpoint]:
         """Return the endpoints of the regions that calls normally reach."""
         found = self._directory.service(service)
-        weights = found.region_weights if found is not None else {}
+        weights = found.weights_at(self._unix_time()) if found is not None else {}
         groups = group_by_region(self._directory.endpoints(service))
         order = order_regions(list(groups), self._region, weights, self._rng)
         regions = order if weights else order[:1]
--- a/src/berylmast/routing/tests/test_policies.py
+++ b/src/berylmast/routing/tests/test_policies.py
@@ -6,7 +6,6 @@
 
 import pytest
 
-from ...model import PolicyName
 from ...operators.document import DocumentError, parse_document
 from ..policies import POLICIES, Candidate, mark_hot
 from .make import make_candidate
@@ -20,6 +19,7 @@
     return Counter(choose(candidates, rng).endpoint.backend for _ in range(count))
 
 
+NAMES = {"random", "round_robin", "least_in_flight", "power_of_two", "hot_cold"}
 IDLE = make_candidate("idle")
 
 
@@ -84,7 +84,7 @@
 
 def test_document_accepts_exactly_the_known_policies() -> None:
     """An unknown name would otherwise fail at the first request, after acceptance."""
-    assert set(POLICIES) == set(PolicyName)
+    assert set(POLICIES) == NAMES
     text = (
         '{priorities: [{name: "p"}], services: {s: {hosts: ["s"], policy: "%s",'
         ' slots: 1, routes: [{path: "/", idempotent: true, priority: "p",'
--- a/src/berylmast/routing/tests/test_router.py
+++ b/src/berylmast/routing/tests/test_router.py
@@ -1,12 +1,14 @@
 """Guards against the wrong order of regions and domains and against link overuse."""
 
 from collections import Counter
+from random import Random
 
 import anyio
 import pytest
 
 from ...errors import ErrorKind
-from ...model import AttemptResult, Budgets, Endpoint, ServiceSlice
+from ...model import AttemptResult, Budgets, Endpoint, ServiceSlice, ShiftStep
+from ..router import Router
 from .make import (
     PAGES,
     choose,
@@ -63,6 +65,21 @@
     assert {choose(router, service, exclude=exclude) for _ in range(30)} == expected
 
 
+@pytest.mark.parametrize(("now_s", "expected"), [(999.0, "own"), (1000.0, "far")])
+async def test_step_of_a_shift_begins_at_its_date(now_s: float, expected: str) -> None:
+    """Traffic would otherwise stay in the old building until an operator wakes up."""
+    steps = (ShiftStep({"north": 1.0}), ShiftStep({"south": 1.0}, 1000.0))
+    directory = make_router(OWN, FAR)[1]
+    router = Router(
+        directory,
+        region="north",
+        failure_domain="n1",
+        rng=Random(1),
+        unix_time=lambda: now_s,
+    )
+    assert {choose(router, make_slice(shift=steps)) for _ in range(20)} == {expected}
+
+
 async def test_region_weights_share_the_traffic() -> None:
     service = make_slice(region_weights={"north": 3, "south": 1})
     router, _ = make_router(OWN, FAR)
