--- a/src/berylmast/callers/attempt.py
+++ b/src/berylmast/callers/attempt.py
@@ -38,17 +38,25 @@
     router = forwarder.router
     started_s = anyio.current_time()
     before = trace.may_have_run
-    router.record_start(endpoint.backend)
+    router.record_start(endpoint.backend, body.length or 0)
     result: Result[None, Refusal] = Err(Refusal(ErrorKind.CANCELLED, "cancelled"))
     try:
         result = await _send_and_settle(forwarder, endpoint, req, body, answer, trace)
         if result.is_err() and result.unwrap_err().not_run:
             trace.may_have_run = before
     finally:
-        refused = result.is_err() and result.unwrap_err().not_run
-        latency_s = anyio.current_time() - started_s
+        error = result.unwrap_err() if result.is_err() else None
         router.record_result(
-            endpoint.backend, AttemptResult(result.is_ok(), refused, latency_s)
+            endpoint.backend,
+            AttemptResult(
+                ok=error is None,
+                refused=error is not None and error.not_run,
+                latency_s=anyio.current_time() - started_s,
+                status=answer.status if answer.started else None,
+                kind=None if error is None else error.kind,
+                sent_bytes=body.read_bytes,
+                answer_bytes=answer.body_bytes,
+            ),
         )
     return result
 
@@ -148,6 +156,8 @@
             case Body():
                 await answer.send_part(frame.data)
             case End():
+                if frame.load is not None:
+                    router.record_load(frame.load)
                 await answer.finish()
                 return Ok(None)
             case Refuse():
--- a/src/berylmast/callers/context.py
+++ b/src/berylmast/callers/context.py
@@ -14,9 +14,14 @@
 
 
 class AnswerSink(Protocol):
-    """Takes the backend server's answer; ``started`` once its head is out."""
+    """Takes the backend server's answer; ``started`` once its head is out.
+
+    ``status`` is that of the head, ``body_bytes`` counts what has passed of the body.
+    """
 
     started: bool
+    status: int
+    body_bytes: int
 
     async def start(self, status: int, headers: Headers) -> None:
         """Take the head."""
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -82,7 +82,10 @@
     verdict: Refusal | None = None
     while trace.attempts < MAX_ATTEMPTS:
         choice = forwarder.router.choose(
-            req.service, exclude=tried, body_bytes=body.length or 0
+            req.service,
+            exclude=tried,
+            body_bytes=body.length or 0,
+            idempotent=req.head.idempotent,
         )
         if choice.is_err():
             return Err(verdict or choice.unwrap_err())
--- a/src/berylmast/callers/kept.py
+++ b/src/berylmast/callers/kept.py
@@ -14,9 +14,10 @@
 
     def __init__(self, answer: AnswerSink) -> None:
         self.started = False
+        self.status = 0
+        self.body_bytes = 0
         self.kept: KeptAnswer | None = None
         self._answer = answer
-        self._status = 0
         self._headers: Headers = ()
         self._body = bytearray()
         self._small = True
@@ -24,7 +25,7 @@
     async def start(self, status: int, headers: Headers) -> None:
         """Pass the head on."""
         self.started = True
-        self._status = status
+        self.status = status
         self._headers = headers
         size = sum(len(key) + len(value) for key, value in headers)
         self._small = size <= MAX_KEPT_HEADER_BYTES
@@ -32,6 +33,7 @@
 
     async def send_part(self, data: bytes) -> None:
         """Pass a part of the body on."""
+        self.body_bytes += len(data)
         self._small = (
             self._small and len(self._body) + len(data) <= MAX_KEPT_ANSWER_BYTES
         )
@@ -42,5 +44,5 @@
     async def finish(self) -> None:
         """Pass the end on; only a whole answer is kept."""
         if self._small:
-            self.kept = KeptAnswer(self._status, self._headers, bytes(self._body))
+            self.kept = KeptAnswer(self.status, self._headers, bytes(self._body))
         await self._answer.finish()
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -2,7 +2,7 @@
 
 import os
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from itertools import count
 from random import Random
@@ -26,7 +26,7 @@
 from .model import AttemptId, Endpoint, ServiceSlice
 from .operators.daemon_admin import make_daemon_admin
 from .platform import PlatformClient
-from .routing import Router
+from .routing import Prober, Router
 from .settings import DaemonSettings
 from .shutdown import serve_until_signal
 from .telemetry import Sight, log_event
@@ -54,6 +54,14 @@
     client = PlatformClient(cfg.platform)
     async with anyio.create_task_group() as tg:
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
+        prober = Prober(
+            pool,
+            router.probe_budget,
+            find_stale=_make_stale_finder(router, cfg.daemon_id),
+            record_load=router.record_load,
+            rng=Random(),
+        )
+        tg.start_soon(prober.run)
         forwarder = Forwarder(
             router=router,
             retries=RetryBudget(),
@@ -73,7 +81,9 @@
         callers = make_server(
             close_connections(app, lambda: lifecycle.stopping), cfg.callers
         )
-        admin = make_server(make_daemon_admin(sight, lifecycle, admission), cfg.admin)
+        admin = make_server(
+            make_daemon_admin(sight, lifecycle, admission, router.summarise), cfg.admin
+        )
         tg.start_soon(admin.serve)
         log_event("started", daemon=cfg.daemon_id, callers=cfg.callers)
         await serve_until_signal(
@@ -152,6 +162,13 @@
     return lambda: AttemptId(identity.daemon, identity.incarnation, next(counter))
 
 
+def _make_stale_finder(
+    router: Router, daemon_id: str
+) -> Callable[[], Sequence[Endpoint]]:
+    """Return the endpoints to probe; the local one needs no connection to itself."""
+    return lambda: [e for e in router.find_stale() if e.backend != daemon_id]
+
+
 def _make_opener(
     pool: PeerPool, owner: Owner | None, daemon_id: str
 ) -> Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]:
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from .errors import ErrorKind
+
 Headers = Sequence[tuple[bytes, bytes]]
 
 
@@ -148,6 +150,7 @@
 
     ``priorities`` are ordered, the most urgent first. ``region_weights`` are in force
     where there is no ``shift``; an empty mapping leaves the choice to locality.
+    Without ``ejection``, backend servers that answer errors stay in the choice.
     """
 
     service: str
@@ -164,6 +167,7 @@
     max_body_bytes: int = 1 << 30
     shift: tuple[ShiftStep, ...] = ()
     shift_current: int = 0
+    ejection: bool = True
 
     def weights_at(self, now_s: float) -> Mapping[str, float]:
         """Return the region weights in force at a Unix time in seconds.
@@ -191,12 +195,18 @@
 class AttemptResult:
     """What one attempt came to, for load, limits and histograms.
 
-    ``latency_s`` is in seconds from the start of the attempt.
+    ``latency_s`` is in seconds from the start of the attempt. ``status`` is the backend
+    server's, None if it did not answer; ``kind`` is the error of an attempt that is not
+    ``ok``. ``sent_bytes`` and ``answer_bytes`` are the sizes of the bodies.
     """
 
     ok: bool
     refused: bool
     latency_s: float
+    status: int | None = None
+    kind: ErrorKind | None = None
+    sent_bytes: int = 0
+    answer_bytes: int = 0
 
 
 class AttemptState(StrEnum):
--- a/src/berylmast/operators/daemon_admin.py
+++ b/src/berylmast/operators/daemon_admin.py
@@ -5,13 +5,16 @@
 from ..lifecycle import LeaveReason, Lifecycle
 from ..limits import AdmissionController
 from ..telemetry import Sight
-from .admin import App, make_admin_app
+from .admin import App, Report, make_admin_app
 
 
 def make_daemon_admin(
-    sight: Sight, lifecycle: Lifecycle, admission: AdmissionController | None
+    sight: Sight,
+    lifecycle: Lifecycle,
+    admission: AdmissionController | None,
+    report_routing: Report,
 ) -> App:
-    """Return the admin app: status and histograms, drain and undrain."""
+    """Return the admin app: status, histograms and routing, drain and undrain."""
 
     def report_lifecycle() -> object:
         return {"leaving": lifecycle.leaving, "reasons": lifecycle.reasons}
@@ -31,5 +34,9 @@
         lifecycle.remove(LeaveReason.OPERATOR)
         return report_lifecycle()
 
-    reports = {"status": report_status, "histograms": sight.summarise_histograms}
+    reports = {
+        "status": report_status,
+        "histograms": sight.summarise_histograms,
+        "routing": report_routing,
+    }
     return make_admin_app(reports, {"drain": drain, "undrain": undrain})
--- a/src/berylmast/operators/document.py
+++ b/src/berylmast/operators/document.py
@@ -52,6 +52,7 @@
         tenant_header=document.tenant_header,
         budgets=Budgets(**document.budgets.model_dump()),
         max_body_bytes=model.max_body_bytes,
+        ejection=model.ejection,
     )
 
 
--- a/src/berylmast/operators/models.py
+++ b/src/berylmast/operators/models.py
@@ -66,6 +66,7 @@
 
     hosts: frozenset[str] = Field(min_length=1)
     policy: str = "hot_cold"
+    ejection: bool = Field(True, description="leave out servers that answer errors")
     slots: int = Field(ge=1, description="concurrent requests of one backend server")
     connections: int = Field(260, ge=1, description="connections of a backend server")
     max_body_bytes: int = Field(1 << 30, ge=0)
--- a/src/berylmast/operators/tests/test_admin.py
+++ b/src/berylmast/operators/tests/test_admin.py
@@ -17,6 +17,7 @@
     [
         ("GET", "/status", 200, False),
         ("GET", "/histograms", 200, False),
+        ("GET", "/routing", 200, False),
         ("POST", "/drain", 200, True),
         ("GET", "/drain", 404, False),
         ("POST", "/status", 404, False),
@@ -27,7 +28,7 @@
     method: str, path: str, status: int, leaving: bool
 ) -> None:
     lifecycle = Lifecycle()
-    app = make_daemon_admin(Sight(None), lifecycle, None)
+    app = make_daemon_admin(Sight(None), lifecycle, None, dict)
     sent: list[dict[str, Any]] = []
 
     async def send(message: dict[str, Any]) -> None:
--- a/src/berylmast/tests/fakes.py
+++ b/src/berylmast/tests/fakes.py
@@ -200,6 +200,7 @@
         self.started = False
         self.finished = False
         self.status = 0
+        self.body_bytes = 0
         self.headers: dict[bytes, bytes] = {}
         self.body = b""
 
@@ -214,6 +215,7 @@
         """Take a part of the body."""
         assert not self.finished
         self.body += data
+        self.body_bytes += len(data)
 
     async def finish(self) -> None:
         """Take the end."""
