Wait at the exit for requests whose connection has ended

Cause: a non-idempotent request outlives the connection it came on, and the orderly exit counted only exchanges of open connections, so it could cut such a request. Change: the exit waits for the larger of open exchanges and requests in flight.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -87,7 +87,10 @@
         tg.start_soon(admin.serve)
         log_event("started", daemon=cfg.daemon_id, callers=cfg.callers)
         await serve_until_signal(
-            callers, lifecycle, cfg.drain, lambda: listener.open_exchanges
+            callers,
+            lifecycle,
+            cfg.drain,
+            _make_request_counter(listener, admission),
         )
         log_event("stopped", daemon=cfg.daemon_id)
         tg.cancel_scope.cancel()
@@ -116,6 +119,18 @@
     return Owner(admission, AttemptLedger(), BackendClient(cfg.backend, 260))
 
 
+def _make_request_counter(
+    listener: PeerListener, admission: AdmissionController | None
+) -> Callable[[], int]:
+    """Count requests of other daemons, also those whose connection has ended."""
+
+    def count_requests() -> int:
+        running = 0 if admission is None else admission.report().in_flight
+        return max(running, listener.open_exchanges)
+
+    return count_requests
+
+
 def _make_leave_listener(
     admission: AdmissionController, listener: PeerListener
 ) -> Callable[[bool], None]:
