Bound request bodies and heads, watch for the caller's disconnect

Cause: nothing watched the caller's connection, trailers of a request were merged into its headers by uvicorn, a head had no bound while it was read, a non-numeric or doubled Content-Length raised, a retry could send the rest of a streamed body as a whole one, and a Reset was not noticed behind unread body frames.

Change: one reader per request consumes ASGI receive; BoundedProtocol bounds heads and keeps trailers apart; the entry limits concurrent requests and streamed bodies; exchanges refuse frames after the closing frame and reused ids; the owner reads the body straight from the exchange and watches for Reset beside it.

--- a/src/berylmast/_serve.py
+++ b/src/berylmast/_serve.py
@@ -2,11 +2,15 @@
 
 from collections.abc import Iterator
 from contextlib import contextmanager
-from typing import Any
+from typing import Any, cast
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
-from .settings import Address
+from .callers.answer import make_error_headers
+from .callers.app import TRAILERS_KEY
+from .errors import ErrorKind, Refusal
+from .settings import Address, LimitSettings
 
 
 class HttpServer(uvicorn.Server):
@@ -18,14 +22,83 @@
         yield
 
 
-def make_server(app: Any, address: Address) -> HttpServer:
+class BoundedProtocol(HttpToolsProtocol):
+    """uvicorn's protocol with a bound on heads and with trailers kept apart.
+
+    httptools joins the pieces of a header without a limit, and uvicorn adds trailers to
+    the headers of the request.
+    """
+
+    max_header_bytes = 0
+    _pending_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; refuse a head or trailers that outgrow the limit."""
+        self._pending_bytes += len(data)
+        super().data_received(data)
+        if self._pending_bytes > self.max_header_bytes:
+            detail = f"more than {self.max_header_bytes} bytes of headers"
+            self._refuse(Refusal(ErrorKind.HEADERS_TOO_LARGE, detail))
+
+    def on_message_begin(self) -> None:
+        """Start counting the bytes of a head."""
+        super().on_message_begin()
+        self._pending_bytes = 0
+
+    def on_headers_complete(self) -> None:
+        """Hand the head to the app; later headers are trailers."""
+        trailers: list[tuple[bytes, bytes]] = []
+        cast(dict[str, Any], self.scope)[TRAILERS_KEY] = trailers
+        super().on_headers_complete()
+        self.headers = trailers
+        self._pending_bytes = 0
+
+    def on_body(self, body: bytes) -> None:
+        """Pass a part of the body on."""
+        super().on_body(body)
+        self._pending_bytes = 0
+
+    def on_message_complete(self) -> None:
+        """Stop counting: the request is whole."""
+        super().on_message_complete()
+        self._pending_bytes = 0
+
+    def send_400_response(self, msg: str) -> None:
+        """Answer bytes that are not valid HTTP, with the outcome."""
+        self._pending_bytes = 0
+        self._refuse(Refusal(ErrorKind.BAD_REQUEST, msg))
+
+    def _refuse(self, refusal: Refusal) -> None:
+        if self.transport.is_closing():
+            return
+        running = self.cycle is not None and not self.cycle.response_complete
+        if running:
+            # The request that these bytes belong to may have been dispatched.
+            refusal = Refusal(ErrorKind.BODY_CUT, refusal.detail)
+        if not running or not self.cycle.response_started:
+            self.transport.write(_format_refusal(refusal))
+        self.transport.close()
+
+
+def _format_refusal(refusal: Refusal) -> bytes:
+    body = f"{refusal.kind}: {refusal.detail}\n".encode()
+    headers = [*make_error_headers(refusal, len(body)), (b"connection", b"close")]
+    lines = [key + b": " + value + b"\r\n" for key, value in headers]
+    return b"".join([STATUS_LINE[refusal.answer.status], *lines, b"\r\n", body])
+
+
+def make_server(
+    app: Any, address: Address, limits: LimitSettings | None = None
+) -> HttpServer:
     """Return a server for one app; ``await server.serve()`` runs it."""
+    max_bytes = (limits or LimitSettings()).max_header_bytes
+    protocol = type("Protocol", (BoundedProtocol,), {"max_header_bytes": max_bytes})
     return HttpServer(
         uvicorn.Config(
             app,
             host=address.host,
             port=address.port,
-            http="httptools",
+            http=protocol,
             interface="asgi3",
             proxy_headers=False,
             ws="none",
--- a/src/berylmast/backends/dispatch.py
+++ b/src/berylmast/backends/dispatch.py
@@ -3,15 +3,18 @@
 from collections.abc import AsyncIterator, Callable
 
 import anyio
-from anyio.abc import ObjectReceiveStream, ObjectSendStream, TaskGroup
 
 from ..daemons import Exchange, ExchangeLost
-from ..daemons.frames import Body, Continue, End, Fail, Frame, Refuse, Reset, Response
+from ..daemons.frames import Body, Continue, End, Fail, Refuse, Response
 from ..errors import ErrorKind
 from ..model import LoadReport, RequestHead
 from .client import BackendAnswer, BackendClient, BackendCut, BackendUnreachable
 
 
+class RequestCut(Exception):
+    """The entry ended the request's body without an End frame."""
+
+
 async def dispatch_request(
     exchange: Exchange,
     head: RequestHead,
@@ -25,53 +28,44 @@
     """
     ok = False
 
-    async def run_and_stop() -> None:
-        nonlocal ok
-        ok = await _dispatch(exchange, head, body, client, report)
+    async def cancel_on_reset() -> None:
+        await exchange.wait_reset()
         tg.cancel_scope.cancel()
 
     async with anyio.create_task_group() as tg:
-        body_in, body = anyio.create_memory_object_stream[Frame](0)
-        tg.start_soon(_read_frames, exchange, body_in, tg)
-        tg.start_soon(run_and_stop)
+        tg.start_soon(cancel_on_reset)
+        try:
+            ok = await _dispatch(exchange, head, client, report)
+        except (ExchangeLost, RequestCut):
+            # Nobody is left to answer; leaving the client cancels the request.
+            ok = False
+        tg.cancel_scope.cancel()
     return ok
 
 
-async def _read_frames(
-    exchange: Exchange, body_in: ObjectSendStream[Frame], tg: TaskGroup
-) -> None:
-    try:
-        while True:
-            frame = await exchange.receive()
-            if isinstance(frame, Reset):
-                break
-            await body_in.send(frame)
-    except ExchangeLost:
-        pass
-    tg.cancel_scope.cancel()
+async def _iterate_body(exchange: Exchange) -> AsyncIterator[bytes]:
+    while True:
+        frame = await exchange.receive()
+        if isinstance(frame, End):
+            return
+        if not isinstance(frame, Body):
+            raise RequestCut
+        yield frame.data
 
 
 async def _dispatch(
     exchange: Exchange,
     head: RequestHead,
-    body: ObjectReceiveStream[Frame],
     client: BackendClient,
     report: Callable[[], LoadReport],
 ) -> bool:
-    async def iterate_body() -> AsyncIterator[bytes]:
-        async for frame in body:
-            if isinstance(frame, End):
-                return
-            if isinstance(frame, Body):
-                yield frame.data
-
     await exchange.send(Continue(exchange.id))
-    content = iterate_body() if head.has_body else None
+    content = _iterate_body(exchange) if head.has_body else None
     try:
         async with client.send(
             head.method, head.target, head.headers, content
         ) as answer:
-            await _send_answer(exchange, answer, report())
+            await _send_answer(exchange, answer, report)
         return True
     except BackendUnreachable as exc:
         await exchange.send(
@@ -85,9 +79,9 @@
 
 
 async def _send_answer(
-    exchange: Exchange, answer: BackendAnswer, load: LoadReport
+    exchange: Exchange, answer: BackendAnswer, report: Callable[[], LoadReport]
 ) -> None:
-    await exchange.send(Response(exchange.id, answer.status, answer.headers, load))
+    await exchange.send(Response(exchange.id, answer.status, answer.headers, report()))
     async for chunk in answer.body:
         await exchange.send_body(chunk)
     await exchange.send(End(exchange.id))
--- a/src/berylmast/callers/app.py
+++ b/src/berylmast/callers/app.py
@@ -4,11 +4,12 @@
 from typing import Any
 
 import anyio
+from result import Err, Result
 
-from ..errors import Refusal
+from ..errors import ErrorKind, Refusal
 from ..membership import Directory
 from ..settings import LimitSettings
-from ..telemetry import RequestLog, Sight
+from ..telemetry import RequestLog, Sight, log_event
 from .answer import CallerAnswer
 from .body import CallerBody
 from .classify import REQUEST_ID_HEADER, Classified, classify_request
@@ -16,6 +17,9 @@
 
 App = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
 
+TRAILERS_KEY = "berylmast.trailers"
+"""Scope key of the list to which the HTTP server adds the request's trailers."""
+
 
 class AnswerCut(Exception):
     """The answer ended early; the server closes the caller's connection."""
@@ -25,32 +29,97 @@
     directory: Directory, limits: LimitSettings, forwarder: Forwarder, sight: Sight
 ) -> App:
     """Return the ASGI app of the entry."""
+    running = 0
 
     async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
+        nonlocal running
         if scope["type"] != "http":
             return
-        started_s = anyio.current_time()
+        if running >= limits.max_requests:
+            detail = f"{running} requests of callers are running"
+            await _refuse(scope, send, Refusal(ErrorKind.TOO_MANY_REQUESTS, detail))
+            return
         classified = classify_request(scope, directory, limits, forwarder.next_attempt)
         if classified.is_err():
-            request_id = dict(scope["headers"]).get(REQUEST_ID_HEADER, b"")
-            answer = CallerAnswer(send, request_id.decode("latin-1"))
-            await answer.send_error(classified.unwrap_err())
+            await _refuse(scope, send, classified.unwrap_err())
             return
-        req = classified.unwrap()
-        answer = CallerAnswer(send, req.head.request_id)
-        body = CallerBody(receive, req.body_bytes)
-        trace = Trace()
-        result = await forward_request(forwarder, req, body, answer, trace)
-        refusal = result.unwrap_err() if result.is_err() else None
-        _record(sight, req, answer, trace, refusal, started_s)
-        if refusal is not None:
-            if answer.started:
-                raise AnswerCut(refusal.detail)
-            await answer.send_error(refusal)
+        running += 1
+        try:
+            await _serve(scope, receive, send, classified.unwrap(), forwarder, sight)
+        finally:
+            running -= 1
 
     return app
 
 
+async def _refuse(scope: dict[str, Any], send: Any, refusal: Refusal) -> None:
+    headers = dict(scope["headers"])
+    request_id = headers.get(REQUEST_ID_HEADER, b"").decode("latin-1")
+    # A caller that waits for 100 Continue leaves its body out: the next bytes on the
+    # connection would be taken for that body.
+    close = b"expect" in headers
+    answer = CallerAnswer(send, request_id, close_on_error=close)
+    await answer.send_error(refusal)
+
+
+async def _serve(
+    scope: dict[str, Any],
+    receive: Any,
+    send: Any,
+    req: Classified,
+    forwarder: Forwarder,
+    sight: Sight,
+) -> None:
+    started_s = anyio.current_time()
+    answer = CallerAnswer(
+        send, req.head.request_id, close_on_error=req.expects_continue
+    )
+    body = CallerBody(
+        receive,
+        req.body_bytes,
+        limit=req.service.max_body_bytes,
+        expects_continue=req.expects_continue,
+        trailers=scope.get(TRAILERS_KEY, ()),
+    )
+    trace = Trace()
+    result = await _forward_watched(forwarder, req, body, answer, trace)
+    refusal = result.unwrap_err() if result.is_err() else None
+    _record(sight, req, answer, trace, refusal, started_s)
+    if refusal is not None:
+        if answer.started:
+            raise AnswerCut(refusal.detail)
+        await answer.send_error(refusal)
+
+
+async def _forward_watched(
+    forwarder: Forwarder,
+    req: Classified,
+    body: CallerBody,
+    answer: CallerAnswer,
+    trace: Trace,
+) -> Result[None, Refusal]:
+    """Forward a request; cancel it when its caller leaves or its body is too large."""
+    result: Result[None, Refusal] = Err(Refusal(ErrorKind.CANCELLED, "cancelled"))
+
+    async def watch() -> None:
+        nonlocal result
+        fault = await body.read()
+        # The server reports a disconnect to a reader also when the answer is whole.
+        if not answer.finished:
+            result = Err(fault)
+            tg.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(watch)
+        try:
+            result = await forward_request(forwarder, req, body, answer, trace)
+        except Exception as exc:
+            log_event("fault", request=req.head.request_id, reason=repr(exc))
+            result = Err(Refusal(ErrorKind.INTERNAL, "internal fault"))
+        tg.cancel_scope.cancel()
+    return result
+
+
 def _record(
     sight: Sight,
     req: Classified,
--- a/src/berylmast/callers/body.py
+++ b/src/berylmast/callers/body.py
@@ -1,57 +1,137 @@
 """The body of a caller's request, read as far as the attempts need it."""
 
+from collections import deque
 from typing import Any
 
-from ..daemons import Exchange
+import anyio
+
+from ..daemons import Exchange, ExchangeLost
 from ..daemons.frames import End
+from ..errors import ErrorKind, Refusal
+from ..model import Headers
 
 EAGER_BODY_BYTES = 64 * 1024
 """Bodies up to this length are sent with the head and kept for a retry."""
 
+READ_AHEAD_BYTES = 64 * 1024
+"""Body bytes read from the ASGI server before an attempt takes them."""
+
 
-class CallerDisconnected(Exception):
-    """The caller closed its connection before it had the answer."""
+class BodyConsumed(Exception):
+    """A part of the body is gone, so no other attempt can send it whole."""
 
 
 class CallerBody:
-    """Reads the body from the ASGI server; what was read before dispatch is kept."""
+    """Reads the body and notices when the caller closes its connection.
+
+    ASGI ``receive`` has a single consumer: only ``read`` calls it. ``limit`` is in
+    bytes; ``trailers`` is filled by the HTTP server before the body is whole.
+    """
 
-    def __init__(self, receive: Any, length: int | None) -> None:
+    def __init__(
+        self,
+        receive: Any,
+        length: int | None,
+        *,
+        limit: int | None = None,
+        expects_continue: bool = False,
+        trailers: Headers = (),
+    ) -> None:
         self.length = length
         self._receive = receive
-        self._kept: list[bytes] = []
+        self._limit = limit
+        self._expects_continue = expects_continue
+        self._trailers = trailers
+        self._keeps = length is not None and length <= EAGER_BODY_BYTES
+        self._parts: deque[bytes] = deque()
+        self._buffered = 0
+        self._total = 0
         self._whole = length == 0
+        self._sending = False
+        self._taken = False
+        self._changed = anyio.Event()
 
     @property
     def eager(self) -> bool:
         """Tell whether the body is sent before the owner admits the request."""
-        return self.length is not None and self.length <= EAGER_BODY_BYTES
+        return self._keeps and not self._expects_continue
 
-    async def send_to(self, exchange: Exchange) -> None:
-        """Send the whole body; one that was sent before must have been eager.
+    @property
+    def resendable(self) -> bool:
+        """Tell whether another attempt can still send the whole body."""
+        return self._keeps or not self._taken
 
-        Raises CallerDisconnected if the caller leaves before its body is whole.
+    async def read(self) -> Refusal:
+        """Read until the caller leaves or its body passes the limit; return which.
+
+        The server answers ``Expect: 100-continue`` at the first read, which therefore
+        waits until an admitted attempt sends the body.
         """
-        for part in self._kept:
-            await exchange.send_body(part)
-        while not self._whole:
-            part = await self._read_part()
-            if self.eager:
-                self._kept.append(part)
-            await exchange.send_body(part)
-        await exchange.send(End(exchange.id))
-
-    async def wait_disconnect(self) -> None:
-        """Return when the caller has closed its connection."""
+        while self._expects_continue and not self._sending and not self._whole:
+            await self._changed.wait()
         while True:
             message = await self._receive()
             if message["type"] == "http.disconnect":
+                kind = ErrorKind.CANCELLED if self._whole else ErrorKind.BODY_CUT
+                return Refusal(kind, "the caller closed its connection")
+            self._take(message)
+            if self._limit is not None and self._total > self._limit:
+                return self._refuse_size()
+            while self._buffered >= READ_AHEAD_BYTES and not self._keeps:
+                await self._changed.wait()
+
+    async def send_to(self, exchange: Exchange) -> None:
+        """Send the whole body.
+
+        Raises BodyConsumed if an earlier attempt took a part that was not kept.
+        """
+        if not self.resendable:
+            raise BodyConsumed
+        self._sending = True
+        self._notify()
+        try:
+            await self._send_parts(exchange)
+            await exchange.send(End(exchange.id, tuple(self._trailers)))
+        except ExchangeLost:
+            # The attempt sees the same loss when it receives.
+            return
+
+    async def _send_parts(self, exchange: Exchange) -> None:
+        index = 0
+        while True:
+            while index < len(self._parts):
+                part = self._parts[index]
+                if self._keeps:
+                    index += 1
+                else:
+                    self._drop_first()
+                await exchange.send_body(part)
+            if self._whole:
                 return
+            await self._changed.wait()
 
-    async def _read_part(self) -> bytes:
-        message = await self._receive()
-        if message["type"] == "http.disconnect":
-            raise CallerDisconnected
-        self._whole = not message.get("more_body", False)
+    def _drop_first(self) -> None:
+        self._taken = True
+        self._buffered -= len(self._parts.popleft())
+        self._notify()
+
+    def _take(self, message: dict[str, Any]) -> None:
         part: bytes = message.get("body", b"")
-        return part
+        if part:
+            self._parts.append(part)
+            self._buffered += len(part)
+            self._total += len(part)
+        self._whole = not message.get("more_body", False)
+        self._notify()
+
+    def _refuse_size(self) -> Refusal:
+        # Once an attempt sends the body, the backend server may have acted on the head.
+        kind = ErrorKind.BODY_TOO_LARGE
+        if self._sending:
+            kind = ErrorKind.BODY_TOO_LARGE_UNKNOWN
+        self._whole = False
+        return Refusal(kind, f"the body is longer than {self._limit} bytes")
+
+    def _notify(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
--- a/src/berylmast/callers/classify.py
+++ b/src/berylmast/callers/classify.py
@@ -28,26 +28,38 @@
         b"expect",
     }
 )
+_MAX_DIGITS = 18
+"""A longer Content-Length would not fit 64 bits."""
+
+PROTECTED = frozenset({b"host", b"content-length"})
+"""Headers that a ``Connection`` option does not remove."""
 
 
 @dataclass(frozen=True, slots=True)
 class Classified:
-    """A request head and the slice that classified it."""
+    """A request head and the slice that classified it.
+
+    ``body_bytes`` is None for a chunked body, whose length is not known.
+    """
 
     head: RequestHead
     service: ServiceSlice
     body_bytes: int | None
+    expects_continue: bool = False
 
 
 def drop_hop_by_hop(headers: Headers) -> list[tuple[bytes, bytes]]:
-    """Return the headers that are forwarded."""
+    """Return the headers that are forwarded, in order, names in lower case."""
+    lowered = [(key.lower(), value) for key, value in headers]
     named = {
         name.strip().lower()
-        for key, value in headers
+        for key, value in lowered
         if key == b"connection"
         for name in value.split(b",")
     }
-    return [(k, v) for k, v in headers if k not in HOP_BY_HOP and k not in named]
+    # Connection options must not remove headers that this daemon or framing relies on.
+    dropped = HOP_BY_HOP | (named - PROTECTED)
+    return [(k, v) for k, v in lowered if k not in dropped]
 
 
 def classify_request(
@@ -63,6 +75,10 @@
     size = sum(len(key) + len(value) for key, value in headers)
     if size > limits.max_header_bytes:
         return _refuse(ErrorKind.HEADERS_TOO_LARGE, f"{size} bytes of headers")
+    framing = _read_framing(headers)
+    if framing.is_err():
+        return Err(framing.unwrap_err())
+    length = framing.unwrap()
     values = dict(headers)
     host = values.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
     service = directory.find_service(host)
@@ -78,10 +94,8 @@
     deadline = _read_deadline(values, route)
     if deadline.is_err():
         return Err(deadline.unwrap_err())
-    length = values.get(b"content-length")
-    if length is not None and int(length) > service.max_body_bytes:
-        return _refuse(ErrorKind.BODY_TOO_LARGE, f"body of {length.decode()} bytes")
-    has_body = length not in (None, b"0") or b"transfer-encoding" in values
+    if length is not None and length > service.max_body_bytes:
+        return _refuse(ErrorKind.BODY_TOO_LARGE, f"body of {length} bytes")
     head = RequestHead(
         request_id=values.get(REQUEST_ID_HEADER, b"").decode("latin-1") or uuid4().hex,
         attempt=next_attempt(),
@@ -95,10 +109,31 @@
         method=method,
         target=_make_target(scope),
         headers=drop_hop_by_hop(headers),
-        has_body=has_body,
+        has_body=length != 0,
     )
-    body_bytes = int(length) if length is not None else None
-    return Ok(Classified(head, service, body_bytes if has_body else 0))
+    expects = values.get(b"expect", b"").lower() == b"100-continue"
+    return Ok(Classified(head, service, length, expects and head.has_body))
+
+
+def _read_framing(headers: Headers) -> Result[int | None, Refusal]:
+    """Return the length of the body in bytes, None if chunked (RFC 9112 section 6)."""
+    lengths = [value for key, value in headers if key == b"content-length"]
+    codings = [value for key, value in headers if key == b"transfer-encoding"]
+    if sum(key == b"host" for key, _ in headers) != 1:
+        return _refuse(ErrorKind.BAD_REQUEST, "exactly one Host header is required")
+    if codings and lengths:
+        return _refuse(
+            ErrorKind.BAD_REQUEST, "both Content-Length and Transfer-Encoding"
+        )
+    if codings:
+        if len(codings) > 1 or codings[0].strip().lower() != b"chunked":
+            return _refuse(ErrorKind.BAD_REQUEST, "unsupported Transfer-Encoding")
+        return Ok(None)
+    if not lengths:
+        return Ok(0)
+    if len(lengths) > 1 or not lengths[0].isdigit() or len(lengths[0]) > _MAX_DIGITS:
+        return _refuse(ErrorKind.BAD_REQUEST, "bad Content-Length")
+    return Ok(int(lengths[0]))
 
 
 def find_route(service: ServiceSlice, method: str, path: str) -> Route | None:
@@ -116,7 +151,7 @@
     text = values.get(DEADLINE_HEADER)
     if text is None:
         return Ok(route.deadline_ms)
-    if not text.isdigit():
+    if not text.isdigit() or len(text) > _MAX_DIGITS:
         return _refuse(ErrorKind.BAD_REQUEST, f"deadline {text!r} is not a number")
     return Ok(min(int(text), route.deadline_ms))
 
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -77,6 +77,8 @@
         )
         if last.is_ok() or answer.started or not _may_retry(req, last.unwrap_err()):
             return last
+        if not body.resendable:
+            return last
     return last or Err(Refusal(ErrorKind.NO_BACKEND, "no attempt was possible"))
 
 
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -15,7 +15,14 @@
 from .backends.client import BackendClient
 from .callers import make_app
 from .callers.forward import Forwarder
-from .daemons import Exchange, Identity, PeerListener, PeerPool, connect_exchanges
+from .daemons import (
+    Exchange,
+    ExchangeLost,
+    Identity,
+    PeerListener,
+    PeerPool,
+    connect_exchanges,
+)
 from .daemons.frames import OpeningFrame
 from .limits import AdmissionController, RetryBudget
 from .membership import Directory
@@ -60,7 +67,7 @@
             tg.start_soon(announce_endpoint, client, _make_endpoint(cfg, identity))
         tg.start_soon(follow_platform, client, directory, cfg.environment)
         callers = make_server(
-            make_app(directory, cfg.limits, forwarder, sight), cfg.callers
+            make_app(directory, cfg.limits, forwarder, sight), cfg.callers, cfg.limits
         )
         admin = make_server(make_admin_app({"status": sight.summarise}), cfg.admin)
         tg.start_soon(callers.serve)
@@ -127,16 +134,24 @@
         assert isinstance(frame, OpeningFrame)
         try:
             await owner.accept(owner_side, frame)
+        except ExchangeLost:
+            pass
         finally:
             entry_side.lose()
 
+    lost: ExchangeLost | None = None
     async with anyio.create_task_group() as tg:
         tg.start_soon(accept)
         try:
             yield entry_side
+        except ExchangeLost as exc:
+            # Raised here, it would reach the caller inside an ExceptionGroup.
+            lost = exc
         finally:
             owner_side.lose()
             entry_side.discard()
+    if lost is not None:
+        raise lost
 
 
 async def _wait_signal(servers: list[HttpServer]) -> None:
--- a/src/berylmast/daemons/connection.py
+++ b/src/berylmast/daemons/connection.py
@@ -6,22 +6,20 @@
 import anyio
 from anyio.abc import ByteStream
 
+from ..errors import ErrorKind
+from ..telemetry import log_event
 from ._lanes import SendLanes
 from .codec import FrameReader, ProtocolError, encode_frame
-from .exchange import Exchange, WindowExceeded
+from .exchange import Exchange, ExchangeLost, ExchangeMisused
 from .frames import (
     CONNECTION,
     OPENING_FRAMES,
-    End,
-    Fail,
     Frame,
     GoAway,
     Hello,
-    Load,
     OpeningFrame,
     Ping,
     Pong,
-    Refuse,
     Reset,
 )
 
@@ -77,6 +75,7 @@
         self._exchanges: dict[int, Exchange] = {}
         self._exchange_opened = anyio.Event()
         self._next_id = CONNECTION + 1
+        self._last_accepted = CONNECTION
         self._last_received_s = 0.0
         self._ready = anyio.Event()
 
@@ -129,10 +128,13 @@
         return exchange
 
     def close_exchange(self, exchange: Exchange, reset: Reset | None = None) -> None:
-        """Forget an exchange; ``reset`` tells the peer that it was abandoned."""
+        """Forget an exchange; ``reset`` tells the peer that it was abandoned.
+
+        Nothing is sent to a peer that has already closed the exchange.
+        """
         if self._exchanges.pop(exchange.id, None) is None:
             return
-        if reset is not None and not exchange.lost:
+        if reset is not None and not exchange.lost and not exchange.peer_closed:
             self.write(reset)
         exchange.discard()
 
@@ -192,7 +194,7 @@
             try:
                 for frame in self._reader.feed(data):
                     self._dispatch(frame, tg)
-            except (ProtocolError, WindowExceeded):
+            except (ProtocolError, ExchangeMisused):
                 return
 
     def _dispatch(self, frame: Frame, tg: anyio.abc.TaskGroup) -> None:
@@ -220,7 +222,10 @@
         if exchange is not None:
             exchange.deliver(frame)
         elif isinstance(frame, OPENING_FRAMES) and self._accept is not None:
-            exchange = Exchange(frame.exchange, self.write)
+            if frame.exchange <= self._last_accepted:
+                raise ProtocolError(f"exchange id {frame.exchange} is used twice")
+            self._last_accepted = frame.exchange
+            exchange = Exchange(frame.exchange, self.write, opened=True)
             self._add_exchange(exchange)
             tg.start_soon(self._serve_exchange, exchange, frame)
         # Other frames belong to an exchange that this side has closed: they are late.
@@ -229,6 +234,12 @@
         assert self._accept is not None
         try:
             await self._accept(exchange, frame)
+        except ExchangeLost:
+            pass
+        except Exception as exc:
+            # A fault of one request must not end the other exchanges of the stream.
+            log_event("fault", exchange=exchange.id, reason=repr(exc))
+            self.write(Reset(exchange.id, ErrorKind.INTERNAL))
         finally:
             self._exchanges.pop(exchange.id, None)
             exchange.discard()
@@ -245,7 +256,3 @@
                 return
             if self._exchanges and silent_s >= HEARTBEAT_INTERVAL_S:
                 self.write(Ping())
-
-
-CLOSING_FRAMES = (End, Fail, Load, Refuse, Reset)
-"""Frames after which an owner sends nothing more on an exchange."""
--- a/src/berylmast/daemons/exchange.py
+++ b/src/berylmast/daemons/exchange.py
@@ -5,7 +5,17 @@
 
 import anyio
 
-from .frames import Body, Credit, Frame
+from .frames import (
+    OPENING_FRAMES,
+    Body,
+    Credit,
+    End,
+    Fail,
+    Frame,
+    Load,
+    Refuse,
+    Reset,
+)
 
 WINDOW_BYTES = 256 * 1024
 """Body bytes that may be under way in each direction of one exchange."""
@@ -15,25 +25,38 @@
 
 _CREDIT_STEP_BYTES = WINDOW_BYTES // 2
 
+CLOSING_FRAMES = (End, Fail, Load, Refuse, Reset)
+"""Frames after which a side sends nothing more but Credit and Reset."""
+
 
 class ExchangeLost(Exception):
     """The connection that carried this exchange has ended."""
 
 
-class WindowExceeded(Exception):
-    """The peer sent more body than the window allows."""
+class ExchangeMisused(Exception):
+    """The peer broke the rules of an exchange: its window or its order of frames."""
 
 
 class Exchange:
     """Sends and receives the frames of one request; both sides hold one.
 
     ``write`` queues a frame on the connection without waiting. Body frames wait for
-    credit, so that what is queued stays within the window.
+    credit, so that what is queued stays within the window. A Reset is noticed by
+    ``wait_reset`` even while earlier frames are unread.
     """
 
-    def __init__(self, exchange_id: int, write: Callable[[Frame], None]) -> None:
+    def __init__(
+        self,
+        exchange_id: int,
+        write: Callable[[Frame], None],
+        *,
+        opened: bool = False,
+    ) -> None:
         self.id = exchange_id
         self.lost = False
+        self.peer_closed = False
+        self._opened = opened
+        self._reset = anyio.Event()
         self._write = write
         self._inbox_in, self._inbox = anyio.create_memory_object_stream[Frame](math.inf)
         self._credit = WINDOW_BYTES
@@ -73,6 +96,10 @@
             self._return_credit(len(frame.data))
         return frame
 
+    async def wait_reset(self) -> None:
+        """Wait until the peer gives up this exchange or the connection ends."""
+        await self._reset.wait()
+
     def _return_credit(self, size: int) -> None:
         self._undelivered -= size
         self._consumed += size
@@ -83,16 +110,23 @@
     def deliver(self, frame: Frame) -> None:
         """Take a frame that the connection read for this exchange.
 
-        Raises WindowExceeded if the peer ignores flow control.
+        Raises ExchangeMisused if the peer ignores flow control, sends anything after
+        its closing frame or opens an exchange a second time.
         """
         if isinstance(frame, Credit):
             self._credit += frame.size
             self._wake_sender()
             return
+        if isinstance(frame, Reset):
+            self._reset.set()
+        elif self.peer_closed or (self._opened and isinstance(frame, OPENING_FRAMES)):
+            raise ExchangeMisused(f"{type(frame).__name__} on exchange {self.id}")
         if isinstance(frame, Body):
             self._undelivered += len(frame.data)
             if self._undelivered > WINDOW_BYTES:
-                raise WindowExceeded(f"exchange {self.id}")
+                raise ExchangeMisused(f"window of exchange {self.id}")
+        self._opened = True
+        self.peer_closed = self.peer_closed or isinstance(frame, CLOSING_FRAMES)
         if not self.lost:
             self._inbox_in.send_nowait(frame)
 
@@ -102,6 +136,7 @@
             return
         self.lost = True
         self._inbox_in.close()
+        self._reset.set()
         self._wake_sender()
 
     def discard(self) -> None:
--- a/src/berylmast/daemons/pool.py
+++ b/src/berylmast/daemons/pool.py
@@ -71,5 +71,10 @@
             raise ConnectionLost(f"cannot reach {address[0]}:{address[1]}") from exc
         conn = PeerConnection(stream, self._identity, on_goaway=self._on_goaway)
         self._tg.start_soon(conn.run)
-        await conn.wait_ready()
+        try:
+            await conn.wait_ready()
+        except ConnectionLost:
+            # Otherwise a peer that accepts and stays silent costs a socket per attempt.
+            await anyio.aclose_forcefully(stream)
+            raise
         return conn
--- a/src/berylmast/errors.py
+++ b/src/berylmast/errors.py
@@ -24,6 +24,7 @@
     HEADERS_TOO_LARGE = "headers-too-large"
     TOO_MANY_HEADERS = "too-many-headers"
     BODY_TOO_LARGE = "body-too-large"
+    BODY_TOO_LARGE_UNKNOWN = "body-too-large-unknown"
     BODY_CUT = "body-cut"
     UNKNOWN_SERVICE = "unknown-service"
     NO_BACKEND = "no-backend"
@@ -68,6 +69,7 @@
     ErrorKind.HEADERS_TOO_LARGE: Answer(431, _NOT_RUN),
     ErrorKind.TOO_MANY_HEADERS: Answer(431, _NOT_RUN),
     ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN),
+    ErrorKind.BODY_TOO_LARGE_UNKNOWN: Answer(413, _UNKNOWN),
     ErrorKind.BODY_CUT: Answer(400, _UNKNOWN),
     ErrorKind.UNKNOWN_SERVICE: Answer(404, _NOT_RUN),
     ErrorKind.NO_BACKEND: Answer(503, _NOT_RUN, 1),
