Replace httpcore towards the backend server by an httptools client

Cause: httpcore was most of the owner's processor time, could carry no trailers, wrote the whole request body before it read an answer, and hid bytes that arrive on an idle connection.

Change: httptools over a non-blocking socket waited for through anyio, behind the same BackendClient.send.

--- /dev/null
+++ b/src/berylmast/backends/_http.py
@@ -0,0 +1,231 @@
+"""One HTTP/1.1 connection to the backend server, on a non-blocking socket.
+
+The socket is read directly, without a buffer in between: bytes that arrive while a
+connection is idle stay visible in the kernel, and the connection is not used again.
+"""
+
+import errno
+import socket
+from collections import deque
+from collections.abc import AsyncIterator
+
+import anyio
+import httptools
+
+from ..model import Headers
+from ..settings import Address
+
+MAX_HEAD_BYTES = 64 * 1024
+"""Bytes of a response's head, or of its trailers, that are accepted."""
+
+_READ_BYTES = 64 * 1024
+_SWITCHING_PROTOCOLS = 101
+
+
+class BackendCut(Exception):
+    """The connection failed after the request may have been sent."""
+
+
+class ResponseParser:
+    """Collects one response from the bytes of a connection."""
+
+    def __init__(self, *, has_body: bool) -> None:
+        self.status = 0
+        self.headers: list[tuple[bytes, bytes]] = []
+        self.trailers: list[tuple[bytes, bytes]] = []
+        self.parts: deque[bytes] = deque()
+        self.head_done = False
+        self.complete = False
+        self.reusable = True
+        self._has_body = has_body
+        self._until_close = False
+        self._interim = False
+        self._pending_bytes = 0
+        self._field_bytes = 0
+        self._fault: str | None = None
+        self._parser = httptools.HttpResponseParser(self)
+
+    def feed(self, data: bytes) -> None:
+        """Parse bytes; empty ones mean that the server closed the connection.
+
+        Raises BackendCut if the response is invalid or ends early.
+        """
+        if not data:
+            self._finish()
+            return
+        self._pending_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as exc:
+            # What follows a whole response concerns no request.
+            self.reusable = False
+            if not self.complete:
+                raise BackendCut(f"invalid response: {exc}") from exc
+        if self._pending_bytes > MAX_HEAD_BYTES and not self.complete:
+            self._fault = f"more than {MAX_HEAD_BYTES} bytes without a header or body"
+        if self._fault is not None:
+            raise BackendCut(self._fault)
+
+    def _finish(self) -> None:
+        self.reusable = False
+        if not (self.head_done and self._until_close):
+            raise BackendCut("the response ended early")
+        self.complete = True
+
+    def on_message_begin(self) -> None:
+        """Note that bytes follow a whole response."""
+        if self.complete:
+            self.reusable = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Add a header, or a trailer after the body."""
+        if not self.complete:
+            fields = self.trailers if self.head_done else self.headers
+            fields.append((name.lower(), value.rstrip(b" \t")))
+            self._field_bytes += len(name) + len(value)
+            if self._field_bytes > MAX_HEAD_BYTES:
+                self._fault = f"more than {MAX_HEAD_BYTES} bytes of headers"
+
+    def on_headers_complete(self) -> None:
+        """Take the head; one with a status of 1xx is skipped."""
+        if self.complete:
+            return
+        status = self._parser.get_status_code()
+        if status == _SWITCHING_PROTOCOLS:
+            self._fault = "the server changed to a protocol nobody asked for"
+            return
+        if status < 200:
+            self._interim = True
+            return
+        self.status = status
+        self.head_done = True
+        self._pending_bytes = 0
+        if not self._parser.should_keep_alive():
+            self.reusable = False
+        names = {name for name, _ in self.headers}
+        self._until_close = not names & {b"content-length", b"transfer-encoding"}
+        # The parser does not know that the response to HEAD has no body.
+        self.complete = not self._has_body
+
+    def on_body(self, data: bytes) -> None:
+        """Add a part of the body."""
+        if self.complete:
+            self.reusable = False
+            return
+        self.parts.append(data)
+        self._pending_bytes = 0
+
+    def on_message_complete(self) -> None:
+        """Note the end of the response, or of a head that is skipped."""
+        if self._interim:
+            self._interim = False
+            self.headers.clear()
+            self._pending_bytes = 0
+            return
+        self.complete = True
+
+
+class BackendConnection:
+    """Sends one request at a time and reads its response."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.idle_since_s = 0.0
+        self._sock = sock
+
+    async def send(self, data: bytes) -> None:
+        """Send all bytes.
+
+        Raises BackendCut if the connection fails.
+        """
+        view = memoryview(data)
+        while view:
+            try:
+                view = view[self._sock.send(view) :]
+            except BlockingIOError:
+                await anyio.wait_writable(self._sock)
+            except OSError as exc:
+                raise BackendCut(f"sending failed: {exc}") from exc
+
+    async def read_head(self, parser: ResponseParser) -> None:
+        """Read until the head is complete.
+
+        Raises BackendCut if the response ends early.
+        """
+        while not parser.head_done:
+            await anyio.wait_readable(self._sock)
+            await self._feed(parser)
+
+    async def iterate_body(self, parser: ResponseParser) -> AsyncIterator[bytes]:
+        """Yield the parts of the body, read as they are taken.
+
+        Raises BackendCut if the response ends early.
+        """
+        while True:
+            while parser.parts:
+                yield parser.parts.popleft()
+            if parser.complete:
+                return
+            await self._feed(parser)
+
+    async def _feed(self, parser: ResponseParser) -> None:
+        while True:
+            try:
+                data = self._sock.recv(_READ_BYTES)
+                break
+            except BlockingIOError:
+                await anyio.wait_readable(self._sock)
+            except OSError as exc:
+                raise BackendCut(f"receiving failed: {exc}") from exc
+        parser.feed(data)
+
+    @property
+    def quiet(self) -> bool:
+        """Tell whether an idle connection is open and free of stray bytes."""
+        try:
+            self._sock.recv(1)
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return False
+
+    def close(self) -> None:
+        """Close the connection; the server sees a request under way as cancelled."""
+        self._sock.close()
+
+
+async def connect_backend(address: Address) -> BackendConnection:
+    """Open a connection.
+
+    Raises OSError if the server can't be reached.
+    """
+    family = socket.AF_INET6 if ":" in address.host else socket.AF_INET
+    sock = socket.socket(family, socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex((address.host, address.port))
+        if code == errno.EINPROGRESS:
+            await anyio.wait_writable(sock)
+            code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            raise OSError(code, errno.errorcode.get(code, "connect failed"))
+    except BaseException:
+        sock.close()
+        raise
+    return BackendConnection(sock)
+
+
+def format_head(method: str, target: str, headers: Headers) -> bytes:
+    """Return the bytes of a request's head.
+
+    Raises ValueError if a part of it contains a line break.
+    """
+    lines = [f"{method} {target} HTTP/1.1\r\n".encode("latin-1")]
+    for name, value in headers:
+        lines += (name, b": ", value, b"\r\n")
+    head = b"".join([*lines, b"\r\n"])
+    breaks = len(headers) + 2
+    if head.count(b"\n") != breaks or head.count(b"\r") != breaks:
+        raise ValueError("line break in the head of a request")
+    return head
--- a/src/berylmast/backends/client.py
+++ b/src/berylmast/backends/client.py
@@ -1,32 +1,53 @@
 """HTTP towards the local backend server."""
 
-from collections.abc import AsyncIterator
+from collections import deque
+from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 
-import httpcore
+import anyio
 
 from ..model import Headers
 from ..settings import Address
+from ._http import (
+    BackendConnection,
+    BackendCut,
+    ResponseParser,
+    connect_backend,
+    format_head,
+)
+
+__all__ = ["BackendAnswer", "BackendClient", "BackendCut", "BackendUnreachable"]
 
 CONNECT_TIMEOUT_S = 1.0
+IDLE_LIMIT_S = 30.0
+"""Idle connections are closed after this time, oldest first."""
 
 
 class BackendUnreachable(Exception):
     """No connection could be made: the request was not sent."""
 
 
-class BackendCut(Exception):
-    """The connection failed after the request may have been sent."""
-
-
 @dataclass(frozen=True, slots=True)
 class BackendAnswer:
-    """Head and body stream of a backend server's answer."""
+    """Head and body stream of a backend server's answer.
+
+    ``trailers`` is complete when the body is.
+    """
 
     status: int
     headers: Headers
     body: AsyncIterator[bytes]
+    trailers: Headers = ()
+
+
+@dataclass(frozen=True, slots=True)
+class _Upload:
+    """The body of one request; ``length`` is in bytes, None for a chunked body."""
+
+    parts: AsyncIterator[bytes]
+    length: int | None
+    get_trailers: Callable[[], Headers] | None
 
 
 class BackendClient:
@@ -34,9 +55,8 @@
 
     def __init__(self, address: Address, connections: int) -> None:
         self._address = address
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=connections, max_keepalive_connections=connections
-        )
+        self._free = anyio.Semaphore(connections)
+        self._idle: deque[BackendConnection] = deque()
 
     @asynccontextmanager
     async def send(
@@ -45,36 +65,144 @@
         target: str,
         headers: Headers,
         body: AsyncIterator[bytes] | None,
+        get_trailers: Callable[[], Headers] | None = None,
     ) -> AsyncIterator[BackendAnswer]:
         """Send one request and give its answer; leaving early cancels it.
 
-        Raises BackendUnreachable if nothing was sent, BackendCut otherwise.
+        ``get_trailers`` is called when the body has ended. Raises BackendUnreachable if
+        nothing was sent, BackendCut otherwise, and what ``body`` raises.
         """
-        url = httpcore.URL(
-            scheme=b"http",
-            host=self._address.host.encode(),
-            port=self._address.port,
-            target=target.encode("latin-1"),
-        )
-        timeout = {"connect": CONNECT_TIMEOUT_S, "pool": CONNECT_TIMEOUT_S}
+        upload = None
+        if body is not None:
+            length = dict(headers).get(b"content-length")
+            upload = _Upload(
+                body, None if length is None else int(length), get_trailers
+            )
+            if length is None:
+                headers = [*headers, (b"transfer-encoding", b"chunked")]
+        try:
+            head = format_head(method, target, headers)
+        except ValueError as exc:
+            raise BackendUnreachable(str(exc)) from exc
+        parser = ResponseParser(has_body=method != "HEAD")
+        await self._acquire()
+        conn: BackendConnection | None = None
+        reusable = False
+        try:
+            conn = await self._connect()
+            await conn.send(head)
+            if upload is None:
+                yield await _read_answer(conn, parser)
+                reusable = parser.complete and parser.reusable
+            else:
+                async with _upload(conn, upload) as sent:
+                    yield await _read_answer(conn, parser)
+                    reusable = parser.complete and parser.reusable and sent.is_set()
+        finally:
+            self._release(conn, reusable)
+
+    async def _acquire(self) -> None:
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                await self._free.acquire()
+        except TimeoutError as exc:
+            raise BackendUnreachable("no connection became free in time") from exc
+
+    async def _connect(self) -> BackendConnection:
+        self._close_expired()
+        while self._idle:
+            conn = self._idle.pop()
+            if conn.quiet:
+                return conn
+            conn.close()
+        try:
+            with anyio.fail_after(CONNECT_TIMEOUT_S):
+                return await connect_backend(self._address)
+        except (OSError, TimeoutError) as exc:
+            raise BackendUnreachable(f"cannot reach {self._address}: {exc}") from exc
+
+    def close(self) -> None:
+        """Close the idle connections."""
+        while self._idle:
+            self._idle.pop().close()
+
+    def _close_expired(self) -> None:
+        oldest_s = anyio.current_time() - IDLE_LIMIT_S
+        while self._idle and self._idle[0].idle_since_s < oldest_s:
+            self._idle.popleft().close()
+
+    def _release(self, conn: BackendConnection | None, reusable: bool) -> None:
+        if conn is not None and reusable:
+            conn.idle_since_s = anyio.current_time()
+            self._idle.append(conn)
+        elif conn is not None:
+            conn.close()
+        self._free.release()
+
+
+async def _read_answer(
+    conn: BackendConnection, parser: ResponseParser
+) -> BackendAnswer:
+    await conn.read_head(parser)
+    body = conn.iterate_body(parser)
+    return BackendAnswer(parser.status, parser.headers, body, parser.trailers)
+
+
+@asynccontextmanager
+async def _upload(
+    conn: BackendConnection, upload: _Upload
+) -> AsyncIterator[anyio.Event]:
+    """Send a body while the block reads the answer; the event tells that it is sent.
+
+    A server may answer before it has read the whole body. Exceptions leave unwrapped.
+    """
+    sent = anyio.Event()
+    fault: Exception | None = None
+
+    async def send_all() -> None:
+        nonlocal fault
+        try:
+            await _send_body(conn, upload)
+            sent.set()
+        except _LengthMismatch as exc:
+            fault = BackendCut(str(exc))
+            tg.cancel_scope.cancel()
+        except BackendCut:
+            # The answer may have come before; otherwise reading fails as well.
+            return
+        except Exception as exc:
+            fault = exc
+            tg.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(send_all)
         try:
-            async with self._pool.stream(
-                method,
-                url,
-                headers=list(headers),
-                content=body,
-                extensions={"timeout": timeout},
-            ) as res:
-                yield BackendAnswer(res.status, res.headers, res.aiter_stream())
-        except (
-            httpcore.ConnectError,
-            httpcore.ConnectTimeout,
-            httpcore.PoolTimeout,
-        ) as exc:
-            raise BackendUnreachable(repr(exc)) from exc
-        except (
-            httpcore.NetworkError,
-            httpcore.ProtocolError,
-            httpcore.TimeoutException,
-        ) as exc:
-            raise BackendCut(repr(exc)) from exc
+            yield sent
+        except Exception as exc:
+            fault = exc
+        tg.cancel_scope.cancel()
+    if fault is not None:
+        raise fault
+
+
+async def _send_body(conn: BackendConnection, upload: _Upload) -> None:
+    if upload.length is None:
+        async for part in upload.parts:
+            if part:
+                await conn.send(b"%x\r\n%b\r\n" % (len(part), part))
+        trailers = upload.get_trailers() if upload.get_trailers is not None else ()
+        lines = [name + b": " + value + b"\r\n" for name, value in trailers]
+        await conn.send(b"".join([b"0\r\n", *lines, b"\r\n"]))
+        return
+    left = upload.length
+    async for part in upload.parts:
+        left -= len(part)
+        if left < 0:
+            break
+        await conn.send(part)
+    if left != 0:
+        raise _LengthMismatch("the request body does not match its length")
+
+
+class _LengthMismatch(Exception):
+    """The body differs from the length in the head; the server sees it cut."""
--- a/src/berylmast/backends/dispatch.py
+++ b/src/berylmast/backends/dispatch.py
@@ -7,9 +7,33 @@
 from ..daemons import Exchange, ExchangeLost
 from ..daemons.frames import Body, Continue, End, Fail, Refuse, Response
 from ..errors import ErrorKind
-from ..model import LoadReport, RequestHead
+from ..model import Headers, LoadReport, RequestHead
 from .client import BackendAnswer, BackendClient, BackendCut, BackendUnreachable
 
+# RFC 9110 section 6.5.1: fields that frame, route or authorise a message are not taken
+# from trailers.
+_NOT_IN_TRAILERS = frozenset(
+    {
+        b"authorization",
+        b"connection",
+        b"content-encoding",
+        b"content-length",
+        b"content-type",
+        b"expect",
+        b"host",
+        b"idempotency-key",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+def select_trailers(trailers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return the trailers that are forwarded."""
+    return [(k, v) for k, v in trailers if k.lower() not in _NOT_IN_TRAILERS]
+
 
 class RequestCut(Exception):
     """The entry ended the request's body without an End frame."""
@@ -43,10 +67,13 @@
     return ok
 
 
-async def _iterate_body(exchange: Exchange) -> AsyncIterator[bytes]:
+async def _iterate_body(
+    exchange: Exchange, trailers: list[tuple[bytes, bytes]]
+) -> AsyncIterator[bytes]:
     while True:
         frame = await exchange.receive()
         if isinstance(frame, End):
+            trailers.extend(select_trailers(frame.trailers))
             return
         if not isinstance(frame, Body):
             raise RequestCut
@@ -60,10 +87,11 @@
     report: Callable[[], LoadReport],
 ) -> bool:
     await exchange.send(Continue(exchange.id))
-    content = _iterate_body(exchange) if head.has_body else None
+    trailers: list[tuple[bytes, bytes]] = []
+    content = _iterate_body(exchange, trailers) if head.has_body else None
     try:
         async with client.send(
-            head.method, head.target, head.headers, content
+            head.method, head.target, head.headers, content, lambda: trailers
         ) as answer:
             await _send_answer(exchange, answer, report)
         return True
@@ -84,4 +112,4 @@
     await exchange.send(Response(exchange.id, answer.status, answer.headers, report()))
     async for chunk in answer.body:
         await exchange.send_body(chunk)
-    await exchange.send(End(exchange.id))
+    await exchange.send(End(exchange.id, select_trailers(answer.trailers)))
--- /dev/null
+++ b/src/berylmast_dev/_bench.py
@@ -0,0 +1,77 @@
+"""One entry and one owner as processes, and what a process uses."""
+
+import json
+import os
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from pathlib import Path
+from tempfile import TemporaryDirectory
+
+from .fleet import PORTS_PER_MEMBER, Fleet, Member, find_ports, run_fleet
+
+HOST_NAME = "bench"
+_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+_SLOTS = 64
+
+
+@dataclass(frozen=True, slots=True)
+class Usage:
+    """What one process has used: processor time in seconds, memory in KiB."""
+
+    cpu_s: float
+    resident_kib: int
+    peak_kib: int
+
+
+@dataclass(frozen=True, slots=True)
+class Pair:
+    """The running layout: callers reach ``entry``, which forwards to ``owner``."""
+
+    fleet: Fleet
+    entry: Member
+    owner: Member
+
+    def read_usage(self, member: Member) -> Usage:
+        """Return what the daemon of a member has used so far."""
+        return read_usage(self.fleet.processes[f"daemon-{member.name}"].pid)
+
+
+def read_usage(pid: int) -> Usage:
+    """Return what a process has used so far, from ``/proc``."""
+    stat = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    status = Path(f"/proc/{pid}/status").read_text().splitlines()
+    sizes = {line.split(":")[0]: line.split()[1] for line in status if "Vm" in line}
+    ticks = int(stat[11]) + int(stat[12])
+    return Usage(ticks / _TICKS_PER_S, int(sizes["VmRSS"]), int(sizes["VmHWM"]))
+
+
+def _make_document() -> dict[str, object]:
+    route = {"path": "/", "priority": "normal", "deadline_ms": 60_000}
+    service = {
+        "policy": "power_of_two",
+        "slots": _SLOTS,
+        "routes": [{**route, "idempotent": True}],
+    }
+    return {
+        "priorities": [{"name": "normal", "floor": 0.5}],
+        "services": {
+            HOST_NAME: {**service, "hosts": [HOST_NAME]},
+            "other": {**service, "hosts": ["other"]},
+        },
+    }
+
+
+@asynccontextmanager
+async def run_pair(*, mean_ms: float) -> AsyncIterator[Pair]:
+    """Run one entry daemon and one owner with their stand-ins."""
+    port = find_ports(2 * PORTS_PER_MEMBER)
+    entry = Member("entry", "other", "north", "n1", _SLOTS, mean_ms, port)
+    owner = Member(
+        "owner", HOST_NAME, "north", "n1", _SLOTS, mean_ms, port + PORTS_PER_MEMBER
+    )
+    with TemporaryDirectory(prefix="berylmast-") as folder:
+        document = Path(folder) / "bench.json5"
+        document.write_text(json.dumps(_make_document()))
+        async with run_fleet([entry, owner], document) as fleet:
+            yield Pair(fleet, entry, owner)
--- a/src/berylmast_dev/_http.py
+++ b/src/berylmast_dev/_http.py
@@ -17,6 +17,18 @@
             return b"".join(parts)
 
 
+async def count_body(receive: Any) -> int:
+    """Read the request body and return its length in bytes, -1 if it was cut."""
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            return -1
+        size += len(message.get("body", b""))
+        if not message.get("more_body", False):
+            return size
+
+
 async def send_json(send: Any, status: int, data: object) -> None:
     """Send a whole JSON answer."""
     body = json.dumps(data).encode()
--- a/src/berylmast_dev/backend.py
+++ b/src/berylmast_dev/backend.py
@@ -7,14 +7,18 @@
 import anyio
 from cyclopts import App
 
-from ._http import read_body, send_json, serve_app
+from ._http import count_body, read_body, send_json, serve_app
+
+_PART_BYTES = 64 * 1024
 
 
 class Backend:
     """Runs each request for a drawn service time within a number of slots.
 
     ``/_control`` takes JSON: ``slow`` multiplies the service time, ``fail`` answers 500
-    at once. ``/_ledger`` lists the request ids that ran, in order.
+    at once. ``/_ledger`` lists the request ids that ran, in order; ``/_sent`` gives the
+    body bytes sent so far. A request may ask for a longer answer with the header
+    ``x-answer-bytes``.
     """
 
     def __init__(self, *, slots: int, mean_ms: float, answer_bytes: int) -> None:
@@ -25,6 +29,7 @@
         self._ledger: list[str] = []
         self._slow = 1.0
         self._fail = False
+        self._sent_bytes = 0
 
     async def app(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Serve requests over ASGI."""
@@ -35,13 +40,15 @@
             await send_json(send, 200, control)
         elif scope["path"] == "/_ledger":
             await send_json(send, 200, self._ledger)
+        elif scope["path"] == "/_sent":
+            await send_json(send, 200, self._sent_bytes)
         else:
             await self._run(scope, receive, send)
 
     async def _run(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         request_id = dict(scope["headers"]).get(b"x-request-id", b"").decode()
         self._ledger.append(request_id)
-        body = await read_body(receive)
+        body_bytes = await count_body(receive)
         if self._fail:
             await send_json(send, 500, {"error": "failing fast"})
             return
@@ -49,12 +56,22 @@
             # Gamma with shape 4: service times vary, but not without bound.
             drawn_s = self._rng.gammavariate(4, self._mean_s / 4)
             await anyio.sleep(drawn_s * self._slow)
+        wanted = dict(scope["headers"]).get(b"x-answer-bytes")
+        size = int(wanted) if wanted is not None else len(self._answer)
         headers = [
-            (b"content-length", str(len(self._answer)).encode()),
-            (b"x-body-bytes", str(len(body)).encode()),
+            (b"content-length", str(size).encode()),
+            (b"x-body-bytes", str(body_bytes).encode()),
         ]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
-        await send({"type": "http.response.body", "body": self._answer})
+        if wanted is None:
+            await send({"type": "http.response.body", "body": self._answer})
+            return
+        while size > 0:
+            part = b"x" * min(size, _PART_BYTES)
+            await send({"type": "http.response.body", "body": part, "more_body": True})
+            size -= len(part)
+            self._sent_bytes += len(part)
+        await send({"type": "http.response.body", "body": b""})
 
 
 cli = App(name="backend", help=__doc__)
