--- a/src/berylmast_dev/backend.py
+++ b/src/berylmast_dev/backend.py
@@ -16,9 +16,9 @@
     """Runs each request for a drawn service time within a number of slots.
 
     ``/_control`` takes JSON: ``slow`` multiplies the service time, ``fail`` answers 500
-    at once. ``/_ledger`` lists the request ids that ran, in order; ``/_sent`` gives the
-    body bytes sent so far. A request may ask for a longer answer with the header
-    ``x-answer-bytes``.
+    at once. ``/_ledger`` lists the request ids that ran, in order; ``/_totals``
+    gives the body bytes sent and the number of requests whose connection was closed. A
+    request may ask for a longer answer with the header ``x-answer-bytes``.
     """
 
     def __init__(self, *, slots: int, mean_ms: float, answer_bytes: int) -> None:
@@ -30,6 +30,7 @@
         self._slow = 1.0
         self._fail = False
         self._sent_bytes = 0
+        self._cancelled = 0
 
     async def app(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Serve requests over ASGI."""
@@ -40,8 +41,9 @@
             await send_json(send, 200, control)
         elif scope["path"] == "/_ledger":
             await send_json(send, 200, self._ledger)
-        elif scope["path"] == "/_sent":
-            await send_json(send, 200, self._sent_bytes)
+        elif scope["path"] == "/_totals":
+            totals = {"sent_bytes": self._sent_bytes, "cancelled": self._cancelled}
+            await send_json(send, 200, totals)
         else:
             await self._run(scope, receive, send)
 
@@ -55,7 +57,9 @@
         async with self._slots:
             # Gamma with shape 4: service times vary, but not without bound.
             drawn_s = self._rng.gammavariate(4, self._mean_s / 4)
-            await anyio.sleep(drawn_s * self._slow)
+            if body_bytes < 0 or await self._wait(drawn_s * self._slow, receive):
+                self._cancelled += 1
+                return
         wanted = dict(scope["headers"]).get(b"x-answer-bytes")
         size = int(wanted) if wanted is not None else len(self._answer)
         headers = [
@@ -73,6 +77,14 @@
             self._sent_bytes += len(part)
         await send({"type": "http.response.body", "body": b""})
 
+    async def _wait(self, seconds: float, receive: Any) -> bool:
+        """Wait for the service time; True if the request was cancelled meanwhile."""
+        with anyio.move_on_after(seconds):
+            while True:
+                if (await receive())["type"] == "http.disconnect":
+                    return True
+        return False
+
 
 cli = App(name="backend", help=__doc__)
 
--- a/src/berylmast_dev/bench_bodies.py
+++ b/src/berylmast_dev/bench_bodies.py
@@ -108,7 +108,7 @@
     pair: Pair, size: int, pause_s: float, seconds: float
 ) -> SlowRead:
     """Ask for a response of ``size`` bytes and read parts of it with pauses."""
-    sent_before = await _read_sent(pair)
+    sent_before = (await read_totals(pair))["sent_bytes"]
     received = 0
     async with await anyio.connect_tcp(*pair.entry.entry) as stream:
         head = (
@@ -120,16 +120,17 @@
                 received += len(await stream.receive(_READ_BYTES))
                 if pause_s:
                     await anyio.sleep(pause_s)
-        sent = await _read_sent(pair) - sent_before
+        sent = (await read_totals(pair))["sent_bytes"] - sent_before
     return SlowRead(received, sent)
 
 
-async def _read_sent(pair: Pair) -> int:
+async def read_totals(pair: Pair) -> dict[str, int]:
+    """Return the totals that the stand-in of the backend server counts."""
     host, port = pair.owner.backend
     async with httpcore.AsyncConnectionPool() as pool:
-        res = await pool.request("GET", f"http://{host}:{port}/_sent")
-    sent: int = json.loads(res.content)
-    return sent
+        res = await pool.request("GET", f"http://{host}:{port}/_totals")
+    totals: dict[str, int] = json.loads(res.content)
+    return totals
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/berylmast_dev/tests/test_bodies.py
@@ -0,0 +1,96 @@
+"""Guards against daemons that hold whole bodies; runs real processes."""
+
+from collections.abc import AsyncIterator
+
+import anyio
+import pytest
+
+from .._bench import HOST_NAME, Pair, run_pair
+from ..bench_bodies import read_slowly, read_totals, run_beside, upload_body
+from ..fleet import control_backend
+
+pytestmark = pytest.mark.anyio
+
+BULK_BYTES = 50 << 20
+GROWTH_KIB = 12 * 1024
+"""Memory that a daemon may add during a bulk transfer; far below BULK_BYTES."""
+SMALL_RATE = 50.0
+SMALL_P99_US = 500_000
+"""Far below the time of a bulk transfer, so that small requests do not wait for one."""
+
+
+@pytest.fixture(scope="module")
+def anyio_backend() -> tuple[str, dict[str, bool]]:
+    return ("asyncio", {"use_uvloop": True})
+
+
+@pytest.fixture(scope="module")
+async def pair(anyio_backend: object) -> AsyncIterator[Pair]:
+    async with run_pair(mean_ms=1.0) as running:
+        await run_beside(running, SMALL_RATE, 0.5, None)
+        yield running
+
+
+def read_memory(pair: Pair) -> list[int]:
+    return [pair.read_usage(member).peak_kib for member in (pair.entry, pair.owner)]
+
+
+def check_growth(pair: Pair, before: list[int]) -> None:
+    growth = [now - old for now, old in zip(read_memory(pair), before, strict=True)]
+    assert max(growth) < GROWTH_KIB, growth
+
+
+@pytest.mark.parametrize("bulk", ["upload", "response"])
+async def test_bulk_stays_out_of_memory_and_of_the_way(pair: Pair, bulk: str) -> None:
+    before = read_memory(pair)
+    done = 0
+
+    async def transfer() -> None:
+        nonlocal done
+        if bulk == "upload":
+            await upload_body(pair, BULK_BYTES)
+        else:
+            read = await read_slowly(pair, BULK_BYTES, 0.0, 30)
+            assert read.read_bytes >= BULK_BYTES
+        done += 1
+
+    result = await run_beside(pair, SMALL_RATE, 3.0, transfer)
+    assert done > 0
+    assert result.outcomes == {}
+    assert result.latencies_us.get_value_at_percentile(99) < SMALL_P99_US
+    check_growth(pair, before)
+
+
+async def test_slow_caller_holds_the_backend_server_back(pair: Pair) -> None:
+    before = read_memory(pair)
+    read = await read_slowly(pair, BULK_BYTES, 0.2, 2.0)
+    # The rest lies in the socket buffers of three connections, a few MB each.
+    assert read.sent_bytes < BULK_BYTES * 3 // 4
+    check_growth(pair, before)
+
+
+@pytest.mark.parametrize(
+    "request_bytes",
+    [
+        b"GET / HTTP/1.1\r\nhost: %b\r\n\r\n",
+        b"PUT / HTTP/1.1\r\nhost: %b\r\ncontent-length: 9\r\n\r\nhalf",
+        b"PUT / HTTP/1.1\r\nhost: %b\r\ncontent-length: 4\r\n\r\nbody",
+        b"PUT / HTTP/1.1\r\nhost: %b\r\ntransfer-encoding: chunked\r\n\r\n"
+        b"4\r\nhalf\r\n",
+    ],
+    ids=["no-body", "half-body", "whole-body", "half-chunked"],
+)
+async def test_disconnect_reaches_the_backend_server(
+    pair: Pair, request_bytes: bytes
+) -> None:
+    before = (await read_totals(pair))["cancelled"]
+    await control_backend(pair.owner, slow=1e6)
+    try:
+        async with await anyio.connect_tcp(*pair.entry.entry) as stream:
+            await stream.send(request_bytes % HOST_NAME.encode())
+            await anyio.sleep(0.3)
+        with anyio.fail_after(3):
+            while (await read_totals(pair))["cancelled"] != before + 1:
+                await anyio.sleep(0.05)
+    finally:
+        await control_backend(pair.owner, slow=1.0)
