--- a/src/berylmast/backends/dispatch.py
+++ b/src/berylmast/backends/dispatch.py
@@ -4,14 +4,41 @@
 from dataclasses import replace
 
 import anyio
-from anyio.abc import ObjectReceiveStream, ObjectSendStream, TaskGroup
 
 from ..daemons import Exchange, ExchangeLost
-from ..daemons.frames import Body, Continue, End, Fail, Frame, Refuse, Reset, Response
+from ..daemons.frames import Body, Continue, End, Fail, Refuse, Response
 from ..errors import ErrorKind
-from ..model import LoadReport, RequestHead
+from ..model import Headers, LoadReport, RequestHead
 from .client import BackendAnswer, BackendClient, BackendCut, BackendUnreachable
 
+# RFC 9110 section 6.5.1: fields that frame, route or authorise a message are not taken
+# from trailers.
+_NOT_IN_TRAILERS = frozenset(
+    {
+        b"authorization",
+        b"connection",
+        b"content-encoding",
+        b"content-length",
+        b"content-type",
+        b"expect",
+        b"host",
+        b"idempotency-key",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+
+
+def select_trailers(trailers: Headers) -> list[tuple[bytes, bytes]]:
+    """Return the trailers that are forwarded."""
+    return [(k, v) for k, v in trailers if k.lower() not in _NOT_IN_TRAILERS]
+
+
+class RequestCut(Exception):
+    """The entry ended the request's body without an End frame."""
+
 
 async def dispatch_request(
     exchange: Exchange,
@@ -27,51 +54,46 @@
     """
     ok = False
 
-    async def run_and_stop() -> None:
-        nonlocal ok
-        ok = await _dispatch(exchange, head, body, client, report)
+    async def cancel_on_reset() -> None:
+        await exchange.wait_reset()
         tg.cancel_scope.cancel()
 
     async with anyio.create_task_group() as tg:
-        body_in, body = anyio.create_memory_object_stream[Frame](0)
-        tg.start_soon(_read_frames, exchange, body_in, tg)
-        tg.start_soon(run_and_stop)
+        tg.start_soon(cancel_on_reset)
+        try:
+            ok = await _dispatch(exchange, head, client, report)
+        except (ExchangeLost, RequestCut):
+            # Nobody is left to answer; leaving the client cancels the request.
+            ok = False
+        tg.cancel_scope.cancel()
     return ok
 
 
-async def _read_frames(
-    exchange: Exchange, body_in: ObjectSendStream[Frame], tg: TaskGroup
-) -> None:
-    try:
-        while True:
-            frame = await exchange.receive()
-            if isinstance(frame, Reset):
-                break
-            await body_in.send(frame)
-    except ExchangeLost:
-        pass
-    tg.cancel_scope.cancel()
+async def _iterate_body(
+    exchange: Exchange, trailers: list[tuple[bytes, bytes]]
+) -> AsyncIterator[bytes]:
+    while True:
+        frame = await exchange.receive()
+        if isinstance(frame, End):
+            trailers.extend(select_trailers(frame.trailers))
+            return
+        if not isinstance(frame, Body):
+            raise RequestCut
+        yield frame.data
 
 
 async def _dispatch(
     exchange: Exchange,
     head: RequestHead,
-    body: ObjectReceiveStream[Frame],
     client: BackendClient,
     report: Callable[[], LoadReport],
 ) -> bool:
-    async def iterate_body() -> AsyncIterator[bytes]:
-        async for frame in body:
-            if isinstance(frame, End):
-                return
-            if isinstance(frame, Body):
-                yield frame.data
-
     await exchange.send(Continue(exchange.id))
-    content = iterate_body() if head.has_body else None
+    trailers: list[tuple[bytes, bytes]] = []
+    content = _iterate_body(exchange, trailers) if head.has_body else None
     try:
         async with client.send(
-            head.method, head.target, head.headers, content
+            head.method, head.target, head.headers, content, lambda: trailers
         ) as answer:
             await _send_answer(exchange, answer, report)
         return answer.status < 500
@@ -95,4 +117,4 @@
     load = report()
     # This request still holds its slot, but it is over for the entry.
     load = replace(load, in_flight=max(0, load.in_flight - 1))
-    await exchange.send(End(exchange.id, load=load))
+    await exchange.send(End(exchange.id, select_trailers(answer.trailers), load))
--- a/src/berylmast/backends/recorder.py
+++ b/src/berylmast/backends/recorder.py
@@ -62,6 +62,14 @@
             self._request_whole = True
         return frame
 
+    async def wait_reset(self) -> None:
+        """Wait until the entry gives up; if the attempt outlives a lost connection,
+        only a Reset counts, and ``receive`` reports a request that was not whole.
+        """
+        await self._inner.wait_reset()
+        if self._outlives and not self._inner.was_reset:
+            await anyio.sleep_forever()
+
     def _record(self, frame: Frame) -> None:
         match frame:
             case Response():
--- a/src/berylmast/callers/attempt.py
+++ b/src/berylmast/callers/attempt.py
@@ -10,7 +10,7 @@
 from ..errors import ErrorKind, Refusal
 from ..model import AttemptResult, Endpoint, Headers
 from ..routing import Router
-from .body import CallerBody, CallerDisconnected
+from .body import CallerBody
 from .classify import Classified
 from .context import AnswerSink, Forwarder, Trace
 from .outcome import query_outcome, refuse_after_dispatch
@@ -102,14 +102,11 @@
     except ExchangeLost:
         return Err(Refusal(ErrorKind.PEER_UNREACHABLE, "the stream to the owner ended"))
     trace.may_have_run = True
-    result: Result[None, Refusal] | None = Err(
-        Refusal(ErrorKind.BODY_CUT, "the caller left before its body was whole")
-    )
+    result: Result[None, Refusal] | None = None
     async with anyio.create_task_group() as tg:
 
         def start_body() -> None:
-            trace.body_spent = trace.body_spent or not body.eager
-            tg.start_soon(_send_body, body, exchange, tg.cancel_scope)
+            tg.start_soon(body.send_to, exchange)
 
         if req.head.has_body and body.eager:
             start_body()
@@ -124,18 +121,6 @@
     return result
 
 
-async def _send_body(
-    body: CallerBody, exchange: Exchange, scope: anyio.CancelScope
-) -> None:
-    try:
-        await body.send_to(exchange)
-    except CallerDisconnected:
-        scope.cancel()
-    except ExchangeLost:
-        # The receiving side notices as well, and still reads the frames that arrived.
-        pass
-
-
 async def _receive_answer(
     router: Router,
     exchange: Exchange,
--- a/src/berylmast/callers/context.py
+++ b/src/berylmast/callers/context.py
@@ -14,12 +14,14 @@
 
 
 class AnswerSink(Protocol):
-    """Takes the backend server's answer; ``started`` once its head is out.
+    """Takes the backend server's answer.
 
-    ``status`` is that of the head, ``body_bytes`` counts what has passed of the body.
+    ``started`` once its head is out, ``finished`` once it is whole. ``status`` is that
+    of the head, ``body_bytes`` counts what has passed of the body.
     """
 
     started: bool
+    finished: bool
     status: int
     body_bytes: int
 
@@ -52,12 +54,10 @@
     """What happened to one request.
 
     ``may_have_run`` holds while some attempt was sent and is not proved not to have
-    run; ``body_spent`` once a body that is not kept was handed on; ``answered`` once
-    the whole answer is with the caller.
+    run; ``answered`` once the whole answer is with the caller.
     """
 
     backend: str = ""
     attempts: int = 0
     may_have_run: bool = False
-    body_spent: bool = False
     answered: bool = False
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -112,15 +112,13 @@
         refusal = result.unwrap_err()
         if verdict is None or verdict.not_run:
             verdict = refusal
-        if answer.started or not _may_retry(req, refusal, trace):
+        if answer.started or not _may_retry(req, refusal, body):
             break
     return Err(verdict or Refusal(ErrorKind.NO_BACKEND, "no attempt was possible"))
 
 
-def _may_retry(req: Classified, refusal: Refusal, trace: Trace) -> bool:
+def _may_retry(req: Classified, refusal: Refusal, body: CallerBody) -> bool:
     """Tell whether another attempt is safe: a retried call is not retried again."""
-    if req.head.retry or trace.body_spent:
-        return False
-    if refusal.kind is ErrorKind.BODY_CUT:
+    if req.head.retry or not body.resendable:
         return False
     return refusal.not_run or req.head.idempotent
--- a/src/berylmast/callers/kept.py
+++ b/src/berylmast/callers/kept.py
@@ -14,6 +14,7 @@
 
     def __init__(self, answer: AnswerSink) -> None:
         self.started = False
+        self.finished = False
         self.status = 0
         self.body_bytes = 0
         self.kept: KeptAnswer | None = None
@@ -45,4 +46,5 @@
         """Pass the end on; only a whole answer is kept."""
         if self._small:
             self.kept = KeptAnswer(self.status, self._headers, bytes(self._body))
+        self.finished = True
         await self._answer.finish()
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -17,7 +17,14 @@
 from .callers import make_app
 from .callers.forward import Forwarder
 from .callers.leaving import close_connections
-from .daemons import Exchange, Identity, PeerListener, PeerPool, connect_exchanges
+from .daemons import (
+    Exchange,
+    ExchangeLost,
+    Identity,
+    PeerListener,
+    PeerPool,
+    connect_exchanges,
+)
 from .daemons.frames import OpeningFrame
 from .lifecycle import LeaveReason, Lifecycle
 from .limits import AdmissionController, RetryBudget
@@ -79,7 +86,9 @@
         tg.start_soon(follow_platform, client, directory, cfg.environment)
         app = make_app(directory, cfg.limits, forwarder, sight)
         callers = make_server(
-            close_connections(app, lambda: lifecycle.stopping), cfg.callers
+            close_connections(app, lambda: lifecycle.stopping),
+            cfg.callers,
+            cfg.limits,
         )
         admin = make_server(
             make_daemon_admin(sight, lifecycle, admission, router.summarise), cfg.admin
@@ -205,13 +214,21 @@
         assert isinstance(frame, OpeningFrame)
         try:
             await owner.accept(owner_side, frame)
+        except ExchangeLost:
+            pass
         finally:
             entry_side.lose()
 
+    lost: ExchangeLost | None = None
     async with anyio.create_task_group() as tg:
         tg.start_soon(accept)
         try:
             yield entry_side
+        except ExchangeLost as exc:
+            # Raised here, it would reach the caller inside an ExceptionGroup.
+            lost = exc
         finally:
             owner_side.lose()
             entry_side.discard()
+    if lost is not None:
+        raise lost
--- a/src/berylmast/tests/test_errors.py
+++ b/src/berylmast/tests/test_errors.py
@@ -11,6 +11,7 @@
 
 # Kinds of an end after dispatch, or whose time of dispatch is not known.
 MAY_HAVE_RUN = {
+    ErrorKind.BODY_TOO_LARGE_UNKNOWN,
     ErrorKind.BODY_CUT,
     ErrorKind.DEADLINE_UNKNOWN,
     ErrorKind.PEER_LOST,
--- a/src/berylmast_dev/backend.py
+++ b/src/berylmast_dev/backend.py
@@ -7,14 +7,18 @@
 import anyio
 from cyclopts import App
 
-from ._http import read_body, send_json, serve_app
+from ._http import count_body, read_body, send_json, serve_app
+
+_PART_BYTES = 64 * 1024
 
 
 class Backend:
     """Runs each request for a drawn service time within a number of slots.
 
     ``/_control`` takes JSON: ``slow`` multiplies the service time, ``fail`` answers 500
-    at once. ``/_ledger`` lists the request ids that ran, in order.
+    at once. ``/_ledger`` lists the request ids that ran, in order; ``/_totals``
+    gives the body bytes sent and the number of requests whose connection was closed. A
+    request may ask for a longer answer with the header ``x-answer-bytes``.
     """
 
     def __init__(self, *, slots: int, mean_ms: float, answer_bytes: int) -> None:
@@ -25,6 +29,8 @@
         self._ledger: list[str] = []
         self._slow = 1.0
         self._fail = False
+        self._sent_bytes = 0
+        self._cancelled = 0
 
     async def app(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Serve requests over ASGI."""
@@ -35,26 +41,49 @@
             await send_json(send, 200, control)
         elif scope["path"] == "/_ledger":
             await send_json(send, 200, self._ledger)
+        elif scope["path"] == "/_totals":
+            totals = {"sent_bytes": self._sent_bytes, "cancelled": self._cancelled}
+            await send_json(send, 200, totals)
         else:
             await self._run(scope, receive, send)
 
     async def _run(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         request_id = dict(scope["headers"]).get(b"x-request-id", b"").decode()
         self._ledger.append(request_id)
-        body = await read_body(receive)
+        body_bytes = await count_body(receive)
         if self._fail:
             await send_json(send, 500, {"error": "failing fast"})
             return
         async with self._slots:
             # Gamma with shape 4: service times vary, but not without bound.
             drawn_s = self._rng.gammavariate(4, self._mean_s / 4)
-            await anyio.sleep(drawn_s * self._slow)
+            if body_bytes < 0 or await self._wait(drawn_s * self._slow, receive):
+                self._cancelled += 1
+                return
+        wanted = dict(scope["headers"]).get(b"x-answer-bytes")
+        size = int(wanted) if wanted is not None else len(self._answer)
         headers = [
-            (b"content-length", str(len(self._answer)).encode()),
-            (b"x-body-bytes", str(len(body)).encode()),
+            (b"content-length", str(size).encode()),
+            (b"x-body-bytes", str(body_bytes).encode()),
         ]
         await send({"type": "http.response.start", "status": 200, "headers": headers})
-        await send({"type": "http.response.body", "body": self._answer})
+        if wanted is None:
+            await send({"type": "http.response.body", "body": self._answer})
+            return
+        while size > 0:
+            part = b"x" * min(size, _PART_BYTES)
+            await send({"type": "http.response.body", "body": part, "more_body": True})
+            size -= len(part)
+            self._sent_bytes += len(part)
+        await send({"type": "http.response.body", "body": b""})
+
+    async def _wait(self, seconds: float, receive: Any) -> bool:
+        """Wait for the service time; True if the request was cancelled meanwhile."""
+        with anyio.move_on_after(seconds):
+            while True:
+                if (await receive())["type"] == "http.disconnect":
+                    return True
+        return False
 
 
 cli = App(name="backend", help=__doc__)
