--- a/src/berylmast/routing/ejection.py
+++ b/src/berylmast/routing/ejection.py
@@ -1,7 +1,7 @@
 """Ejection of backend servers that answer with errors, and their readmission."""
 
 from collections import deque
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
 
 MAX_CONSECUTIVE_ERRORS = 5
@@ -115,6 +115,16 @@
         record.trial_running = True
         record.next_trial_s = now_s + MAX_TRIAL_WAIT_S
 
+    def start_due_trial(
+        self, backends: Iterable[str], idempotent: bool, now_s: float
+    ) -> str | None:
+        """Start the trial of the first for which one is due; None if there is none."""
+        for backend in backends:
+            if self.is_trial_due(backend, now_s, idempotent=idempotent):
+                self.start_trial(backend, now_s)
+                return backend
+        return None
+
     def forget(self, backend: str) -> None:
         """Drop the record of a backend server that restarted."""
         self._records.pop(backend, None)
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -72,32 +72,17 @@
         that is not ``idempotent`` is a trial only if no other came for some time.
         """
         now_s = anyio.current_time()
-        if not exclude:  # Retries are not requests: they earn no probes.
-            self.probe_budget.record_call(service.budgets)
-        self._called[service.service] = now_s
-        if now_s - self._pruned_s >= PRUNE_INTERVAL_S:
-            self._prune(now_s)
+        self._note_call(service, now_s, first=not exclude)
         groups = group_by_region(self._find_ready(service.service, now_s))
-        refusal = Refusal(
-            ErrorKind.NO_BACKEND, f"no backend server of {service.service}"
-        )
+        kind, detail = ErrorKind.NO_BACKEND, f"no backend server of {service.service}"
         last_resort: Endpoint | None = None
-        order = order_regions(
-            list(groups),
-            self._region,
-            service.weights_at(self._unix_time()),
-            self._rng,
-        )
-        for region in order:
+        for region in self._order_regions(groups, service):
             left = [e for e in groups[region] if e.backend not in exclude]
             if not left:
                 continue
-            if region != self._region and not self._link_has_room(
-                service, body_bytes, now_s
-            ):
-                refusal = Refusal(
-                    ErrorKind.LINK_BUDGET, f"the link to {region} has no budget left"
-                )
+            if not self._can_reach(region, service, body_bytes, now_s):
+                kind = ErrorKind.LINK_BUDGET
+                detail = f"the link to {region} has no budget left"
                 continue
             chosen = self._choose_in(service, groups[region], left, idempotent, now_s)
             if chosen is not None:
@@ -105,7 +90,7 @@
             last_resort = last_resort or self._rng.choice(left)
         if last_resort is not None:
             return self._accept(last_resort)
-        return Err(refusal)
+        return Err(Refusal(kind, detail))
 
     def record_start(self, backend: str, body_bytes: int = 0) -> None:
         """Count a request that this entry sends to a backend server."""
@@ -178,10 +163,12 @@
     def _find_probed(self, service: str) -> list[Endpoint]:
         """Return the endpoints of the regions that calls normally reach."""
         found = self._directory.service(service)
-        weights = found.weights_at(self._unix_time()) if found is not None else {}
+        if found is None:
+            return []
         groups = group_by_region(self._directory.endpoints(service))
-        order = order_regions(list(groups), self._region, weights, self._rng)
-        regions = order if weights else order[:1]
+        regions = self._order_regions(groups, found)
+        if not found.weights_at(self._unix_time()):
+            regions = regions[:1]
         return [endpoint for region in regions for endpoint in groups[region]]
 
     def _find_ready(self, service: str, now_s: float) -> list[Endpoint]:
@@ -191,9 +178,25 @@
             self._loads.forgive(backend)
         return [e for e in endpoints if not self._loads.is_draining(e)]
 
-    def _link_has_room(
-        self, service: ServiceSlice, body_bytes: int, now_s: float
+    def _note_call(self, service: ServiceSlice, now_s: float, *, first: bool) -> None:
+        self._called[service.service] = now_s
+        if first:  # Retries are not requests: they earn no probes.
+            self.probe_budget.record_call(service.budgets)
+        if now_s - self._pruned_s >= PRUNE_INTERVAL_S:
+            self._prune(now_s)
+
+    def _order_regions(
+        self, groups: Collection[str], service: ServiceSlice
+    ) -> list[str]:
+        weights = service.weights_at(self._unix_time())
+        return order_regions(list(groups), self._region, weights, self._rng)
+
+    def _can_reach(
+        self, region: str, service: ServiceSlice, body_bytes: int, now_s: float
     ) -> bool:
+        """Tell whether a region is local or the link to it has budget left."""
+        if region == self._region:
+            return True
         return self.link_budget.has_room(
             service.service, body_bytes, service.budgets.link_bytes_per_s, now_s
         )
@@ -215,9 +218,10 @@
         if service.ejection:
             ejected = self._ejections.find_ejected({e.backend for e in group})
         if ejected:
-            trial = self._start_trial(left, ejected, idempotent, now_s)
+            by_name = {e.backend: e for e in left if e.backend in ejected}
+            trial = self._ejections.start_due_trial(by_name, idempotent, now_s)
             if trial is not None:
-                return trial
+                return by_name[trial]
         usable = [e for e in left if e.backend not in ejected]
         sample = sample_endpoints(usable, self._failure_domain, self._rng)
         candidates = self._limit_new(
@@ -228,22 +232,6 @@
         preferred = prefer_domain(candidates, self._failure_domain)
         return POLICIES[service.policy](preferred, self._rng).endpoint
 
-    def _start_trial(
-        self,
-        left: Sequence[Endpoint],
-        ejected: Collection[str],
-        idempotent: bool,
-        now_s: float,
-    ) -> Endpoint | None:
-        for endpoint in left:
-            backend = endpoint.backend
-            if backend in ejected and self._ejections.is_trial_due(
-                backend, now_s, idempotent=idempotent
-            ):
-                self._ejections.start_trial(backend, now_s)
-                return endpoint
-        return None
-
     def _limit_new(
         self, candidates: Sequence[Candidate], now_s: float
     ) -> Sequence[Candidate]:
