--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -67,9 +67,11 @@
             retries=RetryBudget(),
             open_exchange=_make_opener(pool, owner, cfg.daemon_id),
             next_attempt=_make_attempts(identity),
+            endpoints=directory.endpoints,
         )
         listener = PeerListener(cfg.peers, identity, owner.accept if owner else None)
-        if admission is not None:
+        if admission is not None and owner is not None:
+            await tg.start(owner.run)
             await tg.start(listener.run)
             lifecycle.add_listener(_make_leave_listener(admission, listener))
             tg.start_soon(announce_endpoint, client, _make_endpoint(cfg, identity))
@@ -85,7 +87,10 @@
         tg.start_soon(admin.serve)
         log_event("started", daemon=cfg.daemon_id, callers=cfg.callers)
         await serve_until_signal(
-            callers, lifecycle, cfg.drain, lambda: listener.open_exchanges
+            callers,
+            lifecycle,
+            cfg.drain,
+            _make_request_counter(listener, admission),
         )
         log_event("stopped", daemon=cfg.daemon_id)
         tg.cancel_scope.cancel()
@@ -114,6 +119,18 @@
     return Owner(admission, AttemptLedger(), BackendClient(cfg.backend, 260))
 
 
+def _make_request_counter(
+    listener: PeerListener, admission: AdmissionController | None
+) -> Callable[[], int]:
+    """Count requests of other daemons, also those whose connection has ended."""
+
+    def count_requests() -> int:
+        running = 0 if admission is None else admission.report().in_flight
+        return max(running, listener.open_exchanges)
+
+    return count_requests
+
+
 def _make_leave_listener(
     admission: AdmissionController, listener: PeerListener
 ) -> Callable[[bool], None]:
@@ -172,14 +189,14 @@
 ) -> Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]:
     def open_exchange(endpoint: Endpoint) -> AbstractAsyncContextManager[Exchange]:
         if owner is not None and endpoint.backend == daemon_id:
-            return _open_local(owner)
+            return open_local(owner)
         return pool.exchange(endpoint)
 
     return open_exchange
 
 
 @asynccontextmanager
-async def _open_local(owner: Owner) -> AsyncIterator[Exchange]:
+async def open_local(owner: Owner) -> AsyncIterator[Exchange]:
     """Serve the local backend server without a socket."""
     entry_side, owner_side = connect_exchanges()
 
--- a/src/berylmast/routing/tests/test_forward.py
+++ b/src/berylmast/routing/tests/test_forward.py
@@ -93,7 +93,9 @@
             tg.start_soon(answer)
             yield entry_side
 
-    forwarder = Forwarder(router, RetryBudget(), open_exchange, lambda: ATTEMPT)
+    forwarder = Forwarder(
+        router, RetryBudget(), open_exchange, lambda: ATTEMPT, lambda service: []
+    )
     with anyio.fail_after(5):
         await forward_request(
             forwarder,
