Count a deadline that passes during an attempt against its backend server

Cause: since the deadline cancels the attempt, a silent backend server looked like a caller that left, which counts as neither success nor error. Change: an attempt cancelled at its deadline is reported to the router as deadline-unknown.

--- a/src/berylmast/callers/attempt.py
+++ b/src/berylmast/callers/attempt.py
@@ -46,14 +46,19 @@
             trace.may_have_run = before
     finally:
         error = result.unwrap_err() if result.is_err() else None
+        latency_s = anyio.current_time() - started_s
+        kind = None if error is None else error.kind
+        # The deadline cancels as a leaving caller does, but it counts as an error.
+        if kind is ErrorKind.CANCELLED and latency_s * 1000 >= req.head.deadline_ms:
+            kind = ErrorKind.DEADLINE_UNKNOWN
         router.record_result(
             endpoint.backend,
             AttemptResult(
                 ok=error is None,
                 refused=error is not None and error.not_run,
-                latency_s=anyio.current_time() - started_s,
+                latency_s=latency_s,
                 status=answer.status if answer.started else None,
-                kind=None if error is None else error.kind,
+                kind=kind,
                 sent_bytes=body.read_bytes,
                 answer_bytes=answer.body_bytes,
             ),
