--- a/src/berylmast/routing/tests/test_forward.py
+++ b/src/berylmast/routing/tests/test_forward.py
@@ -140,7 +140,7 @@
 
 
 async def test_silent_backend_server_counts_as_an_error_at_the_deadline() -> None:
-    """Counted as a caller that left, it would get a request from each entry for ever."""
+    """Counted as a caller that left, it would get requests for ever."""
     results, _ = await run_attempt([])
     (result,) = results
     assert (result.ok, result.kind) == (False, ErrorKind.DEADLINE_UNKNOWN)
--- a/src/berylmast_dev/bench_routing.py
+++ b/src/berylmast_dev/bench_routing.py
@@ -188,9 +188,9 @@
     anyio.run(_run, baseline_ejection, domains, names, backend_options=options)
 
 
-async def _apply(fleet: Fleet, path: Path, policy: str, ejection: bool) -> None:
-    path.write_text(make_document(policy, ejection))
-    await anyio.to_thread.run_sync(fleet.apply_document, path)
+async def _apply(fleet: Fleet, path: Path, document: str, base: int) -> None:
+    path.write_text(document)
+    await anyio.to_thread.run_sync(fleet.apply_document, path, base)
     # Longer than the interval at which daemons ask the platform for a new document.
     await anyio.sleep(1.0)
 
@@ -211,7 +211,8 @@
                 runs = []
                 for policy in policies:
                     ejection = baseline_ejection or policy == CHOSEN
-                    await _apply(fleet, path, policy, ejection)
+                    document = make_document(policy, ejection)
+                    await _apply(fleet, path, document, base=number + 1)
                     # Each run has another victim: nothing is left over from the last.
                     victim = members[number % SERVERS]
                     runs.append(
--- a/src/berylmast_dev/fleet.py
+++ b/src/berylmast_dev/fleet.py
@@ -120,8 +120,8 @@
             f"daemon-{member.name}", "berylmast.bin.berylmastd", str(path)
         )
 
-    def apply_document(self, path: Path) -> None:
-        """Store a document through the operators' command line."""
+    def apply_document(self, path: Path, base: int = 0) -> None:
+        """Store a document through the operators' command line, on version ``base``."""
         subprocess.run(
             [
                 sys.executable,
@@ -131,7 +131,7 @@
                 str(path),
                 "--environment=demo",
                 f"--platform={HOST}:{self.platform_port}",
-                "--base=0",
+                f"--base={base}",
             ],
             check=True,
         )
