Limit, prioritise and shed requests in a flood

The owner admitted by slots alone: every waiter woke up and raced for one slot, and a flood of browsing shared the slots with orders. A request before the service's slice was known ended in an assertion, and answers of 5xx counted as successes.

The concurrency limit now follows latency and errors, each priority has a floor of slot time, tenants of one priority take turns, and a full queue drops who is entitled to least. Entries shed what the owners refuse, per service, priority and tenant group. Retries have a budget per service and priority. A caller that leaves frees its place in the queue, and waiting counts against the deadline of the dispatch.

--- a/src/berylmast/backends/dispatch.py
+++ b/src/berylmast/backends/dispatch.py
@@ -1,6 +1,7 @@
 """Sends one admitted request to the backend server and streams its answer back."""
 
 from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass
 
 import anyio
 from anyio.abc import ObjectReceiveStream, ObjectSendStream, TaskGroup
@@ -12,29 +13,47 @@
 from .client import BackendAnswer, BackendClient, BackendCut, BackendUnreachable
 
 
+@dataclass(slots=True)
+class DispatchEnd:
+    """What the backend server did with one request, filled in as it proceeds.
+
+    ``status`` is None without an answer. ``answer_s`` is the time in seconds from the
+    end of the request's body to the head of the answer. ``done`` is False if the entry
+    gave up first.
+    """
+
+    status: int | None = None
+    answer_s: float | None = None
+    done: bool = False
+
+    @property
+    def ok(self) -> bool:
+        """Tell whether the answer was whole and is no server error."""
+        return self.done and self.status is not None and self.status < 500
+
+
 async def dispatch_request(
     exchange: Exchange,
     head: RequestHead,
     client: BackendClient,
     report: Callable[[], LoadReport],
-) -> bool:
+    end: DispatchEnd,
+) -> None:
     """Run a request until its answer is whole or the entry gives up.
 
-    Returns whether the backend server answered. Sends ``Refuse`` if nothing reached the
+    Fills in ``end``, also when cancelled. Sends ``Refuse`` if nothing reached the
     backend server, ``Fail`` if the request may have run.
     """
-    ok = False
 
     async def run_and_stop() -> None:
-        nonlocal ok
-        ok = await _dispatch(exchange, head, body, client, report)
+        await _dispatch(exchange, head, body, client, report, end)
+        end.done = True
         tg.cancel_scope.cancel()
 
     async with anyio.create_task_group() as tg:
         body_in, body = anyio.create_memory_object_stream[Frame](0)
         tg.start_soon(_read_frames, exchange, body_in, tg)
         tg.start_soon(run_and_stop)
-    return ok
 
 
 async def _read_frames(
@@ -57,10 +76,15 @@
     body: ObjectReceiveStream[Frame],
     client: BackendClient,
     report: Callable[[], LoadReport],
-) -> bool:
+    end: DispatchEnd,
+) -> None:
+    sent_s = anyio.current_time()
+
     async def iterate_body() -> AsyncIterator[bytes]:
+        nonlocal sent_s
         async for frame in body:
             if isinstance(frame, End):
+                sent_s = anyio.current_time()
                 return
             if isinstance(frame, Body):
                 yield frame.data
@@ -71,8 +95,9 @@
         async with client.send(
             head.method, head.target, head.headers, content
         ) as answer:
+            end.answer_s = anyio.current_time() - sent_s
             await _send_answer(exchange, answer, report())
-        return True
+            end.status = answer.status
     except BackendUnreachable as exc:
         await exchange.send(
             Refuse(exchange.id, ErrorKind.BACKEND_UNREACHABLE, str(exc), report())
@@ -81,7 +106,6 @@
         await exchange.send(
             Fail(exchange.id, ErrorKind.BACKEND_CUT, str(exc), report())
         )
-    return False
 
 
 async def _send_answer(
--- a/src/berylmast/backends/owner.py
+++ b/src/berylmast/backends/owner.py
@@ -1,6 +1,7 @@
 """Runs the requests that entries send to the local backend server."""
 
 import anyio
+from result import Result
 
 from ..daemons import Exchange
 from ..daemons.frames import (
@@ -12,11 +13,11 @@
     Refuse,
     Request,
 )
-from ..errors import ErrorKind
-from ..limits import AdmissionController
+from ..errors import ErrorKind, Refusal
+from ..limits import AdmissionController, Permit
 from ..model import AttemptResult, RequestHead
 from .client import BackendClient
-from .dispatch import dispatch_request
+from .dispatch import DispatchEnd, dispatch_request
 from .ledger import AttemptLedger
 
 
@@ -49,18 +50,51 @@
                 exchange, ErrorKind.ATTEMPT_REVOKED, "attempt id already used"
             )
             return
-        permit = await self._admission.acquire(head)
-        if permit.is_err():
-            refusal = permit.unwrap_err()
+        arrived_s = anyio.current_time()
+        admitted = await self._admit(exchange, head)
+        if admitted is None:
+            self._ledger.finish(head.attempt)
+            return
+        if admitted.is_err():
+            refusal = admitted.unwrap_err()
             self._ledger.finish(head.attempt)
             await self._refuse(exchange, refusal.kind, refusal.detail)
             return
+        await self._run(
+            exchange, head, admitted.unwrap(), arrived_s + head.deadline_ms / 1000
+        )
+
+    async def _admit(
+        self, exchange: Exchange, head: RequestHead
+    ) -> Result[Permit, Refusal] | None:
+        """Wait for admission; None if the entry gave up meanwhile."""
+        admitted: Result[Permit, Refusal] | None = None
+
+        async def stop_when_abandoned() -> None:
+            await exchange.abandoned.wait()
+            tg.cancel_scope.cancel()
+
+        try:
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(stop_when_abandoned)
+                admitted = await self._admission.acquire(head)
+                tg.cancel_scope.cancel()
+        except anyio.get_cancelled_exc_class():
+            # Cancelled from outside after the grant: nobody else holds the permit.
+            if admitted is not None and admitted.is_ok():
+                admitted.unwrap().release(None)
+            raise
+        return admitted
+
+    async def _run(
+        self, exchange: Exchange, head: RequestHead, permit: Permit, deadline_s: float
+    ) -> None:
         started_s = anyio.current_time()
-        ok = False
+        end = DispatchEnd()
         try:
-            with anyio.move_on_after(head.deadline_ms / 1000) as scope:
-                ok = await dispatch_request(
-                    exchange, head, self._client, self._admission.report
+            with anyio.move_on_after(deadline_s - started_s) as scope:
+                await dispatch_request(
+                    exchange, head, self._client, self._admission.report, end
                 )
             if scope.cancelled_caught:
                 await self._fail(
@@ -68,7 +102,11 @@
                 )
         finally:
             latency_s = anyio.current_time() - started_s
-            permit.unwrap().release(AttemptResult(ok, False, latency_s))
+            permit.release(
+                AttemptResult(
+                    end.ok, False, latency_s, end.answer_s, cut_short=not end.done
+                )
+            )
             self._ledger.finish(head.attempt)
 
     async def _refuse(self, exchange: Exchange, kind: ErrorKind, detail: str) -> None:
--- a/src/berylmast/callers/app.py
+++ b/src/berylmast/callers/app.py
@@ -4,8 +4,9 @@
 from typing import Any
 
 import anyio
+from result import Err, Result
 
-from ..errors import Refusal
+from ..errors import ErrorKind, Refusal
 from ..membership import Directory
 from ..settings import LimitSettings
 from ..telemetry import RequestLog, Sight
@@ -40,7 +41,7 @@
         answer = CallerAnswer(send, req.head.request_id)
         body = CallerBody(receive, req.body_bytes)
         trace = Trace()
-        result = await forward_request(forwarder, req, body, answer, trace)
+        result = await _shed_or_forward(forwarder, req, body, answer, trace)
         refusal = result.unwrap_err() if result.is_err() else None
         _record(sight, req, answer, trace, refusal, started_s)
         if refusal is not None:
@@ -51,6 +52,23 @@
     return app
 
 
+async def _shed_or_forward(
+    forwarder: Forwarder,
+    req: Classified,
+    body: CallerBody,
+    answer: CallerAnswer,
+    trace: Trace,
+) -> Result[None, Refusal]:
+    """Refuse locally what the owners would most likely refuse; forward the rest."""
+    head = req.head
+    if not forwarder.shedder.admit(head.service, head.priority, head.tenant):
+        return Err(Refusal(ErrorKind.SHED, "the service refuses this priority"))
+    result = await forward_request(forwarder, req, body, answer, trace)
+    kind = result.unwrap_err().kind if result.is_err() else None
+    forwarder.shedder.record(head.service, head.priority, head.tenant, kind)
+    return result
+
+
 def _record(
     sight: Sight,
     req: Classified,
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -10,7 +10,7 @@
 from ..daemons import ConnectionLost, Exchange, ExchangeLost
 from ..daemons.frames import Body, Continue, End, Fail, Refuse, Request, Reset, Response
 from ..errors import ErrorKind, Refusal
-from ..limits import RetryBudget
+from ..limits import EntryShedder, RetryBudget
 from ..model import AttemptId, AttemptResult, Endpoint
 from ..routing import Router
 from .answer import CallerAnswer
@@ -28,6 +28,7 @@
 
     router: Router
     retries: RetryBudget
+    shedder: EntryShedder
     open_exchange: OpenExchange
     next_attempt: Callable[[], AttemptId]
 
@@ -50,8 +51,9 @@
     """Run attempts until one answers; an error before the answer's head is returned."""
     tried: set[str] = set()
     deadline_s = anyio.current_time() + req.head.deadline_ms / 1000
+    service, priority = req.service.service, req.head.priority
     forwarder.retries.record_first_try(
-        req.service.service, req.service.budgets.retry_ratio
+        service, priority, req.service.budgets.retry_ratio
     )
     last: Result[None, Refusal] | None = None
     while trace.attempts < MAX_ATTEMPTS:
@@ -60,7 +62,7 @@
         )
         if choice.is_err():
             return last or Err(choice.unwrap_err())
-        if tried and not forwarder.retries.try_spend(req.service.service):
+        if tried and not forwarder.retries.try_spend(service, priority):
             break
         endpoint = choice.unwrap()
         tried.add(endpoint.backend)
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -17,7 +17,7 @@
 from .callers.forward import Forwarder
 from .daemons import Exchange, Identity, PeerListener, PeerPool, connect_exchanges
 from .daemons.frames import OpeningFrame
-from .limits import AdmissionController, RetryBudget
+from .limits import DEFAULT_LIMITS, Limits, RetryBudget
 from .membership import Directory
 from .membership.sync import announce_endpoint, follow_platform
 from .model import AttemptId, Endpoint, ServiceSlice
@@ -33,12 +33,12 @@
     return (int(time.time() * 1000) << 16) | int.from_bytes(os.urandom(2))
 
 
-async def run_daemon(cfg: DaemonSettings) -> None:
+async def run_daemon(cfg: DaemonSettings, limits: Limits = DEFAULT_LIMITS) -> None:
     """Run one daemon until SIGTERM or SIGINT."""
     identity = Identity(cfg.daemon_id, make_incarnation())
     directory = Directory()
     sight = Sight(cfg.statsd)
-    owner = _make_owner(cfg, identity, directory)
+    owner = _make_owner(cfg, identity, directory, limits)
     router = Router(
         directory,
         region=cfg.region,
@@ -51,6 +51,7 @@
         forwarder = Forwarder(
             router=router,
             retries=RetryBudget(),
+            shedder=limits.shedder(Random()),
             open_exchange=_make_opener(pool, owner, cfg.daemon_id),
             next_attempt=_make_attempts(identity),
         )
@@ -72,18 +73,16 @@
 
 
 def _make_owner(
-    cfg: DaemonSettings, identity: Identity, directory: Directory
+    cfg: DaemonSettings, identity: Identity, directory: Directory, limits: Limits
 ) -> Owner | None:
     if cfg.backend is None or cfg.service is None:
         return None
     service = cfg.service
 
-    def get_slice() -> ServiceSlice:
-        found = directory.service(service)
-        assert found is not None
-        return found
+    def get_slice() -> ServiceSlice | None:
+        return directory.service(service)
 
-    admission = AdmissionController(cfg.daemon_id, identity.incarnation, get_slice)
+    admission = limits.admission(cfg.daemon_id, identity.incarnation, get_slice)
     return Owner(admission, AttemptLedger(), BackendClient(cfg.backend, 260))
 
 
--- a/src/berylmast/daemons/exchange.py
+++ b/src/berylmast/daemons/exchange.py
@@ -5,7 +5,7 @@
 
 import anyio
 
-from .frames import Body, Credit, Frame
+from .frames import Body, Credit, Frame, Reset
 
 WINDOW_BYTES = 256 * 1024
 """Body bytes that may be under way in each direction of one exchange."""
@@ -34,6 +34,8 @@
     def __init__(self, exchange_id: int, write: Callable[[Frame], None]) -> None:
         self.id = exchange_id
         self.lost = False
+        self.abandoned = anyio.Event()
+        """Set when the peer resets the exchange or the connection ends."""
         self._write = write
         self._inbox_in, self._inbox = anyio.create_memory_object_stream[Frame](math.inf)
         self._credit = WINDOW_BYTES
@@ -85,6 +87,8 @@
 
         Raises WindowExceeded if the peer ignores flow control.
         """
+        if isinstance(frame, Reset):
+            self.abandoned.set()
         if isinstance(frame, Credit):
             self._credit += frame.size
             self._wake_sender()
@@ -101,6 +105,7 @@
         if self.lost:
             return
         self.lost = True
+        self.abandoned.set()
         self._inbox_in.close()
         self._wake_sender()
 
--- a/src/berylmast/limits/admission.py
+++ b/src/berylmast/limits/admission.py
@@ -7,82 +7,207 @@
 
 from ..errors import ErrorKind, Refusal
 from ..model import AttemptResult, LoadReport, RequestHead, ServiceSlice
-
-MAX_QUEUE_WAIT_S = 0.25
-"""Longest wait for a slot; beyond it another backend server serves sooner."""
-
-_LATENCY_WEIGHT = 0.1
-_ERROR_WEIGHT = 0.1
+from .concurrency import AdaptiveLimit
+from .estimate import MovingEstimate
+from .floors import PriorityClass
+from .tenants import Waiter
+from .waiting import WaitingRoom
 
 
 class Permit:
     """The right to send one request to the backend server; released exactly once."""
 
-    def __init__(self, release: Callable[[AttemptResult], None]) -> None:
-        self._release: Callable[[AttemptResult], None] | None = release
+    def __init__(self, release: Callable[[AttemptResult | None], None]) -> None:
+        self._release: Callable[[AttemptResult | None], None] | None = release
+
+    def release(self, result: AttemptResult | None) -> None:
+        """Give the slot back and count the result; later calls do nothing.
 
-    def release(self, result: AttemptResult) -> None:
-        """Give the slot back and count the result; later calls do nothing."""
+        None: the request was never sent.
+        """
         if self._release is not None:
             release, self._release = self._release, None
             release(result)
 
 
 class AdmissionController:
-    """Counts requests in flight and admits new ones within the slots."""
+    """Decides which requests run now, wait or are refused.
+
+    ``get_slice`` returns the slice in force, None while it is not known yet.
+    """
 
     def __init__(
-        self, backend: str, incarnation: int, get_slice: Callable[[], ServiceSlice]
+        self,
+        backend: str,
+        incarnation: int,
+        get_slice: Callable[[], ServiceSlice | None],
     ) -> None:
         self.draining = False
         self._backend = backend
         self._incarnation = incarnation
         self._get_slice = get_slice
+        self._room = WaitingRoom()
+        self._limit = AdaptiveLimit()
         self._in_flight = 0
-        self._queued = 0
         self._seq = 0
-        self._latency_ms = 0.0
-        self._error_rate = 0.0
-        self._freed = anyio.Event()
+        self._latency_ms = MovingEstimate()
+        self._error_rate = MovingEstimate(start_from_first=False)
 
     async def acquire(self, head: RequestHead) -> Result[Permit, Refusal]:
         """Wait shortly for a slot.
 
-        Refuses while draining, and when no slot frees up before the queue limit or the
-        request's deadline.
+        Refuses at once while draining, without a slice, with a full queue, and when the
+        deadline cannot be met; after a wait, when no slot became free in time. Leaving
+        by cancellation gives the place in the queue back.
         """
+        service = self._get_slice()
         if self.draining:
-            return Err(Refusal(ErrorKind.DRAINING, "the backend server is draining"))
-        self._queued += 1
-        try:
-            with anyio.move_on_after(min(MAX_QUEUE_WAIT_S, head.deadline_ms / 1000)):
-                while self._in_flight >= self._get_slice().slots:
-                    await self._freed.wait()
-                self._in_flight += 1
-                return Ok(Permit(self._release))
-        finally:
-            self._queued -= 1
-        return Err(Refusal(ErrorKind.OVERLOADED, "no slot became free in time"))
-
-    def _release(self, result: AttemptResult) -> None:
-        self._in_flight -= 1
-        latency_ms = result.latency_s * 1000
-        self._latency_ms += _LATENCY_WEIGHT * (latency_ms - self._latency_ms)
-        self._error_rate += _ERROR_WEIGHT * ((not result.ok) - self._error_rate)
-        self._freed.set()
-        self._freed = anyio.Event()
+            return _refuse(ErrorKind.DRAINING, "the backend server is draining")
+        if service is None:
+            return _refuse(ErrorKind.NO_BACKEND, "the service's document is not known")
+        if head.deadline_ms <= 0:
+            return _refuse(ErrorKind.DEADLINE_NOT_RUN, "deadline passed")
+        self._room.adopt_priorities(service.priorities)
+        item = self._room.find_class(head.priority)
+        waiter = Waiter(item.name, head.tenant)
+        self._enqueue(item, waiter, service, head)
+        await self._wait(item, waiter, head)
+        if waiter.refusal is not None:
+            return Err(waiter.refusal)
+        return Ok(self._make_permit(item, waiter, head))
 
     def report(self) -> LoadReport:
         """Return the load of the backend server now."""
         self._seq += 1
+        service = self._get_slice()
         return LoadReport(
             backend=self._backend,
             incarnation=self._incarnation,
             seq=self._seq,
             in_flight=self._in_flight,
-            queued=self._queued,
-            limit=self._get_slice().slots,
-            latency_ms=self._latency_ms,
-            error_rate=self._error_rate,
+            queued=self._room.waiting,
+            limit=0 if service is None else self._limit.get_limit(service.slots),
+            latency_ms=self._latency_ms.value,
+            error_rate=self._error_rate.value,
             draining=self.draining,
         )
+
+    def _enqueue(
+        self,
+        item: PriorityClass,
+        waiter: Waiter,
+        service: ServiceSlice,
+        head: RequestHead,
+    ) -> None:
+        """Queue a request, start what may start, then refuse what has no chance."""
+        now_s = anyio.current_time()
+        limit = self._limit.get_limit(service.slots)
+        self._room.advance(now_s, limit)
+        item.queue.push(waiter)
+        item.note_need(now_s)
+        self._start_waiting(limit, now_s)
+        if waiter.granted:
+            return
+        needed_s = self._room.estimate_wait_s(item, limit) + item.slot_time_s.value
+        if needed_s > head.deadline_ms / 1000:
+            item.queue.remove(waiter)
+            detail = f"about {needed_s:.3f} s needed, {head.deadline_ms} ms remain"
+            _settle(waiter, Refusal(ErrorKind.OVERLOADED, detail))
+            return
+        surplus = self._room.find_surplus(service.slots)
+        if surplus is not None:
+            loser, refusal = surplus
+            self._room.find_class(loser.priority).queue.remove(loser)
+            _settle(loser, refusal)
+
+    async def _wait(
+        self, item: PriorityClass, waiter: Waiter, head: RequestHead
+    ) -> None:
+        """Wait until the request is granted or refused."""
+        if waiter.granted or waiter.refusal is not None:
+            return
+        remaining_s = head.deadline_ms / 1000
+        longest_s = self._room.get_longest_wait_s(item, self._get_limit())
+        try:
+            with anyio.move_on_after(min(longest_s, remaining_s)):
+                await waiter.settled.wait()
+        except anyio.get_cancelled_exc_class():
+            if waiter.granted:
+                self._make_permit(item, waiter, head).release(None)
+            raise
+        finally:
+            item.queue.remove(waiter)
+        if waiter.granted or waiter.refusal is not None:
+            return
+        if remaining_s <= longest_s:
+            refusal = Refusal(ErrorKind.DEADLINE_NOT_RUN, "deadline passed in queue")
+        else:
+            refusal = Refusal(ErrorKind.OVERLOADED, "no slot became free in time")
+        _settle(waiter, refusal)
+
+    def _start_waiting(self, limit: int, now_s: float) -> None:
+        while (waiter := self._room.take_next(limit, now_s)) is not None:
+            self._in_flight += 1
+            waiter.granted = True
+            waiter.granted_s = now_s
+            waiter.settled.set()
+
+    def _make_permit(
+        self, item: PriorityClass, waiter: Waiter, head: RequestHead
+    ) -> Permit:
+        charged_s = item.slot_time_s.value
+        granted_s = waiter.granted_s
+
+        def release(result: AttemptResult | None) -> None:
+            now_s = anyio.current_time()
+            limit = self._get_limit()
+            self._room.advance(now_s, limit)
+            if result is not None:
+                self._record(item, _find_kind(head), result)
+                extra_s = now_s - granted_s - charged_s
+                item.queue.correct_charge(head.tenant, extra_s)
+            item.return_slot(granted_s)
+            self._in_flight -= 1
+            self._start_waiting(self._get_limit(), now_s)
+
+        return Permit(release)
+
+    def _get_limit(self) -> int:
+        service = self._get_slice()
+        return self._limit.get_limit(1 if service is None else service.slots)
+
+    def _record(self, item: PriorityClass, kind: str, result: AttemptResult) -> None:
+        """Learn from a finished request.
+
+        One that was cut short counts only if it was slow by then; otherwise callers
+        with short deadlines would make the backend server look bad.
+        """
+        answer_s = result.latency_s if result.answer_s is None else result.answer_s
+        if result.cut_short and not self._limit.is_slow(kind, answer_s):
+            return
+        self._error_rate.add(float(not result.ok))
+        if not result.ok and not result.cut_short:
+            self._limit.record_error()
+            return
+        item.slot_time_s.add(result.latency_s)
+        self._latency_ms.add(answer_s * 1000)
+        in_use = 2 * self._in_flight >= self._get_limit()
+        self._limit.record_success(kind, answer_s, in_use=in_use)
+
+
+def _find_kind(head: RequestHead) -> str:
+    """Return what service times are compared by.
+
+    Priority, method and first path segment stand for the route, which is not sent.
+    """
+    path = head.target.partition("?")[0]
+    return f"{head.priority} {head.method} {path[1:].partition('/')[0]}"
+
+
+def _settle(waiter: Waiter, refusal: Refusal) -> None:
+    waiter.refusal = refusal
+    waiter.settled.set()
+
+
+def _refuse(kind: ErrorKind, detail: str) -> Err[Refusal]:
+    return Err(Refusal(kind, detail))
--- /dev/null
+++ b/src/berylmast/limits/tests/test_entry.py
@@ -0,0 +1,95 @@
+"""Guards against entries that feed a flood, or that shed without a reason."""
+
+from random import Random
+
+import anyio
+import pytest
+
+from ...errors import ErrorKind
+from ..retry_budget import RetryBudget
+from ..shedder import MAX_KEYS, WINDOW_S, EntryShedder
+
+pytestmark = pytest.mark.anyio
+
+
+async def offer(
+    shedder: EntryShedder,
+    seconds: float,
+    rate: int,
+    accepted: float,
+    *,
+    priority: str = "browse",
+    tenant: str = "a",
+    kind: ErrorKind | None = ErrorKind.OVERLOADED,
+) -> tuple[int, int]:
+    """Return forwarded and accepted requests; ``accepted`` is per second."""
+    forwarded = taken = 0
+    capacity = 0.0
+    for _ in range(int(seconds * rate)):
+        await anyio.sleep(1 / rate)
+        capacity = min(capacity + accepted / rate, 5.0)
+        if not shedder.admit("s", priority, tenant):
+            continue
+        forwarded += 1
+        fits = capacity >= 1
+        capacity -= fits
+        taken += fits
+        shedder.record("s", priority, tenant, None if fits else kind)
+    return forwarded, taken
+
+
+async def test_flood_is_shed_down_to_near_the_accepted_rate() -> None:
+    shedder = EntryShedder(Random(1))
+    await offer(shedder, 5, 400, 100)
+    forwarded, taken = await offer(shedder, 10, 400, 100)
+    assert forwarded < 1_800, "4,000 offered, 1,000 accepted, K = 1.5"
+    assert taken > 950, "what there is must be used"
+
+
+async def test_total_refusal_is_probed_and_recovers_in_seconds() -> None:
+    shedder = EntryShedder(Random(1))
+    await offer(shedder, 10, 200, 0)
+    forwarded, _ = await offer(shedder, 5, 200, 0)
+    assert 50 < forwarded < 150
+    await offer(shedder, 3 * WINDOW_S, 50, 1_000)
+    assert await offer(shedder, 5, 50, 1_000) == (250, 250)
+
+
+@pytest.mark.parametrize("other", [("urgent", "a"), ("browse", "b")])
+async def test_others_are_not_shed_with_a_flood(other: tuple[str, str]) -> None:
+    # Guards against urgent work, or another tenant, that is shed because of browsing.
+    shedder = EntryShedder(Random(1))
+    await offer(shedder, 10, 400, 20)
+    priority, tenant = other
+    served = await offer(shedder, 5, 20, 1_000, priority=priority, tenant=tenant)
+    assert served == (100, 100)
+
+
+@pytest.mark.parametrize(
+    "kind", [ErrorKind.BACKEND_CUT, ErrorKind.DEADLINE_UNKNOWN, ErrorKind.DRAINING]
+)
+async def test_errors_other_than_overload_are_not_learned(kind: ErrorKind) -> None:
+    shedder = EntryShedder(Random(1))
+    assert await offer(shedder, 5, 100, 0, kind=kind) == (500, 0)
+
+
+async def test_memory_is_bounded() -> None:
+    shedder = EntryShedder(Random(1))
+    for number in range(3 * MAX_KEYS):
+        shedder.record(f"s{number}", "browse", "a", ErrorKind.OVERLOADED)
+    assert len(shedder._windows) == MAX_KEYS
+    for number in range(3 * MAX_KEYS):
+        shedder.record("one", "browse", f"t{number}", ErrorKind.OVERLOADED)
+    assert sum(key[0] == "one" for key in shedder._windows) <= 64
+
+
+def test_retries_of_one_priority_stay_within_its_budget() -> None:
+    # Guards against retries of refused browsing that use up those of orders.
+    budget = RetryBudget()
+    spent = 0
+    for _ in range(1_000):
+        budget.record_first_try("s", "browse", 0.1)
+        spent += budget.try_spend("s", "browse")
+        spent += budget.try_spend("s", "browse")
+    assert spent == pytest.approx(110, abs=2)
+    assert budget.try_spend("s", "urgent")
--- /dev/null
+++ b/src/berylmast/limits/tests/test_floods.py
@@ -0,0 +1,76 @@
+"""Guards against floods that take what another priority is entitled to."""
+
+import pytest
+
+from ...model import Priority
+from .driver import PRIORITIES, Flow, make_controller, run_flows
+
+pytestmark = pytest.mark.anyio
+SECONDS = 10.0
+# 6 slots of 40 ms serve 150 requests per second.
+CAPACITY = 150.0
+
+
+@pytest.mark.parametrize("slots", [6, 9])
+async def test_flood_of_the_lowest_leaves_urgent_work_alone(slots: int) -> None:
+    controller = make_controller(slots=slots)
+    urgent, normal = Flow("urgent", 15), Flow("normal", 25)
+    flood = Flow("browse", 4 * CAPACITY * slots / 6)
+    await run_flows(controller, [urgent, normal, flood], SECONDS)
+    assert urgent.share == 1.0
+    assert normal.share == 1.0
+    # Less than one service time: p99 stays well within twice the unflooded.
+    assert sorted(urgent.waits_s)[int(0.99 * urgent.answered)] < 0.04
+    total_s = urgent.slot_s + normal.slot_s + flood.slot_s
+    assert total_s > 0.75 * slots * SECONDS, "unused floors must be lent out"
+
+
+@pytest.mark.parametrize("slots", [1, 2, 3, 6, 9])
+@pytest.mark.parametrize("offered", [0.5, 4.0])
+async def test_flood_of_the_most_urgent_leaves_floors(
+    slots: int, offered: float
+) -> None:
+    controller = make_controller(slots=slots)
+    capacity = CAPACITY * slots / 6
+    flood = Flow("urgent", 2 * capacity)
+    others = [
+        Flow(item.name, capacity * item.floor * offered) for item in PRIORITIES[1:]
+    ]
+    await run_flows(controller, [flood, *others], SECONDS)
+    for flow, item in zip(others, PRIORITIES[1:], strict=True):
+        entitled_s = min(item.floor * slots * SECONDS, flow.offered * flow.mean_s)
+        assert flow.slot_s > 0.8 * entitled_s, flow.priority
+    # What the others do not use, and what exceeds their floors, is urgent work's.
+    assert flood.slot_s > 0.6 * slots * SECONDS
+
+
+@pytest.mark.parametrize("flood_mean_s", [1.0, 10.0])
+async def test_long_low_requests_leave_urgent_slots_free(flood_mean_s: float) -> None:
+    # Guards against slots that are lent to requests which return them too late.
+    controller = make_controller()
+    flood = Flow("browse", 10, mean_s=flood_mean_s, deadline_ms=60_000)
+    # Learns how long these requests take before the flood.
+    await run_flows(controller, [Flow("browse", 0.1, mean_s=flood_mean_s)], 60.0)
+    urgent = Flow("urgent", 30, start_s=5.0)
+    await run_flows(controller, [flood, urgent], 30.0)
+    assert urgent.share == 1.0
+    assert sorted(urgent.waits_s)[int(0.95 * urgent.answered)] < 0.02
+
+
+async def test_long_urgent_requests_leave_floors_of_active_work() -> None:
+    controller = make_controller()
+    await run_flows(controller, [Flow("urgent", 0.1, mean_s=5.0)], 60.0)
+    uploads = Flow("urgent", 5, mean_s=5.0, deadline_ms=60_000)
+    normal = Flow("normal", 10)
+    await run_flows(controller, [uploads, normal], 60.0)
+    assert normal.share > 0.8
+
+
+async def test_floors_beyond_one_are_scaled() -> None:
+    # Guards against a document whose floors add up to more than all slots.
+    priorities = (Priority("urgent", 1.0), Priority("browse", 1.0))
+    controller = make_controller(priorities=priorities)
+    flows = [Flow("urgent", 2 * CAPACITY), Flow("browse", 2 * CAPACITY)]
+    await run_flows(controller, flows, SECONDS)
+    for flow in flows:
+        assert flow.slot_s == pytest.approx(0.5 * 6 * SECONDS, rel=0.1)
--- /dev/null
+++ b/src/berylmast/limits/tests/test_tenants.py
@@ -0,0 +1,70 @@
+"""Guards against unfair turns between tenants and against unbounded memory."""
+
+import pytest
+
+from ..floors import reserve_slots
+from ..tenants import MAX_TENANTS, TenantQueue, Waiter
+
+pytestmark = pytest.mark.anyio
+
+
+async def test_turns_alternate_whatever_the_backlogs() -> None:
+    queue = TenantQueue()
+    for tenant in "aaaaaabbb":
+        queue.push(Waiter("p", tenant))
+    assert "".join(queue.pop(1.0).tenant for _ in range(9)) == "abababaaa"
+
+
+async def test_slot_time_counts_and_not_requests() -> None:
+    # Guards against a tenant with long requests that gets more than its share.
+    queue = TenantQueue()
+    for tenant in "aaaabbbb":
+        queue.push(Waiter("p", tenant))
+    turns = []
+    for _ in range(5):
+        turns.append(queue.pop(0.1).tenant)
+        queue.correct_charge(turns[-1], 0.2 if turns[-1] == "a" else 0.0)
+    assert "".join(turns) == "abbba"
+
+
+async def test_past_use_is_forgotten_without_contention() -> None:
+    queue = TenantQueue()
+    for _ in range(100):
+        queue.push(Waiter("p", "a"))
+        queue.pop(1.0)
+    for tenant in "bbab":
+        queue.push(Waiter("p", tenant))
+    assert "".join(queue.pop(1.0).tenant for _ in range(4)) in ("bbab", "baba", "babb")
+
+
+async def test_tracked_tenants_are_bounded() -> None:
+    queue = TenantQueue()
+    for number in range(20 * MAX_TENANTS):
+        queue.push(Waiter("p", f"t{number}"))
+        queue.pop(0.04)
+    assert queue.tracked <= MAX_TENANTS
+
+
+async def test_removed_request_is_not_served() -> None:
+    queue = TenantQueue()
+    waiters = [Waiter("p", "a"), Waiter("p", "a")]
+    for waiter in waiters:
+        queue.push(waiter)
+    for _ in range(2):
+        queue.remove(waiters[0])
+    assert (len(queue), queue.pop(1.0)) == (1, waiters[1])
+
+
+@pytest.mark.parametrize(
+    ("limit", "reserved"),
+    [
+        (1, [0, 0, 0]),
+        (2, [1, 0, 0]),
+        (3, [2, 0, 0]),
+        (6, [3, 1, 1]),
+        (9, [5, 2, 1]),
+        (100, [50, 20, 10]),
+    ],
+)
+def test_floors_round_to_whole_slots(limit: int, reserved: list[int]) -> None:
+    assert reserve_slots(limit, [0.5, 0.2, 0.1]) == reserved
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -164,9 +164,14 @@
 class AttemptResult:
     """What one attempt came to, for load, limits and histograms.
 
-    ``latency_s`` is in seconds from the start of the attempt.
+    Times are in seconds. ``latency_s`` counts from the start of the attempt.
+    ``answer_s`` counts from the end of the request's body to the head of the answer, so
+    that a slow caller does not look like a slow backend server; None if there was no
+    answer. ``cut_short``: the caller or the deadline ended it before the answer.
     """
 
     ok: bool
     refused: bool
     latency_s: float
+    answer_s: float | None = None
+    cut_short: bool = False
