Keep the floor of the least urgent with few slots

With 3 slots a flood of urgent work left browse 62% of its floor, and with 1 slot the urgent flood, forgotten to be over its floor after one slot time, was owed slots again. Shares of the queue are rounded up and exceeded its places with 3 slots, so that each browse request was dropped on arrival.

The priority furthest behind its floor is next among those owed, an excess is held for one slot time of every slot, and if nobody is beyond its own places the one with the largest surplus gives way.

--- a/src/berylmast/limits/floors.py
+++ b/src/berylmast/limits/floors.py
@@ -2,7 +2,9 @@
 
 Two rules together. A priority that waits and has had less than its floor of slot time
 is *owed*: it gets the next slot, whoever else waits. Otherwise the most urgent waiting
-priority gets it, unless the slot must be kept free for others.
+priority gets it, unless the slot must be kept free for others. Of several that are owed
+the one furthest behind is next; by urgency, a flood that is itself owed now and then
+would keep the least urgent at 60% of its floor.
 
 Owed is counted in slot time and not in slots in use, because a floor of 0.2 of 6 slots
 is 1.2 slots: one slot would be less than the floor and two would be more.
@@ -31,6 +33,9 @@
 the service time, and a queue of random arrivals is empty at times. Without it a flood
 of real processes left the other priorities 4% to 6% short of their floors."""
 
+MAX_EXCESS_SLOT_S = 1.0
+"""Slot seconds beyond one slot time that are held against a borrower."""
+
 _MIN_DEBT_S = 0.01
 _ROUNDING = 1e-9
 
@@ -75,19 +80,25 @@
         entitled = math.ceil(self.floor * limit - _ROUNDING)
         return self.in_use < entitled and self._owed_slot_s >= -_ROUNDING
 
+    def get_arrears(self) -> float:
+        """Return how far this priority is behind, in relation to its floor."""
+        return self._owed_slot_s / self.floor
+
     def advance(self, now_s: float, limit: int) -> None:
         """Bring the account up to date; call it before ``in_use`` changes.
 
-        What is owed is bounded by one slot time: an excess borrowed from idle
-        priorities is not held against the borrower for longer. What was missed while
-        the queue was empty for a moment is made up for, up to two slot times.
+        An excess borrowed from idle priorities is held against the borrower for one
+        slot time of every slot, but for long requests not much more than one: with less
+        a flood that is over its floor would soon count as owed again. What was missed
+        while the queue was empty for a moment is made up for, up to two slot times.
         """
         elapsed_s = 0.0 if math.isinf(self._advanced_s) else now_s - self._advanced_s
         self._advanced_s = now_s
         bound = max(self.slot_time_s.value, _MIN_DEBT_S)
         owed = self._owed_slot_s + (self.floor * limit - self.in_use) * elapsed_s
         most = 2 * bound if self.get_need(now_s) else 0.0
-        self._owed_slot_s = max(-bound, min(owed, most))
+        least = -min(limit * bound, bound + MAX_EXCESS_SLOT_S)
+        self._owed_slot_s = max(least, min(owed, most))
 
     def note_need(self, now_s: float) -> None:
         """Record how many slots this priority needs now."""
@@ -139,9 +150,9 @@
     free = limit - sum(item.in_use for item in classes)
     if free <= 0:
         return None
-    for item in classes:
-        if item.queue and item.is_owed(limit):
-            return item
+    owed = [item for item in classes if item.queue and item.is_owed(limit)]
+    if owed:
+        return max(owed, key=PriorityClass.get_arrears)
     reserved = reserve_slots(limit, [item.floor for item in classes])
     for rank, item in enumerate(classes):
         if item.queue and free > _count_kept(classes, reserved, rank, now_s):
--- a/src/berylmast/limits/waiting.py
+++ b/src/berylmast/limits/waiting.py
@@ -80,7 +80,9 @@
             return None
         queued = [item for item in reversed(self._classes) if item.queue]
         over = [i for i in queued if len(i.queue) > math.ceil(i.floor * places)]
-        waiter, over_share = (over or queued)[0].queue.find_excess()
+        # Rounded up, the shares may exceed the places: then nobody is beyond its own.
+        loser = max(queued, key=lambda item: len(item.queue) - item.floor * places)
+        waiter, over_share = (over[0] if over else loser).queue.find_excess()
         if over_share:
             detail = "the tenant holds more than its share of a full queue"
             return waiter, Refusal(ErrorKind.TENANT_LIMIT, detail)
