Test slots of the owner for callers that leave and for errors

Covers a reset or a lost connection while a request waits, 5xx answers in the load report, and the wait counted against the deadline.

--- /dev/null
+++ b/src/berylmast/backends/tests/test_owner_limits.py
@@ -0,0 +1,107 @@
+"""Guards against slots that leak or wait for callers who left, and hidden errors."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import replace
+
+import anyio
+import pytest
+
+from ...daemons import Exchange, connect_exchanges
+from ...daemons.frames import Refuse, Request, Reset, Response
+from ...errors import ErrorKind
+from ...limits import AdmissionController
+from ...limits.tests.driver import HEAD, make_controller
+from ...model import AttemptId, Headers
+from ..client import BackendAnswer, BackendClient
+from ..ledger import AttemptLedger
+from ..owner import Owner
+
+pytestmark = pytest.mark.anyio
+
+
+class FakeClient(BackendClient):
+    """Answers with one status after a time."""
+
+    def __init__(self, status: int, delay_s: float) -> None:
+        self._status = status
+        self._delay_s = delay_s
+
+    @asynccontextmanager
+    async def send(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: AsyncIterator[bytes] | None,
+    ) -> AsyncIterator[BackendAnswer]:
+        """Answer without a body."""
+
+        async def no_body() -> AsyncIterator[bytes]:
+            return
+            yield
+
+        await anyio.sleep(self._delay_s)
+        yield BackendAnswer(self._status, (), no_body())
+
+
+def make_owner(controller: AdmissionController, status: int, delay_s: float) -> Owner:
+    """Return an owner whose backend server is a fake."""
+    return Owner(controller, AttemptLedger(), FakeClient(status, delay_s))
+
+
+async def serve(owner: Owner, side: Exchange, number: int, deadline_ms: int) -> None:
+    """Serve one request on the owner's side of an exchange."""
+    attempt = AttemptId("e", 1, number)
+    head = replace(HEAD, attempt=attempt, deadline_ms=deadline_ms)
+    await owner.accept(side, Request(side.id, head))
+
+
+@pytest.mark.parametrize(("status", "errors"), [(200, 0), (404, 0), (500, 1), (503, 1)])
+async def test_server_errors_count(status: int, errors: int) -> None:
+    controller = make_controller()
+    owner = make_owner(controller, status, 0.04)
+    for number in range(40):
+        _, side = connect_exchanges()
+        await serve(owner, side, number, 2_000)
+    assert controller.report().error_rate == pytest.approx(errors, abs=0.05)
+    assert controller.report().in_flight == 0
+
+
+@pytest.mark.parametrize("reset", [True, False])
+async def test_entry_that_leaves_the_queue_frees_its_place(reset: bool) -> None:
+    # Guards against a request that is dispatched although nobody waits for it.
+    controller = make_controller(slots=1)
+    owner = make_owner(controller, 200, 0.2)
+    _, running = connect_exchanges()
+    entry, waiting = connect_exchanges()
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(serve, owner, running, 1, 2_000)
+        await anyio.sleep(0.01)
+        tg.start_soon(serve, owner, waiting, 2, 2_000)
+        await anyio.sleep(0.01)
+        assert controller.report().queued == 1
+        if reset:
+            await entry.send(Reset(entry.id, ErrorKind.CANCELLED))
+        else:
+            waiting.lose()
+        await anyio.sleep(0.01)
+        assert controller.report().queued == 0
+    assert controller.report().in_flight == 0
+
+
+async def test_wait_counts_against_the_deadline() -> None:
+    # Guards against a request that runs for a whole deadline after its wait.
+    controller = make_controller(slots=1)
+    owner = make_owner(controller, 200, 0.2)
+    _, running = connect_exchanges()
+    entry, waiting = connect_exchanges()
+    began_s = anyio.current_time()
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(serve, owner, running, 1, 2_000)
+        await anyio.sleep(0.01)
+        await serve(owner, waiting, 2, 250)
+        assert anyio.current_time() - began_s == pytest.approx(0.26, abs=0.01)
+    frames = [await entry.receive() for _ in range(2)]
+    assert not any(isinstance(frame, Response | Refuse) for frame in frames)
+    assert controller.report().in_flight == 0
