--- a/src/berylmast/backends/dispatch.py
+++ b/src/berylmast/backends/dispatch.py
@@ -1,7 +1,7 @@
 """Sends one admitted request to the backend server and streams its answer back."""
 
 from collections.abc import AsyncIterator, Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import anyio
 
@@ -40,19 +40,37 @@
     """The entry ended the request's body without an End frame."""
 
 
+@dataclass(slots=True)
+class DispatchEnd:
+    """What the backend server did with one request, filled in as it proceeds.
+
+    ``status`` is None without a whole answer. ``answer_s`` is the time in seconds from
+    the end of the request's body to the head of the answer. ``done`` is False if the
+    entry gave up first.
+    """
+
+    status: int | None = None
+    answer_s: float | None = None
+    done: bool = False
+
+    @property
+    def ok(self) -> bool:
+        """Tell whether the answer was whole and is no server error."""
+        return self.done and self.status is not None and self.status < 500
+
+
 async def dispatch_request(
     exchange: Exchange,
     head: RequestHead,
     client: BackendClient,
     report: Callable[[], LoadReport],
-) -> bool:
+    end: DispatchEnd,
+) -> None:
     """Run a request until its answer is whole or the entry gives up.
 
-    Returns whether the backend server answered, and not with a 5xx status. Sends
-    ``Refuse`` if nothing reached the backend server, ``Fail`` if the request may have
-    run.
+    Fills in ``end``, also when cancelled. Sends ``Refuse`` if nothing reached the
+    backend server, ``Fail`` if the request may have run.
     """
-    ok = False
 
     async def cancel_on_reset() -> None:
         await exchange.wait_reset()
@@ -61,21 +79,24 @@
     async with anyio.create_task_group() as tg:
         tg.start_soon(cancel_on_reset)
         try:
-            ok = await _dispatch(exchange, head, client, report)
+            await _dispatch(exchange, head, client, report, end)
+            end.done = True
         except (ExchangeLost, RequestCut):
             # Nobody is left to answer; leaving the client cancels the request.
-            ok = False
+            pass
         tg.cancel_scope.cancel()
-    return ok
 
 
 async def _iterate_body(
-    exchange: Exchange, trailers: list[tuple[bytes, bytes]]
+    exchange: Exchange,
+    trailers: list[tuple[bytes, bytes]],
+    on_end: Callable[[], None],
 ) -> AsyncIterator[bytes]:
     while True:
         frame = await exchange.receive()
         if isinstance(frame, End):
             trailers.extend(select_trailers(frame.trailers))
+            on_end()
             return
         if not isinstance(frame, Body):
             raise RequestCut
@@ -87,16 +108,26 @@
     head: RequestHead,
     client: BackendClient,
     report: Callable[[], LoadReport],
-) -> bool:
+    end: DispatchEnd,
+) -> None:
     await exchange.send(Continue(exchange.id))
+    sent_s = anyio.current_time()
+
+    def mark_sent() -> None:
+        nonlocal sent_s
+        sent_s = anyio.current_time()
+
     trailers: list[tuple[bytes, bytes]] = []
-    content = _iterate_body(exchange, trailers) if head.has_body else None
+    content = None
+    if head.has_body:
+        content = _iterate_body(exchange, trailers, mark_sent)
     try:
         async with client.send(
             head.method, head.target, head.headers, content, lambda: trailers
         ) as answer:
+            end.answer_s = anyio.current_time() - sent_s
             await _send_answer(exchange, answer, report)
-        return answer.status < 500
+            end.status = answer.status
     except BackendUnreachable as exc:
         await exchange.send(
             Refuse(exchange.id, ErrorKind.BACKEND_UNREACHABLE, str(exc), report())
@@ -105,7 +136,6 @@
         await exchange.send(
             Fail(exchange.id, ErrorKind.BACKEND_CUT, str(exc), report())
         )
-    return False
 
 
 async def _send_answer(
--- a/src/berylmast/backends/owner.py
+++ b/src/berylmast/backends/owner.py
@@ -5,6 +5,7 @@
 
 import anyio
 from anyio.abc import TaskGroup, TaskStatus
+from result import Result
 
 from ..daemons import Exchange, ExchangeLost
 from ..daemons.frames import (
@@ -20,12 +21,12 @@
     Refuse,
     Request,
 )
-from ..errors import ErrorKind
-from ..limits import AdmissionController
+from ..errors import ErrorKind, Refusal
+from ..limits import AdmissionController, Permit
 from ..model import AttemptResult, AttemptState, LoadReport, RequestHead
 from ..telemetry import log_event
 from .client import BackendClient
-from .dispatch import dispatch_request
+from .dispatch import DispatchEnd, dispatch_request
 from .headers import make_backend_head
 from .keys import KeyLedger
 from .ledger import AttemptLedger, Ending
@@ -170,16 +171,19 @@
         mark_dispatched: Callable[[], None],
     ) -> None:
         arrived_s = anyio.current_time()
-        permit = await self._admission.acquire(head)
-        if permit.is_err():
-            refusal = permit.unwrap_err()
+        admitted = await self._wait_admission(exchange, head)
+        if admitted is None:
+            return
+        if admitted.is_err():
+            refusal = admitted.unwrap_err()
             await recorder.send(
                 Refuse(exchange.id, refusal.kind, refusal.detail, self._report())
             )
             return
         started_s = anyio.current_time()
         remaining_ms = head.deadline_ms - int((started_s - arrived_s) * 1000)
-        ok = False
+        end = DispatchEnd()
+        result: AttemptResult | None = None
         try:
             if exchange.lost:
                 return
@@ -195,18 +199,51 @@
                 )
                 return
             mark_dispatched()
-            ok = await self._dispatch(recorder, make_backend_head(head, remaining_ms))
+            try:
+                await self._dispatch(
+                    recorder, make_backend_head(head, remaining_ms), end
+                )
+            finally:
+                result = AttemptResult(
+                    ok=end.ok,
+                    refused=False,
+                    latency_s=anyio.current_time() - started_s,
+                    answer_s=end.answer_s,
+                    cut_short=not end.done,
+                )
         finally:
-            latency_s = anyio.current_time() - started_s
-            permit.unwrap().release(AttemptResult(ok, False, latency_s))
+            admitted.unwrap().release(result)
+
+    async def _wait_admission(
+        self, exchange: Exchange, head: RequestHead
+    ) -> Result[Permit, Refusal] | None:
+        """Wait for admission; None if the entry gave up meanwhile."""
+        admitted: Result[Permit, Refusal] | None = None
 
-    async def _dispatch(self, recorder: AttemptExchange, head: RequestHead) -> bool:
-        ok = False
+        async def stop_when_abandoned() -> None:
+            await exchange.wait_reset()
+            tg.cancel_scope.cancel()
+
+        try:
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(stop_when_abandoned)
+                admitted = await self._admission.acquire(head)
+                tg.cancel_scope.cancel()
+        except anyio.get_cancelled_exc_class():
+            # Cancelled from outside after the grant: nobody else holds the permit.
+            if admitted is not None and admitted.is_ok():
+                admitted.unwrap().release(None)
+            raise
+        return admitted
+
+    async def _dispatch(
+        self, recorder: AttemptExchange, head: RequestHead, end: DispatchEnd
+    ) -> None:
         fault: BaseException | None = None
         scope = anyio.move_on_after(head.deadline_ms / 1000)
         try:
             with scope:
-                ok = await dispatch_request(recorder, head, self._client, self._report)
+                await dispatch_request(recorder, head, self._client, self._report, end)
         except* ExchangeLost:
             # Nobody is left to be told; the ledger records the attempt as abandoned.
             pass
@@ -214,13 +251,12 @@
             # One faulty request must not end the other exchanges of its connection.
             fault = group
         if recorder.ending is not None:
-            return ok
+            return
         if fault is not None:
             log_event("dispatch_fault", attempt=str(head.attempt), error=repr(fault))
             await self._fail(recorder, ErrorKind.INTERNAL, "fault at the owner")
         elif scope.cancelled_caught:
             await self._fail(recorder, ErrorKind.DEADLINE_UNKNOWN, "deadline passed")
-        return ok
 
     def _report(self) -> LoadReport:
         return self._admission.report()
--- a/src/berylmast/callers/app.py
+++ b/src/berylmast/callers/app.py
@@ -113,7 +113,7 @@
     async with anyio.create_task_group() as tg:
         tg.start_soon(watch)
         try:
-            result = await forward_request(forwarder, req, body, answer, trace)
+            result = await _shed_or_forward(forwarder, req, body, answer, trace)
         except Exception as exc:
             log_event("fault", request=req.head.request_id, reason=repr(exc))
             result = Err(Refusal(ErrorKind.INTERNAL, "internal fault"))
@@ -121,6 +121,23 @@
     return result
 
 
+async def _shed_or_forward(
+    forwarder: Forwarder,
+    req: Classified,
+    body: CallerBody,
+    answer: AnswerSink,
+    trace: Trace,
+) -> Result[None, Refusal]:
+    """Refuse locally what the owners would most likely refuse; forward the rest."""
+    head = req.head
+    if not forwarder.shedder.admit(head.service, head.priority, head.tenant):
+        return Err(Refusal(ErrorKind.SHED, "the service refuses this priority"))
+    result = await forward_request(forwarder, req, body, answer, trace)
+    kind = result.unwrap_err().kind if result.is_err() else None
+    forwarder.shedder.record(head.service, head.priority, head.tenant, kind)
+    return result
+
+
 def _record(
     sight: Sight,
     req: Classified,
--- a/src/berylmast/callers/context.py
+++ b/src/berylmast/callers/context.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from ..daemons import Exchange
-from ..limits import RetryBudget
+from ..limits import EntryShedder, RetryBudget
 from ..model import AttemptId, Endpoint, Headers
 from ..routing import Router
 
@@ -44,6 +44,7 @@
 
     router: Router
     retries: RetryBudget
+    shedder: EntryShedder
     open_exchange: OpenExchange
     next_attempt: Callable[[], AttemptId]
     endpoints: Callable[[str], Sequence[Endpoint]]
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -76,8 +76,10 @@
     The refusal returned is the first that leaves the outcome open, else the last one: a
     later refusal before dispatch must not hide that an earlier attempt may have run.
     """
-    service = req.service.service
-    forwarder.retries.record_first_try(service, req.service.budgets.retry_ratio)
+    service, priority = req.service.service, req.head.priority
+    forwarder.retries.record_first_try(
+        service, priority, req.service.budgets.retry_ratio
+    )
     tried: set[str] = set()
     verdict: Refusal | None = None
     while trace.attempts < MAX_ATTEMPTS:
@@ -89,7 +91,7 @@
         )
         if choice.is_err():
             return Err(verdict or choice.unwrap_err())
-        if tried and not forwarder.retries.try_spend(service):
+        if tried and not forwarder.retries.try_spend(service, priority):
             break
         endpoint = choice.unwrap()
         tried.add(endpoint.backend)
--- a/src/berylmast/callers/tests/test_app.py
+++ b/src/berylmast/callers/tests/test_app.py
@@ -21,7 +21,7 @@
     Response,
 )
 from ...errors import ErrorKind
-from ...limits import RetryBudget
+from ...limits import EntryShedder, RetryBudget
 from ...membership import Directory
 from ...model import AttemptId, Endpoint, LoadReport, Route, ServiceSlice
 from ...routing import Router
@@ -69,6 +69,7 @@
     forwarder = Forwarder(
         router=Router(directory, region="r", failure_domain="d", rng=Random(1)),
         retries=RetryBudget(),
+        shedder=EntryShedder(Random(1)),
         open_exchange=open_exchange,
         next_attempt=lambda: AttemptId("e", 1, 1),
         endpoints=directory.endpoints,
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -207,6 +207,8 @@
     kind: ErrorKind | None = None
     sent_bytes: int = 0
     answer_bytes: int = 0
+    answer_s: float | None = None
+    cut_short: bool = False
 
 
 class AttemptState(StrEnum):
--- a/src/berylmast/tests/fakes.py
+++ b/src/berylmast/tests/fakes.py
@@ -25,7 +25,7 @@
 from ..daemons import ConnectionLost, Exchange, Identity, PeerConnection
 from ..daemons.frames import Reset
 from ..errors import ErrorKind, Refusal
-from ..limits import AdmissionController, RetryBudget
+from ..limits import AdmissionController, EntryShedder, RetryBudget
 from ..membership import Directory
 from ..model import (
     AttemptId,
@@ -91,6 +91,7 @@
                 fleet.directory, region="r", failure_domain="f", rng=Random(1)
             ),
             retries=self.retries,
+            shedder=EntryShedder(Random(1)),
             open_exchange=self.open_exchange,
             next_attempt=lambda: AttemptId(name, 1, next(counter)),
             endpoints=fleet.directory.endpoints,
--- a/src/conftest.py
+++ b/src/conftest.py
@@ -3,6 +3,7 @@
 from typing import Any
 
 import pytest
+import trio._core._run as trio_run
 from hypothesis import settings
 from trio.testing import MockClock
 
@@ -16,6 +17,8 @@
 @pytest.fixture
 def anyio_backend() -> tuple[str, dict[str, Any]]:
     """Run async tests on trio, whose clock jumps when every task waits."""
+    # trio shuffles its tasks; a fixed seed gives every run the same order.
+    trio_run._r.seed(1)
     return ("trio", {"clock": MockClock(autojump_threshold=0)})
 
 
