Spread membership and documents through registrars instead of polling

Cause: every daemon listed all endpoints and read the document twice a second, which at 30,000 daemons is 120,000 calls a second; the platform takes 2,000.

Change: registrar roles are lease objects, renewed and taken over by conditional updates. Each daemon keeps one exchange with a registrar: it announces its record and receives slices and endpoints of the services that it serves or calls. The platform client has watches with bookmarks, and writes with a token that settles a lost answer.

--- a/src/berylmast/bin/berylmastctl.py
+++ b/src/berylmast/bin/berylmastctl.py
@@ -6,13 +6,26 @@
 import anyio
 from cyclopts import App
 
+from ..membership.registrar import DOCUMENT_KIND
 from ..operators import DocumentError, parse_document
-from ..platform import Conflict, PlatformClient, PlatformUnavailable
+from ..platform import (
+    PlatformClient,
+    PlatformUnavailable,
+    PutFailure,
+    PutFault,
+    put_confirmed,
+)
 from ..settings import Address
 
 EXIT_INVALID = 2
 EXIT_CONFLICT = 3
 EXIT_UNKNOWN = 4
+EXIT_UNAVAILABLE = 5
+EXITS = {
+    PutFault.CONFLICT: EXIT_CONFLICT,
+    PutFault.NOT_WRITTEN: EXIT_UNAVAILABLE,
+    PutFault.UNKNOWN: EXIT_UNKNOWN,
+}
 
 app = App(name="berylmastctl", help=__doc__)
 
@@ -47,21 +60,38 @@
 async def _apply(text: str, environment: str, platform: Address) -> int:
     client = PlatformClient(platform)
     try:
-        stored = await client.get("documents", environment)
-        based_on = 0 if stored is None else stored.metadata.resource_version
+        stored = await client.get(DOCUMENT_KIND, environment)
         version = 1 if stored is None else stored.spec["version"] + 1
         spec = {"version": version, "text": text}
-        await client.put("documents", environment, spec, based_on)
-    except Conflict as exc:
-        print(f"conflict: {exc}", file=sys.stderr)
-        return EXIT_CONFLICT
+        result = await put_confirmed(client, DOCUMENT_KIND, environment, spec, stored)
     except PlatformUnavailable as exc:
-        print(f"outcome unknown: {exc}", file=sys.stderr)
-        return EXIT_UNKNOWN
+        print(f"not applied: the platform cannot be read: {exc}", file=sys.stderr)
+        return EXIT_UNAVAILABLE
     finally:
         await client.aclose()
-    print(f"{environment}: version {version} accepted")
-    return 0
+    if result.is_ok():
+        print(f"{environment}: version {version} accepted")
+        return 0
+    failure = result.unwrap_err()
+    print(_describe_failure(failure, environment, version), file=sys.stderr)
+    return EXITS[failure.fault]
+
+
+def _describe_failure(failure: PutFailure, environment: str, version: int) -> str:
+    match failure.fault:
+        case PutFault.CONFLICT:
+            found = None if failure.stored is None else failure.stored.spec["version"]
+            return (
+                f"conflict: {environment} is at version {found}, no longer at "
+                f"{version - 1}; nothing was applied"
+            )
+        case PutFault.NOT_WRITTEN:
+            return f"not applied: the platform cannot be reached: {failure.detail}"
+        case PutFault.UNKNOWN:
+            return (
+                f"outcome unknown: version {version} of {environment} may have been "
+                f"accepted; read the document before another attempt: {failure.detail}"
+            )
 
 
 def main() -> None:
--- a/src/berylmast/callers/app.py
+++ b/src/berylmast/callers/app.py
@@ -11,7 +11,13 @@
 from ..telemetry import RequestLog, Sight
 from .answer import CallerAnswer
 from .body import CallerBody
-from .classify import REQUEST_ID_HEADER, Classified, classify_request
+from .classify import (
+    REQUEST_ID_HEADER,
+    Classified,
+    classify_request,
+    read_host,
+    read_wait_s,
+)
 from .forward import Forwarder, Trace, forward_request
 
 App = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
@@ -30,6 +36,7 @@
         if scope["type"] != "http":
             return
         started_s = anyio.current_time()
+        await directory.wait_service(read_host(scope), read_wait_s(scope))
         classified = classify_request(scope, directory, limits, forwarder.next_attempt)
         if classified.is_err():
             request_id = dict(scope["headers"]).get(REQUEST_ID_HEADER, b"")
--- a/src/berylmast/callers/classify.py
+++ b/src/berylmast/callers/classify.py
@@ -9,6 +9,7 @@
 
 from ..errors import ErrorKind, Refusal
 from ..membership import Directory
+from ..membership.directory import MAX_HOST_WAIT_S
 from ..model import AttemptId, Headers, RequestHead, Route, ServiceSlice
 from ..settings import LimitSettings
 
@@ -64,7 +65,7 @@
     if size > limits.max_header_bytes:
         return _refuse(ErrorKind.HEADERS_TOO_LARGE, f"{size} bytes of headers")
     values = dict(headers)
-    host = values.get(b"host", b"").decode("latin-1").partition(":")[0].lower()
+    host = read_host(scope)
     service = directory.find_service(host)
     if service is None:
         return _refuse(ErrorKind.UNKNOWN_SERVICE, f"no service answers to {host!r}")
@@ -101,6 +102,18 @@
     return Ok(Classified(head, service, body_bytes if has_body else 0))
 
 
+def read_host(scope: dict[str, Any]) -> str:
+    """Return the host name of a request, in lower case and without a port."""
+    value: bytes = dict(scope["headers"]).get(b"host", b"")
+    return value.decode("latin-1").partition(":")[0].lower()
+
+
+def read_wait_s(scope: dict[str, Any]) -> float:
+    """Return how long a request may wait for an unknown host, by its own deadline."""
+    text: bytes = dict(scope["headers"]).get(DEADLINE_HEADER, b"")
+    return int(text) / 1000 if text.isdigit() else MAX_HOST_WAIT_S
+
+
 def find_route(service: ServiceSlice, method: str, path: str) -> Route | None:
     """Return the route with the longest matching path prefix."""
     matching = [
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -15,11 +15,17 @@
 from .backends.client import BackendClient
 from .callers import make_app
 from .callers.forward import Forwarder
-from .daemons import Exchange, Identity, PeerListener, PeerPool, connect_exchanges
-from .daemons.frames import OpeningFrame
+from .daemons import (
+    Accept,
+    Exchange,
+    Identity,
+    PeerListener,
+    PeerPool,
+    connect_exchanges,
+)
+from .daemons.frames import Announce, OpeningFrame, Sync
 from .limits import AdmissionController, RetryBudget
-from .membership import Directory
-from .membership.sync import announce_endpoint, follow_platform
+from .membership import ControlMeter, Directory, Member, Place, make_dial
 from .model import AttemptId, Endpoint, ServiceSlice
 from .operators.admin import make_admin_app
 from .platform import PlatformClient
@@ -46,6 +52,8 @@
         rng=Random(),
     )
     client = PlatformClient(cfg.platform)
+    meter = ControlMeter()
+    member = _make_member(cfg, identity, directory, client, meter)
     async with anyio.create_task_group() as tg:
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
         forwarder = Forwarder(
@@ -54,15 +62,17 @@
             open_exchange=_make_opener(pool, owner, cfg.daemon_id),
             next_attempt=_make_attempts(identity),
         )
+        listener: PeerListener | None = None
         if owner is not None:
-            listener = PeerListener(cfg.peers, identity, owner.accept)
+            accept = _make_accept(owner, member)
+            listener = PeerListener(cfg.peers, identity, accept)
             await tg.start(listener.run)
-            tg.start_soon(announce_endpoint, client, _make_endpoint(cfg, identity))
-        tg.start_soon(follow_platform, client, directory, cfg.environment)
+        tg.start_soon(member.run)
         callers = make_server(
             make_app(directory, cfg.limits, forwarder, sight), cfg.callers
         )
-        admin = make_server(make_admin_app({"status": sight.summarise}), cfg.admin)
+        reports = {"status": _make_status(sight, member, meter, listener)}
+        admin = make_server(make_admin_app(reports), cfg.admin)
         tg.start_soon(callers.serve)
         tg.start_soon(admin.serve)
         log_event("started", daemon=cfg.daemon_id, callers=cfg.callers)
@@ -87,6 +97,56 @@
     return Owner(admission, AttemptLedger(), BackendClient(cfg.backend, 260))
 
 
+def _make_member(
+    cfg: DaemonSettings,
+    identity: Identity,
+    directory: Directory,
+    client: PlatformClient,
+    meter: ControlMeter,
+) -> Member:
+    place = Place(
+        environment=cfg.environment,
+        region=cfg.region,
+        failure_domain=cfg.failure_domain,
+        host=cfg.peers.host,
+        port=cfg.peers.port,
+        seeds=tuple((seed.host, seed.port) for seed in cfg.seeds),
+        registrars_per_domain=cfg.registrars_per_domain,
+        start_spread_s=cfg.start_spread_s,
+    )
+    record = None if cfg.service is None else _make_endpoint(cfg, identity)
+    dial = make_dial(identity, meter)
+    return Member(identity, place, directory, client, dial, Random(), record)
+
+
+def _make_accept(owner: Owner, member: Member) -> Accept:
+    async def accept(exchange: Exchange, frame: OpeningFrame) -> None:
+        if isinstance(frame, Announce | Sync):
+            await member.accept(exchange, frame)
+        else:
+            await owner.accept(exchange, frame)
+
+    return accept
+
+
+def _make_status(
+    sight: Sight, member: Member, meter: ControlMeter, listener: PeerListener | None
+) -> Callable[[], object]:
+    def report() -> object:
+        sent, received = meter.count()
+        if listener is not None:
+            accepted = listener.count_control_bytes()
+            sent, received = sent + accepted[0], received + accepted[1]
+        membership = {
+            **member.report(),
+            "control_bytes_sent": sent,
+            "control_bytes_received": received,
+        }
+        return {**sight.summarise(), "membership": membership}
+
+    return report
+
+
 def _make_endpoint(cfg: DaemonSettings, identity: Identity) -> Endpoint:
     assert cfg.service is not None
     return Endpoint(
--- a/src/berylmast/daemons/connection.py
+++ b/src/berylmast/daemons/connection.py
@@ -11,6 +11,7 @@
 from .exchange import Exchange, WindowExceeded
 from .frames import (
     CONNECTION,
+    CONTROL_OPENING_FRAMES,
     OPENING_FRAMES,
     End,
     Fail,
@@ -65,6 +66,9 @@
     ) -> None:
         self.peer: Identity | None = None
         self.closed = False
+        # Control exchanges are open for hours and have a heartbeat of their own, slower
+        # than that of requests.
+        self.control = False
         self.bytes_sent = 0
         self.bytes_received = 0
         self._stream = stream
@@ -220,6 +224,7 @@
         if exchange is not None:
             exchange.deliver(frame)
         elif isinstance(frame, OPENING_FRAMES) and self._accept is not None:
+            self.control = self.control or isinstance(frame, CONTROL_OPENING_FRAMES)
             exchange = Exchange(frame.exchange, self.write)
             self._add_exchange(exchange)
             tg.start_soon(self._serve_exchange, exchange, frame)
@@ -235,6 +240,8 @@
 
     async def _send_heartbeats(self) -> None:
         while True:
+            if self.control:
+                return
             if not self._exchanges:
                 self._exchange_opened = anyio.Event()
                 await self._exchange_opened.wait()
--- a/src/berylmast/daemons/listener.py
+++ b/src/berylmast/daemons/listener.py
@@ -16,6 +16,7 @@
         self._identity = identity
         self._accept = accept
         self._connections: set[PeerConnection] = set()
+        self._ended_control_bytes = (0, 0)
 
     async def run(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
@@ -34,6 +35,21 @@
             await conn.run()
         finally:
             self._connections.discard(conn)
+            if conn.control:
+                sent, received = self._ended_control_bytes
+                self._ended_control_bytes = (
+                    sent + conn.bytes_sent,
+                    received + conn.bytes_received,
+                )
+
+    def count_control_bytes(self) -> tuple[int, int]:
+        """Return the bytes sent and received on control connections so far."""
+        control = [conn for conn in self._connections if conn.control]
+        sent, received = self._ended_control_bytes
+        return (
+            sent + sum(conn.bytes_sent for conn in control),
+            received + sum(conn.bytes_received for conn in control),
+        )
 
     def announce_leaving(self) -> None:
         """Tell every connected daemon to send no new work."""
--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -9,6 +9,8 @@
 from ..codec import FrameReader, ProtocolError, decode_frame, encode_frame
 
 LOAD = LoadReport("orders-n1", 7, 3, 2, 1, 6, 8.5, 0.25)
+RECORD = ("orders-n1", "orders", "127.0.0.1", 7001, "north", "n1", 7, 1, "ready")
+LEASE = ("n1-0", "orders-n1", "north", "n1", "127.0.0.1", 7001, False)
 HEAD = RequestHead(
     request_id="r1",
     attempt=AttemptId("orders-n1", 7, 12),
@@ -41,6 +43,17 @@
     frames.Pong(),
     frames.GoAway(),
     frames.Query(1, AttemptId("orders-n1", 7, 12)),
+    frames.Announce(1, "orders-n1", "north", "n1", (RECORD,)),
+    frames.Sync(1, "n1-0"),
+    frames.Subscribe(1, (("orders", "d1"),), ("orders.example",)),
+    frames.Slice(1, 3, "orders", b"{}"),
+    frames.InForce(1, 3),
+    frames.UnknownHost(1, "nobody.example"),
+    frames.Endpoints(1, (RECORD, RECORD)),
+    frames.Registrars(1, (LEASE,)),
+    frames.Beat(1, 3),
+    frames.Fetch(1),
+    frames.DocumentHead(1, 3, 1000),
 ]
 
 
@@ -65,6 +78,7 @@
         [6, 1, "x"],
         [1, 1, ["short"]],
         [7, 1, "no-such-kind"],
+        [22, 1, [["short", "record"]]],
     ],
 )
 def test_bad_frame_is_a_protocol_error(items: object) -> None:
--- /dev/null
+++ b/src/berylmast/membership/leases.py
@@ -0,0 +1,215 @@
+"""Registrar roles as lease objects of the platform."""
+
+from collections.abc import Callable
+from dataclasses import astuple, dataclass, replace
+from typing import Any
+
+import anyio
+from pydantic import TypeAdapter, ValidationError
+from result import Result
+
+from ..daemons.frames import LeaseItem
+from ..platform import (
+    EventType,
+    Listing,
+    Platform,
+    PlatformObject,
+    PutFailure,
+    PutFault,
+    WatchEvent,
+    put_confirmed,
+)
+
+LEASE_KIND = "registrars"
+RENEW_INTERVAL_S = 5.0
+LEASE_S = 15.0
+"""A lease lapses when an observer has seen no new version for three renewals."""
+
+
+@dataclass(frozen=True, slots=True)
+class Lease:
+    """Who holds the registrar role of a shard, and how to reach it."""
+
+    shard: str
+    daemon: str
+    region: str
+    failure_domain: str
+    host: str
+    port: int
+    lapsed: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Claim:
+    """A lease as its holder writes it; ``incarnation`` is that of the holder."""
+
+    lease: Lease
+    incarnation: int
+
+
+@dataclass(slots=True)
+class _Observed:
+    lease: Lease
+    incarnation: int
+    version: int
+    since_s: float
+
+
+_LEASE = TypeAdapter(Lease)
+
+
+def pack_lease(lease: Lease) -> LeaseItem:
+    """Return the wire form of a lease."""
+    return astuple(lease)
+
+
+def unpack_lease(item: LeaseItem) -> Lease:
+    """Return the lease of a wire form."""
+    return Lease(*item)
+
+
+def name_shard(failure_domain: str, number: int) -> str:
+    """Return the name of a registrar role of a failure domain."""
+    return f"{failure_domain}-{number}"
+
+
+class LeaseTable:
+    """Leases as one observer saw them change, by its own clock.
+
+    Clocks of other daemons are never compared. While the platform can't be observed
+    no lease lapses, and afterwards every holder has a whole lease time to renew.
+    """
+
+    def __init__(self, now: Callable[[], float]) -> None:
+        self._now = now
+        self._observed: dict[str, _Observed] = {}
+        self._observing = False
+
+    def take_listing(self, listing: Listing) -> None:
+        """Replace all leases by those listed."""
+        self._resume()
+        for item in listing.items:
+            self._take(item)
+        names = {item.metadata.name for item in listing.items}
+        for shard in set(self._observed) - names:
+            del self._observed[shard]
+
+    def take_event(self, event: WatchEvent) -> None:
+        """Apply one event of a watch."""
+        self._resume()
+        if event.object is None:
+            return
+        if event.type is EventType.DELETED:
+            self._observed.pop(event.object.metadata.name, None)
+        else:
+            self._take(event.object)
+
+    def lose(self) -> None:
+        """Note that the platform can't be observed."""
+        self._observing = False
+
+    def leases(self) -> dict[str, Lease]:
+        """Return all leases by shard, each marked whether it has lapsed."""
+        return {
+            shard: replace(observed.lease, lapsed=self._has_lapsed(observed))
+            for shard, observed in self._observed.items()
+        }
+
+    def lapsed_s(self, shard: str) -> float:
+        """Return for how long a lease has lapsed, 0 if it has not."""
+        observed = self._observed.get(shard)
+        if observed is None or not self._observing:
+            return 0.0
+        return max(0.0, self._now() - observed.since_s - LEASE_S)
+
+    def is_own_remnant(self, shard: str, daemon: str, incarnation: int) -> bool:
+        """Tell whether an earlier process of this daemon holds a lease.
+
+        Only one process of a daemon runs at a time, so the holder has ended.
+        """
+        observed = self._observed.get(shard)
+        return (
+            observed is not None
+            and observed.lease.daemon == daemon
+            and observed.incarnation != incarnation
+        )
+
+    def _has_lapsed(self, observed: _Observed) -> bool:
+        return self._observing and self._now() - observed.since_s >= LEASE_S
+
+    def _resume(self) -> None:
+        if not self._observing:
+            self._observing = True
+            for observed in self._observed.values():
+                observed.since_s = self._now()
+
+    def _take(self, item: PlatformObject) -> None:
+        version = item.metadata.resource_version
+        old = self._observed.get(item.metadata.name)
+        if old is not None and old.version == version:
+            return
+        claim = read_claim(item)
+        if claim is not None:
+            self._observed[item.metadata.name] = _Observed(
+                claim.lease, claim.incarnation, version, self._now()
+            )
+
+
+def read_claim(item: PlatformObject) -> Claim | None:
+    """Return the claim of a stored lease, None if the object is damaged."""
+    spec = {**item.spec, "shard": item.metadata.name, "lapsed": False}
+    try:
+        lease = _LEASE.validate_python(
+            {name: spec.get(name) for name in Lease.__dataclass_fields__}
+        )
+        return Claim(lease, int(spec["incarnation"]))
+    except (ValidationError, KeyError, ValueError):
+        return None
+
+
+def _make_spec(claim: Claim, renewed: int) -> dict[str, Any]:
+    lease = claim.lease
+    return {
+        "daemon": lease.daemon,
+        "region": lease.region,
+        "failure_domain": lease.failure_domain,
+        "host": lease.host,
+        "port": lease.port,
+        "incarnation": claim.incarnation,
+        "renewed": renewed,
+    }
+
+
+async def claim_lease(
+    platform: Platform, claim: Claim, base: PlatformObject | None
+) -> Result[PlatformObject, PutFailure]:
+    """Take a lease that is still at ``base``, None for one that does not exist."""
+    spec = _make_spec(claim, 0)
+    return await put_confirmed(platform, LEASE_KIND, claim.lease.shard, spec, base)
+
+
+async def hold_lease(platform: Platform, claim: Claim, stored: PlatformObject) -> None:
+    """Renew a lease until another daemon holds it; then return.
+
+    A failed renewal is not the end: while the platform is down nobody else can take
+    the lease. A holder that was paused learns from the version conflict.
+    """
+    renewed = 0
+    while True:
+        await anyio.sleep(RENEW_INTERVAL_S)
+        renewed += 1
+        spec = _make_spec(claim, renewed)
+        result = await put_confirmed(
+            platform, LEASE_KIND, claim.lease.shard, spec, stored
+        )
+        if result.is_ok():
+            stored = result.unwrap()
+            continue
+        failure = result.unwrap_err()
+        if failure.fault is not PutFault.CONFLICT:
+            continue
+        found = None if failure.stored is None else read_claim(failure.stored)
+        if failure.stored is None or found != claim:
+            return
+        # An earlier renewal with an unknown outcome has taken effect after all.
+        stored = failure.stored
--- /dev/null
+++ b/src/berylmast/membership/mesh.py
@@ -0,0 +1,173 @@
+"""Exchanges between registrars, which work while the platform is down."""
+
+from collections.abc import Iterable
+from random import Random
+from typing import Protocol
+
+import anyio
+from anyio.abc import TaskGroup
+
+from ..daemons import ConnectionLost, Exchange, ExchangeLost
+from ..daemons.frames import (
+    Beat,
+    Body,
+    DocumentHead,
+    Endpoints,
+    Fetch,
+    Reset,
+    Sync,
+)
+from ..model import Endpoint
+from ..operators import DocumentError
+from .leases import Lease
+from .links import Dial, receive_within_limit, run_beside, send_beats
+from .records import cut_records, unpack_records
+from .slices import (
+    MAX_DOCUMENT_BYTES,
+    CutDocument,
+    compress_document,
+    expand_document,
+)
+
+FIRST_BACKOFF_S = 1.0
+MAX_BACKOFF_S = 10.0
+
+FETCH_DELAY_S = 1.0
+"""The watch usually brings a new document sooner; a transfer would repeat it."""
+
+
+class Peers(Protocol):
+    """What the mesh needs of its registrar."""
+
+    document: CutDocument
+
+    def own_records(self) -> list[Endpoint]:
+        """Return the records that this registrar answers for."""
+
+    def take_peer_records(self, records: Iterable[Endpoint]) -> None:
+        """Take records that another registrar answers for."""
+
+    def adopt_document(self, text: str, version: int) -> None:
+        """Put a document into force unless a newer one is."""
+
+
+class Mesh:
+    """One exchange with each other registrar; the lower shard name dials."""
+
+    def __init__(
+        self, peers: Peers, shard: str, dial: Dial, rng: Random, tg: TaskGroup
+    ) -> None:
+        self._peers = peers
+        self._shard = shard
+        self._dial = dial
+        self._rng = rng
+        self._tg = tg
+        self._leases: dict[str, Lease] = {}
+        self._dialling: set[str] = set()
+        self._open: set[Exchange] = set()
+        self._fetching = False
+
+    def take_leases(self, leases: dict[str, Lease]) -> None:
+        """Keep an exchange with each of these registrars."""
+        self._leases = leases
+        for shard in leases:
+            if shard > self._shard and shard not in self._dialling:
+                self._dialling.add(shard)
+                self._tg.start_soon(self._keep_link, shard)
+
+    def send_records(self, records: list[Endpoint]) -> None:
+        """Send records of this registrar's daemons to all others."""
+        for exchange in self._open:
+            self._tg.start_soon(_send_records, exchange, records)
+
+    async def serve(self, exchange: Exchange, shard: str) -> None:
+        """Serve the exchange with one other registrar until it is lost."""
+        self._open.add(exchange)
+        try:
+            await _send_records(exchange, self._peers.own_records())
+
+            async def beat() -> None:
+                await send_beats(exchange, lambda: self._peers.document.version)
+
+            await run_beside(lambda: self._receive(exchange), beat)
+        finally:
+            self._open.discard(exchange)
+
+    async def _keep_link(self, shard: str) -> None:
+        backoff_s = FIRST_BACKOFF_S
+        while (lease := self._leases.get(shard)) is not None:
+            started_s = anyio.current_time()
+            try:
+                async with self._dial(lease.host, lease.port) as exchange:
+                    await exchange.send(Sync(exchange.id, self._shard))
+                    await self.serve(exchange, shard)
+            except (ConnectionLost, ExchangeLost):
+                pass
+            if anyio.current_time() - started_s > MAX_BACKOFF_S:
+                backoff_s = FIRST_BACKOFF_S
+            await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+            backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
+        self._dialling.discard(shard)
+
+    async def _receive(self, exchange: Exchange) -> None:
+        while True:
+            match await receive_within_limit(exchange):
+                case Beat(version=version):
+                    if version > self._peers.document.version and not self._fetching:
+                        self._tg.start_soon(self._fetch, exchange, version)
+                case Endpoints(records=records):
+                    self._peers.take_peer_records(unpack_records(records))
+                case Fetch():
+                    self._tg.start_soon(self._send_document, exchange)
+                case DocumentHead(version=version, size=size):
+                    await self._receive_document(exchange, version, size)
+                case Reset():
+                    return
+                case _:
+                    pass
+
+    async def _fetch(self, exchange: Exchange, version: int) -> None:
+        """Ask one peer at a time for a document that the watch has not brought."""
+        self._fetching = True
+        try:
+            await anyio.sleep(FETCH_DELAY_S * self._rng.uniform(1.0, 2.0))
+            if version > self._peers.document.version:
+                await exchange.send(Fetch(exchange.id))
+                await anyio.sleep(FETCH_DELAY_S)
+        except ExchangeLost:
+            pass
+        finally:
+            self._fetching = False
+
+    async def _send_document(self, exchange: Exchange) -> None:
+        document = self._peers.document
+        data = compress_document(document.text)
+        try:
+            head = DocumentHead(exchange.id, document.version, len(data))
+            await exchange.send(head)
+            await exchange.send_body(data)
+        except ExchangeLost:
+            pass
+
+    async def _receive_document(
+        self, exchange: Exchange, version: int, size: int
+    ) -> None:
+        data = bytearray()
+        while len(data) < min(size, MAX_DOCUMENT_BYTES):
+            frame = await receive_within_limit(exchange)
+            if isinstance(frame, Body):
+                data += frame.data
+            elif isinstance(frame, Endpoints):
+                self._peers.take_peer_records(unpack_records(frame.records))
+        try:
+            self._peers.adopt_document(expand_document(bytes(data)), version)
+        except DocumentError:
+            pass  # The next heartbeat asks again.
+
+
+async def _send_records(exchange: Exchange, records: list[Endpoint]) -> None:
+    try:
+        for part in cut_records(records):
+            await exchange.send(Endpoints(exchange.id, part))
+    except ExchangeLost:
+        pass
--- /dev/null
+++ b/src/berylmast/membership/session.py
@@ -0,0 +1,184 @@
+"""A registrar's side of the exchange with one attached daemon."""
+
+from collections.abc import Iterable
+from typing import Protocol
+
+import anyio
+
+from ..daemons import Exchange
+from ..daemons.frames import (
+    Announce,
+    Beat,
+    Endpoints,
+    InForce,
+    Registrars,
+    Slice,
+    Subscribe,
+    UnknownHost,
+)
+from ..model import Endpoint, EndpointState
+from .leases import Lease, pack_lease
+from .links import receive_within_limit, run_beside
+from .records import RecordTable, choose_subset, cut_records, unpack_records
+from .slices import CutDocument
+
+COALESCE_S = 0.1
+"""Changes within this time reach a daemon together; mass restarts cost less."""
+
+
+class Hub(Protocol):
+    """What a session needs of its registrar."""
+
+    table: RecordTable
+    document: CutDocument
+
+    def leases(self) -> Iterable[Lease]:
+        """Return the registrars to tell daemons about."""
+
+    def take_announced(self, session: "Session", records: Iterable[Endpoint]) -> None:
+        """Take records that the session's daemon announced."""
+
+
+class Session:
+    """What one attached daemon holds, and what it must still be sent."""
+
+    def __init__(self, hub: Hub, exchange: Exchange, frame: Announce) -> None:
+        self.daemon = frame.daemon
+        self.record: Endpoint | None = None
+        self._hub = hub
+        self._exchange = exchange
+        self._region = frame.region
+        self._failure_domain = frame.failure_domain
+        self._digests: dict[str, str] = {}
+        self._held: dict[str, dict[str, Endpoint]] = {}
+        self._sent_version = -1
+        self._hosts: dict[str, None] = {}
+        self._stale: dict[str, None] = {}
+        self._leases_changed = True
+        self._wake = anyio.Event()
+        self._announced = unpack_records(frame.records)
+
+    async def run(self) -> None:
+        """Serve the daemon; raises ExchangeLost when it is gone or silent."""
+        self._hub.take_announced(self, self._announced)
+        await run_beside(self._receive, self._send)
+
+    def note_services(self, services: Iterable[str]) -> None:
+        """Note that endpoints of these services have changed."""
+        stale = [service for service in services if service in self._held]
+        if stale:
+            self._stale.update(dict.fromkeys(stale))
+            self._wake.set()
+
+    def note_document(self) -> None:
+        """Note that another document is in force."""
+        self._wake.set()
+
+    def note_leases(self) -> None:
+        """Note that registrars have changed."""
+        self._leases_changed = True
+        self._wake.set()
+
+    async def _receive(self) -> None:
+        while True:
+            match await receive_within_limit(self._exchange):
+                case Beat():
+                    version = self._hub.document.version
+                    await self._exchange.send(Beat(self._exchange.id, version))
+                case Subscribe(services=services, hosts=hosts):
+                    self._subscribe(services, hosts)
+                case Endpoints(records=records):
+                    self._hub.take_announced(self, unpack_records(records))
+                case _:
+                    return
+
+    def _subscribe(
+        self, services: Iterable[tuple[str, str]], hosts: Iterable[str]
+    ) -> None:
+        for service, digest in services:
+            self._add_service(service, digest)
+        self._hosts.update(dict.fromkeys(hosts))
+        # Even without a new slice the daemon must learn the version in force.
+        self._sent_version = -1
+        self._wake.set()
+
+    def _add_service(self, service: str, digest: str) -> None:
+        if service not in self._held:
+            self._digests[service] = digest
+            self._held[service] = {}
+            self._stale[service] = None
+
+    async def _send(self) -> None:
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            if self._leases_changed:
+                await self._send_leases()
+            await self._send_hosts()
+            # Endpoints first: a request that waits for a slice can then be forwarded.
+            await self._send_endpoints()
+            await self._send_document()
+            await anyio.sleep(COALESCE_S)
+
+    async def _send_leases(self) -> None:
+        self._leases_changed = False
+        leases = tuple(pack_lease(lease) for lease in self._hub.leases())
+        await self._exchange.send(Registrars(self._exchange.id, leases))
+
+    async def _send_hosts(self) -> None:
+        if self._hub.document.version == 0:
+            return  # A new registrar cannot yet tell which hosts are unknown.
+        hosts, self._hosts = self._hosts, {}
+        for host in hosts:
+            service = self._hub.document.hosts.get(host)
+            if service is None:
+                await self._exchange.send(UnknownHost(self._exchange.id, host))
+            elif service not in self._held:
+                self._add_service(service, "")
+            else:
+                # The slice sent before was lost on the way to being adopted.
+                self._digests[service] = ""
+            self._sent_version = -1
+
+    async def _send_endpoints(self) -> None:
+        stale, self._stale = self._stale, {}
+        changed: list[Endpoint] = []
+        for service in stale:
+            changed += self._update_held(service)
+        for part in cut_records(changed):
+            await self._exchange.send(Endpoints(self._exchange.id, part))
+
+    def _update_held(self, service: str) -> list[Endpoint]:
+        """Return the records of a service that the daemon lacks."""
+        records = self._hub.table.of_service(service)
+        ready = [r for r in records if r.state is EndpointState.READY]
+        wanted = choose_subset(ready, self.daemon, self._region, self._failure_domain)
+        held = self._held[service]
+        names = {record.backend for record in wanted} | set(held)
+        changed = [
+            record
+            for record in records
+            if record.backend in names and held.get(record.backend) != record
+        ]
+        for record in changed:
+            if record.state is EndpointState.GONE:
+                held.pop(record.backend, None)
+            else:
+                held[record.backend] = record
+        return changed
+
+    async def _send_document(self) -> None:
+        document = self._hub.document
+        if document.version == 0 or document.version == self._sent_version:
+            return
+        for service, digest in self._digests.items():
+            wanted = document.digests.get(service, "")
+            if wanted == digest:
+                continue
+            self._digests[service] = wanted
+            text = document.texts.get(service, b"")
+            await self._exchange.send(
+                Slice(self._exchange.id, document.version, service, text)
+            )
+        await self._exchange.send(InForce(self._exchange.id, document.version))
+        self._sent_version = document.version
--- a/src/berylmast/platform/client.py
+++ b/src/berylmast/platform/client.py
@@ -1,47 +1,47 @@
 """Client of the platform's object API over HTTP."""
 
 import json
+from collections.abc import AsyncGenerator, AsyncIterator
+from contextlib import aclosing
 from typing import Any
+from urllib.parse import urlencode
 
 import httpcore
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import ValidationError
 
 from ..settings import Address
+from .objects import (
+    Conflict,
+    Listing,
+    PlatformObject,
+    PlatformUnavailable,
+    VersionTooOld,
+    WatchEvent,
+)
 
 CALL_TIMEOUT_S = 2.0
+BOOKMARK_INTERVAL_S = 1.0
+"""Requested interval of bookmarks; they show that a quiet watch still works."""
 
+MAX_EVENT_BYTES = 4 * 1024 * 1024
+"""A value is at most 1 MB, but JSON escapes may lengthen it."""
 
-class PlatformUnavailable(Exception):
-    """The platform did not answer, or not as published: the outcome is unknown."""
-
-
-class Conflict(Exception):
-    """The object has another version than the one that the update was based on."""
-
-
-class Metadata(BaseModel):
-    """Name and version of an object; the version is opaque but for equality."""
-
-    model_config = ConfigDict(extra="ignore", populate_by_name=True)
-    name: str
-    resource_version: int = Field(0, alias="resourceVersion")
-
-
-class PlatformObject(BaseModel):
-    """One object of the platform's store."""
-
-    model_config = ConfigDict(extra="ignore")
-    kind: str
-    metadata: Metadata
-    spec: dict[str, Any]
+_UNSENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+_FAILURES = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    ValueError,
+)
 
 
 class PlatformClient:
     """Calls the object API; every call counts against the platform's rates."""
 
     def __init__(self, address: Address) -> None:
+        self.calls = 0
         self._base = f"http://{address}/objects"
-        self._pool = httpcore.AsyncConnectionPool(max_connections=4)
+        self._pool = httpcore.AsyncConnectionPool(max_connections=8)
 
     async def aclose(self) -> None:
         """Close all connections."""
@@ -52,14 +52,18 @@
         status, data = await self._call("GET", f"/{kind}/{name}")
         if status == 404:
             return None
-        return self._parse(status, data)
+        return _parse_object(status, data)
 
-    async def list(self, kind: str) -> list[PlatformObject]:
-        """Read all objects of a kind."""
-        status, data = await self._call("GET", f"/{kind}")
+    async def list(self, kind: str, name: str | None = None) -> Listing:
+        """Read all objects of a kind, or the one of that name."""
+        status, data = await self._call("GET", f"/{kind}?{_select(name)}")
         if status != 200:
             raise PlatformUnavailable(f"the platform answered {status}")
-        return [PlatformObject.model_validate(item) for item in data["items"]]
+        try:
+            items = tuple(PlatformObject.model_validate(i) for i in data["items"])
+            return Listing(int(data["metadata"]["resourceVersion"]), items)
+        except (ValueError, KeyError, TypeError) as exc:
+            raise PlatformUnavailable(f"bad list from the platform: {exc}") from exc
 
     async def put(
         self, kind: str, name: str, spec: dict[str, Any], version: int | None
@@ -76,19 +80,56 @@
         status, data = await self._call("PUT", f"/{kind}/{name}", body)
         if status == 409:
             raise Conflict(f"{kind}/{name} is not at version {version}")
-        return self._parse(status, data)
+        return _parse_object(status, data)
+
+    async def delete(self, kind: str, name: str, version: int | None) -> None:
+        """Delete one object; one that does not exist is no error.
 
-    def _parse(self, status: int, data: Any) -> PlatformObject:
-        if status not in (200, 201):
+        Raises Conflict if another version is stored.
+        """
+        query = "" if version is None else f"?resourceVersion={version}"
+        status, _ = await self._call("DELETE", f"/{kind}/{name}{query}")
+        if status == 409:
+            raise Conflict(f"{kind}/{name} is not at version {version}")
+        if status not in (200, 404):
             raise PlatformUnavailable(f"the platform answered {status}")
+
+    async def watch(
+        self, kind: str, version: int, name: str | None = None
+    ) -> AsyncIterator[WatchEvent]:
+        """Yield the changes after a version until the platform ends the watch.
+
+        Raises VersionTooOld or PlatformUnavailable. Waits without limit for the next
+        event: ``follow_objects`` bounds the silence.
+        """
+        self.calls += 1
+        query = urlencode(
+            {
+                "watch": "true",
+                "resourceVersion": version,
+                "bookmarkSeconds": BOOKMARK_INTERVAL_S,
+            }
+        )
+        url = f"{self._base}/{kind}?{query}&{_select(name)}"
+        timeouts = {"connect": CALL_TIMEOUT_S, "pool": CALL_TIMEOUT_S}
         try:
-            return PlatformObject.model_validate(data)
-        except ValidationError as exc:
-            raise PlatformUnavailable(f"bad object from the platform: {exc}") from exc
+            async with self._pool.stream(
+                "GET", url, extensions={"timeout": timeouts}
+            ) as res:
+                if res.status == 410:
+                    raise VersionTooOld(f"{kind} at version {version}")
+                if res.status != 200:
+                    raise PlatformUnavailable(f"the platform answered {res.status}")
+                async with aclosing(_read_lines(res)) as lines:
+                    async for line in lines:
+                        yield _parse_event(line)
+        except _FAILURES as exc:
+            raise PlatformUnavailable(f"watch {kind}: {exc!r}") from exc
 
     async def _call(
         self, method: str, path: str, body: object | None = None
     ) -> tuple[int, Any]:
+        self.calls += 1
         timeouts = dict.fromkeys(("connect", "read", "write", "pool"), CALL_TIMEOUT_S)
         content = None if body is None else json.dumps(body).encode()
         try:
@@ -100,10 +141,41 @@
                 extensions={"timeout": timeouts},
             )
             return res.status, json.loads(res.content)
-        except (
-            httpcore.NetworkError,
-            httpcore.TimeoutException,
-            httpcore.ProtocolError,
-            ValueError,
-        ) as exc:
-            raise PlatformUnavailable(f"{method} {path}: {exc!r}") from exc
+        except _FAILURES as exc:
+            sent = not isinstance(exc, _UNSENT)
+            raise PlatformUnavailable(f"{method} {path}: {exc!r}", sent=sent) from exc
+
+
+def _select(name: str | None) -> str:
+    return "" if name is None else urlencode({"fieldSelector": f"metadata.name={name}"})
+
+
+def _parse_object(status: int, data: Any) -> PlatformObject:
+    if status not in (200, 201):
+        raise PlatformUnavailable(f"the platform answered {status}")
+    try:
+        return PlatformObject.model_validate(data)
+    except ValidationError as exc:
+        raise PlatformUnavailable(f"bad object from the platform: {exc}") from exc
+
+
+def _parse_event(line: bytes) -> WatchEvent:
+    data = json.loads(line)
+    if data.get("type") == "ERROR":
+        raise VersionTooOld(str(data.get("object")))
+    version = data["object"]["metadata"]["resourceVersion"]
+    if data["type"] == "BOOKMARK":
+        return WatchEvent(type=data["type"], version=version)
+    return WatchEvent(type=data["type"], version=version, object=data["object"])
+
+
+async def _read_lines(res: httpcore.Response) -> AsyncGenerator[bytes]:
+    buffer = bytearray()
+    async for part in res.aiter_stream():
+        buffer += part
+        if len(buffer) > MAX_EVENT_BYTES:
+            raise ValueError("an event of the watch is too long")
+        *lines, rest = buffer.split(b"\n")
+        buffer = bytearray(rest)
+        for line in lines:
+            yield bytes(line)
--- a/src/berylmast/settings/_models.py
+++ b/src/berylmast/settings/_models.py
@@ -46,3 +46,16 @@
         None, description="statsd server, UDP; none if absent"
     )
     limits: LimitSettings = LimitSettings()
+    seeds: tuple[Address, ...] = Field(
+        (),
+        description="peer addresses of other daemons, asked for registrars first, TCP",
+    )
+    registrars_per_domain: int = Field(
+        1, ge=1, description="registrars of each failure domain, one per 250 daemons"
+    )
+    start_spread_s: float = Field(
+        15.0,
+        ge=0.0,
+        description="seconds over which daemons that start at once spread their first "
+        "call to the platform; 30,000 daemons and 2,000 reads a second need 15",
+    )
--- a/src/berylmast_dev/fleet.py
+++ b/src/berylmast_dev/fleet.py
@@ -113,6 +113,7 @@
             "service": member.service,
             "backend": {"host": HOST, "port": member.port + 3},
             "platform": {"host": HOST, "port": self.platform_port},
+            "start_spread_s": 0.2,
         }
         path = self._folder / f"{member.name}.json"
         path.write_text(json.dumps(settings, indent=2))
