Test membership on the paused clock; fix withdrawals and cut-off registrars

Cause: the tests showed two faults. A record marked gone was adopted by the table before the spreading step compared it, so nobody was told. A registrar cut off the platform alone kept its daemons from learning that its lease had lapsed.

Change: the table makes the withdrawn record and the registrar merges it like any other. Registrars tell a linked holder that its lease lapsed; one that cannot observe the platform passes this on, so its daemons move and take the role over.

--- a/src/berylmast/bin/berylmastctl.py
+++ b/src/berylmast/bin/berylmastctl.py
@@ -6,7 +6,7 @@
 import anyio
 from cyclopts import App
 
-from ..membership.registrar import DOCUMENT_KIND
+from ..membership.feeds import DOCUMENT_KIND
 from ..operators import DocumentError, parse_document
 from ..platform import (
     PlatformClient,
--- a/src/berylmast/membership/leases.py
+++ b/src/berylmast/membership/leases.py
@@ -83,7 +83,7 @@
     def __init__(self, now: Callable[[], float]) -> None:
         self._now = now
         self._observed: dict[str, _Observed] = {}
-        self._observing = False
+        self.observing = False
 
     def take_listing(self, listing: Listing) -> None:
         """Replace all leases by those listed."""
@@ -106,7 +106,7 @@
 
     def lose(self) -> None:
         """Note that the platform can't be observed."""
-        self._observing = False
+        self.observing = False
 
     def leases(self) -> dict[str, Lease]:
         """Return all leases by shard, each marked whether it has lapsed."""
@@ -118,7 +118,7 @@
     def lapsed_s(self, shard: str) -> float:
         """Return for how long a lease has lapsed, 0 if it has not."""
         observed = self._observed.get(shard)
-        if observed is None or not self._observing:
+        if observed is None or not self.observing:
             return 0.0
         return max(0.0, self._now() - observed.since_s - LEASE_S)
 
@@ -135,11 +135,11 @@
         )
 
     def _has_lapsed(self, observed: _Observed) -> bool:
-        return self._observing and self._now() - observed.since_s >= LEASE_S
+        return self.observing and self._now() - observed.since_s >= LEASE_S
 
     def _resume(self) -> None:
-        if not self._observing:
-            self._observing = True
+        if not self.observing:
+            self.observing = True
             for observed in self._observed.values():
                 observed.since_s = self._now()
 
--- a/src/berylmast/membership/member.py
+++ b/src/berylmast/membership/member.py
@@ -1,7 +1,7 @@
 """One daemon's part in membership: its registrar, and its own role as one."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from random import Random
 
 import anyio
@@ -10,14 +10,15 @@
 from ..daemons.frames import Announce, Registrars, Reset, Sync
 from ..errors import ErrorKind
 from ..model import Endpoint, EndpointState
-from ..platform import Platform, PlatformUnavailable
+from ..platform import Platform
 from ..telemetry import log_event
 from .attachment import Attachment, OwnRecord
 from .choice import Avoided, choose_registrar
 from .directory import Directory
 from .election import Election
-from .leases import LEASE_KIND, Claim, Lease, LeaseTable, pack_lease
-from .links import Dial, receive_within_limit
+from .finder import Finder, Place, make_claims
+from .leases import Claim, Lease, pack_lease
+from .links import Dial
 from .registrar import Registrar
 
 FIRST_BACKOFF_S = 1.0
@@ -31,20 +32,6 @@
 """An exchange that lasted this long shows that the registrar works."""
 
 
-@dataclass(frozen=True, slots=True)
-class Place:
-    """Where a daemon is and how it finds registrars; ``start_spread_s`` in seconds."""
-
-    environment: str
-    region: str
-    failure_domain: str
-    host: str
-    port: int
-    seeds: tuple[tuple[str, int], ...] = ()
-    registrars_per_domain: int = 1
-    start_spread_s: float = 15.0
-
-
 class Member:
     """Keeps a daemon attached to a registrar, and its directory up to date."""
 
@@ -70,7 +57,7 @@
         self._own = OwnRecord(record, directory)
         self._services = set() if record is None else {record.service}
         self._leases: dict[str, Lease] = {}
-        self._lease_table = LeaseTable(anyio.current_time)
+        self._finder = Finder(identity, place, platform, dial, rng)
         self._avoided = Avoided(anyio.current_time)
         self._attachment: Attachment | None = None
         self._moving = False
@@ -79,7 +66,7 @@
             platform,
             place.failure_domain,
             place.registrars_per_domain,
-            self._make_claim,
+            make_claims(identity, place),
             self._learn_one,
             rng,
         )
@@ -204,52 +191,16 @@
 
     async def _ask_seeds(self) -> bool:
         """Learn the registrars from a seed; tell whether any is usable."""
-        seeds = list(self._place.seeds)
-        self._rng.shuffle(seeds)
-        for host, port in seeds[:3]:
-            try:
-                async with self._dial(host, port) as exchange:
-                    await exchange.send(
-                        Announce(exchange.id, self._identity.daemon, "", "", ())
-                    )
-                    frame = await receive_within_limit(exchange)
-            except (ConnectionLost, ExchangeLost):
-                continue
-            if isinstance(frame, Registrars) and frame.leases:
-                self._learn([Lease(*item) for item in frame.leases])
-                return self._choose() is not None
-        return False
+        leases = await self._finder.ask_seeds()
+        if leases:
+            self._learn(leases)
+        return bool(leases) and self._choose() is not None
 
     async def _list_leases(self) -> None:
-        try:
-            listing = await self._platform.list(LEASE_KIND)
-        except PlatformUnavailable:
-            self._lease_table.lose()
-            return
-        self._lease_table.take_listing(listing)
-        self._leases = {
-            shard: replace(lease, lapsed=lease.lapsed or self._is_remnant(shard))
-            for shard, lease in self._lease_table.leases().items()
-        }
-        self._election.take_leases(self._leases, first_hand=True)
-
-    def _is_remnant(self, shard: str) -> bool:
-        identity = self._identity
-        return self._lease_table.is_own_remnant(
-            shard, identity.daemon, identity.incarnation
-        )
-
-    def _make_claim(self, shard: str) -> Claim:
-        place = self._place
-        lease = Lease(
-            shard,
-            self._identity.daemon,
-            place.region,
-            place.failure_domain,
-            place.host,
-            place.port,
-        )
-        return Claim(lease, self._identity.incarnation)
+        leases = await self._finder.list_leases()
+        if leases is not None:
+            self._leases = leases
+            self._election.take_leases(leases, first_hand=True)
 
     async def _serve_role(self, claim: Claim) -> None:
         try:
--- a/src/berylmast/membership/mesh.py
+++ b/src/berylmast/membership/mesh.py
@@ -14,12 +14,13 @@
     DocumentHead,
     Endpoints,
     Fetch,
+    Registrars,
     Reset,
     Sync,
 )
 from ..model import Endpoint
 from ..operators import DocumentError
-from .leases import Lease
+from .leases import Lease, pack_lease, unpack_lease
 from .links import Dial, receive_within_limit, run_beside, send_beats
 from .records import cut_records, unpack_records
 from .slices import (
@@ -47,6 +48,9 @@
     def take_peer_records(self, records: Iterable[Endpoint]) -> None:
         """Take records that another registrar answers for."""
 
+    def take_peer_lease(self, lease: Lease) -> None:
+        """Note that another registrar saw this lease lapse."""
+
     def adopt_document(self, text: str, version: int) -> None:
         """Put a document into force unless a newer one is."""
 
@@ -64,7 +68,7 @@
         self._tg = tg
         self._leases: dict[str, Lease] = {}
         self._dialling: set[str] = set()
-        self._open: set[Exchange] = set()
+        self._open: dict[Exchange, str] = {}
         self._fetching = False
 
     def take_leases(self, leases: dict[str, Lease]) -> None:
@@ -74,6 +78,9 @@
             if shard > self._shard and shard not in self._dialling:
                 self._dialling.add(shard)
                 self._tg.start_soon(self._keep_link, shard)
+        for exchange, shard in self._open.items():
+            if shard in leases and leases[shard].lapsed:
+                self._tg.start_soon(_send_lapse, exchange, leases[shard])
 
     def send_records(self, records: list[Endpoint]) -> None:
         """Send records of this registrar's daemons to all others."""
@@ -82,7 +89,7 @@
 
     async def serve(self, exchange: Exchange, shard: str) -> None:
         """Serve the exchange with one other registrar until it is lost."""
-        self._open.add(exchange)
+        self._open[exchange] = shard
         try:
             await _send_records(exchange, self._peers.own_records())
 
@@ -91,7 +98,7 @@
 
             await run_beside(lambda: self._receive(exchange), beat)
         finally:
-            self._open.discard(exchange)
+            del self._open[exchange]
 
     async def _keep_link(self, shard: str) -> None:
         backoff_s = FIRST_BACKOFF_S
@@ -121,6 +128,9 @@
                     self._tg.start_soon(self._send_document, exchange)
                 case DocumentHead(version=version, size=size):
                     await self._receive_document(exchange, version, size)
+                case Registrars(leases=leases):
+                    for item in leases:
+                        self._peers.take_peer_lease(unpack_lease(item))
                 case Reset():
                     return
                 case _:
@@ -171,3 +181,11 @@
             await exchange.send(Endpoints(exchange.id, part))
     except ExchangeLost:
         pass
+
+
+async def _send_lapse(exchange: Exchange, lease: Lease) -> None:
+    """Tell a registrar that its lease has lapsed: it may be cut off the platform."""
+    try:
+        await exchange.send(Registrars(exchange.id, (pack_lease(lease),)))
+    except ExchangeLost:
+        pass
--- a/src/berylmast/membership/records.py
+++ b/src/berylmast/membership/records.py
@@ -117,12 +117,12 @@
             self._forget(next(iter(self._gone)))
         return changed
 
-    def mark_gone(self, backend: str, order: tuple[int, int]) -> list[Endpoint]:
-        """Set a record to GONE unless it has changed since ``order``."""
+    def make_gone(self, backend: str, order: tuple[int, int]) -> list[Endpoint]:
+        """Return the record as GONE, to be merged; none if ``order`` is outdated."""
         known = self._records.get(backend)
         if known is None or known.order != order:
             return []
-        return self.merge([replace(known, state=EndpointState.GONE)])
+        return [replace(known, state=EndpointState.GONE)]
 
     def _adopt(self, new: Endpoint) -> bool:
         old = self._records.get(new.backend)
--- a/src/berylmast/membership/registrar.py
+++ b/src/berylmast/membership/registrar.py
@@ -1,7 +1,7 @@
 """A registrar: records of attached daemons, the document, and who must be told."""
 
 from collections.abc import Iterable
-from functools import partial
+from dataclasses import replace
 from random import Random
 
 import anyio
@@ -11,26 +11,18 @@
 from ..daemons.frames import Announce, Sync
 from ..model import Endpoint, EndpointState
 from ..operators import DocumentError
-from ..platform import (
-    EventType,
-    Listing,
-    Platform,
-    PlatformObject,
-    WatchEvent,
-    follow_objects,
-)
+from ..platform import Platform, PlatformObject
 from ..telemetry import log_event
 from .damping import FlapDamper
-from .leases import LEASE_KIND, Lease, LeaseTable
+from .feeds import follow_store
+from .leases import Lease, LeaseTable
 from .links import Dial
 from .mesh import Mesh
 from .records import RecordTable
 from .session import Session
-from .shard import ENDPOINT_KIND, ShardWriter, read_shard
+from .shard import ShardWriter, read_shard
 from .slices import EMPTY_DOCUMENT, CutDocument, cut_document
 
-DOCUMENT_KIND = "documents"
-
 GONE_DELAY_S = 2.0
 """Time for a daemon that lost its exchange to announce itself elsewhere."""
 
@@ -62,6 +54,7 @@
         self._rng = rng
         self._tg = tg
         self._lease_table = LeaseTable(anyio.current_time)
+        self._cut_off = False
         self._known_leases: dict[str, Lease] = {}
         self._damper = FlapDamper(anyio.current_time)
         self._shards: dict[str, list[Endpoint]] = {}
@@ -78,36 +71,18 @@
     async def _run(self) -> None:
         adopted = await self._writer.load()
         self._merge(adopted)
-        follow = partial(follow_objects, self._platform, rng=self._rng)
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._writer.run)
             tg.start_soon(self._sweep)
             tg.start_soon(self._expire_adopted, adopted)
-            tg.start_soon(
-                partial(
-                    follow,
-                    DOCUMENT_KIND,
-                    name=self._environment,
-                    on_list=self._list_documents,
-                    on_event=self._see_document,
-                )
-            )
-            tg.start_soon(
-                partial(
-                    follow,
-                    ENDPOINT_KIND,
-                    on_list=self._list_shards,
-                    on_event=self._see_shard,
-                )
-            )
-            tg.start_soon(
-                partial(
-                    follow,
-                    LEASE_KIND,
-                    on_list=self._list_leases,
-                    on_event=self._see_lease,
-                    on_lost=self._lease_table.lose,
-                )
+            await follow_store(
+                self._platform,
+                self._environment,
+                self._rng,
+                lease_table=self._lease_table,
+                on_leases=self._see_leases,
+                on_document=self.adopt_document,
+                on_shard=self._take_shard,
             )
 
     def leases(self) -> Iterable[Lease]:
@@ -117,7 +92,7 @@
             for lease in self._lease_table.leases().values()
             if lease.shard != self._own.shard
         ]
-        return [self._own, *others]
+        return [replace(self._own, lapsed=self._cut_off), *others]
 
     async def accept(self, exchange: Exchange, frame: Announce | Sync) -> None:
         """Serve one exchange of a daemon or another registrar until it ends."""
@@ -149,6 +124,17 @@
         """Take records that another registrar sent."""
         self._merge(records)
 
+    def take_peer_lease(self, lease: Lease) -> None:
+        """Note that another registrar saw this lease lapse.
+
+        If this one cannot observe the platform, it is cut off while others are not:
+        its daemons are told to find another registrar and to take the role over.
+        """
+        lapsed = lease.shard == self._own.shard and lease.lapsed
+        if lapsed and not self._lease_table.observing and not self._cut_off:
+            self._cut_off = True
+            self._tell_sessions()
+
     def own_records(self) -> list[Endpoint]:
         """Return the records of the daemons attached here."""
         return self._writer.records()
@@ -182,7 +168,7 @@
         await anyio.sleep(GONE_DELAY_S)
         session = self.sessions.get(record.backend)
         if session is None:
-            self._spread_own(self.table.mark_gone(record.backend, record.order))
+            self._spread_own(self.table.make_gone(record.backend, record.order))
 
     async def _announce_later(
         self, session: Session, record: Endpoint, delay_s: float
@@ -197,7 +183,7 @@
         await anyio.sleep(ADOPT_S)
         for record in adopted:
             if record.backend not in self.sessions:
-                self._spread_own(self.table.mark_gone(record.backend, record.order))
+                self._spread_own(self.table.make_gone(record.backend, record.order))
 
     async def _sweep(self) -> None:
         """Look for lapsed leases, and mark daemons gone that went with theirs."""
@@ -208,7 +194,7 @@
                 if self._lease_table.lapsed_s(shard) < ADOPT_S:
                     continue
                 for record in records:
-                    self._tell(self.table.mark_gone(record.backend, record.order))
+                    self._merge(self.table.make_gone(record.backend, record.order))
 
     def _spread_own(self, records: Iterable[Endpoint]) -> None:
         """Adopt records of daemons attached here and tell everybody."""
@@ -233,39 +219,14 @@
             for session in self.sessions.values():
                 session.note_services(services)
 
-    def _list_documents(self, listing: Listing) -> None:
-        for item in listing.items:
-            self._take_document(item)
-
-    def _see_document(self, event: WatchEvent) -> None:
-        if event.object is not None and event.type is not EventType.DELETED:
-            self._take_document(event.object)
-
-    def _take_document(self, item: PlatformObject) -> None:
-        text, version = item.spec.get("text"), item.spec.get("version")
-        if isinstance(text, str) and isinstance(version, int):
-            self.adopt_document(text, version)
-
-    def _list_shards(self, listing: Listing) -> None:
-        for item in listing.items:
-            self._take_shard(item)
-
-    def _see_shard(self, event: WatchEvent) -> None:
-        if event.object is not None and event.type is not EventType.DELETED:
-            self._take_shard(event.object)
-
     def _take_shard(self, item: PlatformObject) -> None:
         shard = item.metadata.name
         if shard != self._own.shard:
             self._shards[shard] = read_shard(item)
             self._merge(self._shards[shard])
 
-    def _list_leases(self, listing: Listing) -> None:
-        self._lease_table.take_listing(listing)
-        self._tell_leases()
-
-    def _see_lease(self, event: WatchEvent) -> None:
-        self._lease_table.take_event(event)
+    def _see_leases(self) -> None:
+        self._cut_off = False
         self._tell_leases()
 
     def _tell_leases(self) -> None:
@@ -273,8 +234,11 @@
         if leases != self._known_leases:
             self._known_leases = leases
             self._mesh.take_leases(leases)
-            for session in self.sessions.values():
-                session.note_leases()
+            self._tell_sessions()
+
+    def _tell_sessions(self) -> None:
+        for session in self.sessions.values():
+            session.note_leases()
 
 
 def _comes_up(new: Endpoint, old: Endpoint | None) -> bool:
--- /dev/null
+++ b/src/berylmast/membership/tests/test_records.py
@@ -0,0 +1,146 @@
+"""Guards against records that revert, and against subsets that hide a building."""
+
+from dataclasses import replace
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...model import Endpoint, EndpointState
+from ..damping import FREE_STARTS, MAX_DELAY_S, WINDOW_S, FlapDamper
+from ..directory import Directory
+from ..records import (
+    SUBSET_SIZE,
+    RecordTable,
+    choose_subset,
+    cut_records,
+    pack_record,
+    supersedes,
+    unpack_record,
+    unpack_records,
+)
+
+READY, DRAINING, GONE = EndpointState
+
+
+def make_record(
+    backend: str = "a0",
+    incarnation: int = 1,
+    seq: int = 1,
+    state: EndpointState = READY,
+    domain: str = "n1",
+) -> Endpoint:
+    return Endpoint(
+        backend, "orders", "h", 1, domain[0], domain, incarnation, seq, state
+    )
+
+
+@pytest.mark.parametrize(
+    ("new", "old", "expected"),
+    [
+        ((1, 2, READY), (1, 1, GONE), True),
+        ((2, 1, READY), (1, 9, DRAINING), True),
+        ((1, 1, READY), (1, 1, READY), False),
+        ((1, 1, GONE), (1, 1, READY), True),
+        ((1, 1, READY), (1, 1, GONE), False),
+        ((1, 1, GONE), (1, 2, READY), False),
+        ((1, 9, READY), (2, 1, GONE), False),
+    ],
+)
+def test_order_of_records(
+    new: tuple[int, int, EndpointState],
+    old: tuple[int, int, EndpointState],
+    expected: bool,
+) -> None:
+    assert supersedes(make_record("a0", *new), make_record("a0", *old)) is expected
+
+
+records = st.builds(
+    make_record,
+    st.sampled_from(["a0", "a1"]),
+    st.integers(1, 3),
+    st.integers(1, 3),
+    # One daemon never gives two states to one seq; only GONE is set by others.
+    st.sampled_from([READY, GONE]),
+)
+
+
+@given(st.lists(records), st.randoms())
+def test_carriers_in_any_order_agree(items: list[Endpoint], rng: object) -> None:
+    shuffled = list(items)
+    rng.shuffle(shuffled)  # type: ignore[attr-defined]
+    tables = [RecordTable(), RecordTable()]
+    tables[0].merge(items)
+    for record in shuffled:
+        tables[1].merge([record])
+    for backend in ("a0", "a1"):
+        assert tables[0].get(backend) == tables[1].get(backend)
+
+
+def test_records_survive_the_wire_and_unknown_states_are_left_out() -> None:
+    many = [make_record(f"a{n}", state=DRAINING) for n in range(1200)]
+    parts = cut_records(many)
+    assert [len(part) for part in parts] == [500, 500, 200]
+    assert [unpack_record(record) for part in parts for record in part] == many
+    strange = (*pack_record(many[0])[:8], "hibernating")
+    assert unpack_records([strange, pack_record(many[1])]) == [many[1]]
+
+
+@pytest.mark.parametrize("size", [1, SUBSET_SIZE, SUBSET_SIZE + 1, 1000])
+def test_subset_is_bounded_stable_and_reaches_other_domains(size: int) -> None:
+    domains = ["n1", "n2", "s1", "s2"]
+    endpoints = [make_record(f"a{n}", domain=domains[n % 4]) for n in range(size)]
+    subset = choose_subset(endpoints, "me", "n", "n1")
+    assert len(subset) == min(size, SUBSET_SIZE)
+    again = choose_subset(list(reversed(endpoints)), "me", "n", "n1")
+    assert {e.backend for e in subset} == {e.backend for e in again}
+    if size == 1000:
+        near = [e for e in subset if e.failure_domain == "n1"]
+        assert len(near) >= SUBSET_SIZE // 2
+        assert {e.failure_domain for e in subset} == set(domains)
+        kept = [e for e in endpoints if e.backend != subset[-1].backend]
+        moved = {e.backend for e in choose_subset(kept, "me", "n", "n1")}
+        assert len(moved & {e.backend for e in subset}) == SUBSET_SIZE - 1
+
+
+def test_flapping_is_delayed_ever_longer_and_forgiven() -> None:
+    now_s = 0.0
+    damper = FlapDamper(lambda: now_s)
+    delays = []
+    record = make_record()
+    for start in range(10):
+        previous = replace(record, state=GONE)
+        record = make_record(incarnation=start + 2)
+        damper.observe(record, previous)
+        damper.observe(replace(record, state=DRAINING), record)
+        delays.append(damper.delay_s("a0"))
+        now_s += 1.0
+    assert delays[:FREE_STARTS] == [0.0] * FREE_STARTS
+    assert delays[FREE_STARTS : FREE_STARTS + 3] == [2.0, 4.0, 8.0]
+    assert max(delays) == MAX_DELAY_S
+    now_s += WINDOW_S
+    assert damper.delay_s("a0") == 0.0
+
+
+def test_gone_backend_stays_gone_in_a_directory() -> None:
+    directory = Directory()
+    directory.put_endpoint(make_record())
+    directory.put_endpoint(make_record(state=GONE))
+    directory.mark_draining("a0")
+    assert not directory.put_endpoint(make_record())
+    assert list(directory.endpoints("orders")) == []
+    assert directory.put_endpoint(make_record(seq=2))
+    assert len(directory.endpoints("orders")) == 1
+
+
+def test_memory_for_gone_backends_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
+    monkeypatch.setattr("berylmast.membership.records.MAX_GONE", 10)
+    monkeypatch.setattr("berylmast.membership.directory.MAX_GONE", 10)
+    table, directory = RecordTable(), Directory()
+    for number in range(50):
+        gone = make_record(f"a{number}", state=GONE)
+        table.merge([gone])
+        directory.put_endpoint(gone)
+    assert len(table.of_service("orders")) == 10
+    assert len(directory._gone) == 10
+    assert len(table) == 0
--- /dev/null
+++ b/src/berylmast/membership/tests/test_roles.py
@@ -0,0 +1,172 @@
+"""Guards against two holders of one registrar role, and against roles left vacant."""
+
+from typing import Any
+
+import anyio
+import pytest
+
+from berylmast_dev.objects import ObjectTable
+
+from ...platform import Listing, PlatformObject
+from ...platform.tests.fake import FakePlatform
+from ..leases import LEASE_KIND, LEASE_S, Claim, Lease, LeaseTable, hold_lease
+from .fleet import Fleet, run_fleet
+
+pytestmark = pytest.mark.anyio
+
+CLAIM = Claim(Lease("n1-0", "a0", "n", "n1", "a0", 1), 7)
+
+
+async def start(fleet: Fleet, registrars: int = 1) -> None:
+    fleet.apply(1, orders=6)
+    for number in range(4):
+        fleet.start(f"a{number}", "n1", registrars=registrars)
+        fleet.start(f"b{number}", "s1", registrars=registrars)
+    await anyio.sleep(15)
+
+
+async def test_holder_cut_off_past_its_lease_is_fenced() -> None:
+    async with run_fleet() as fleet:
+        await start(fleet)
+        old = fleet.registrars()["n1-0"]
+        fleet.daemons[old].platform.down = True
+        await fleet.wait_until(
+            lambda: fleet.holders()["n1-0"] != old, LEASE_S + 5.0 + 8.0
+        )
+        new = fleet.holders()["n1-0"]
+        fleet.daemons[old].platform.down = False
+        await anyio.sleep(12)
+        assert fleet.daemons[old].member.role is None
+        assert fleet.registrars()["n1-0"] == new
+        everyone = set(fleet.daemons)
+        assert all(fleet.known(name) == everyone for name in everyone)
+
+
+async def test_dead_holder_is_replaced_by_its_domain() -> None:
+    async with run_fleet() as fleet:
+        await start(fleet)
+        old = fleet.registrars()["s1-0"]
+        fleet.stop(old)
+        await fleet.wait_until(
+            lambda: fleet.registrars().get("s1-0", old) != old, LEASE_S + 5.0 + 8.0
+        )
+        assert fleet.registrars()["s1-0"][0] == "b"
+        await anyio.sleep(10)
+        for name, daemon in fleet.daemons.items():
+            attached = daemon.member.attached
+            assert attached is not None
+            assert attached.failure_domain[0] == ("n" if name[0] == "a" else "s")
+
+
+async def test_few_daemons_compete_for_a_vacant_role() -> None:
+    async with run_fleet() as fleet:
+        for number in range(60):
+            fleet.start(f"a{number}", "n1")
+        fleet.start("b0", "s1")
+        await anyio.sleep(15)
+        fleet.stop(fleet.registrars()["n1-0"])
+        before = {name: d.platform.calls for name, d in fleet.daemons.items()}
+        await anyio.sleep(45)
+        registrars = set(fleet.registrars().values())
+        calls = sum(
+            daemon.platform.calls - before[name]
+            for name, daemon in fleet.daemons.items()
+            if name not in registrars
+        )
+        assert len(registrars) == 2
+        assert calls <= 12
+
+
+async def test_two_registrars_of_a_domain_share_its_daemons() -> None:
+    async with run_fleet() as fleet:
+        await start(fleet, registrars=2)
+        assert set(fleet.registrars()) == {"n1-0", "n1-1", "s1-0", "s1-1"}
+        assert len(set(fleet.registrars().values())) == 4
+        everyone = set(fleet.daemons)
+        assert all(fleet.known(name) == everyone for name in everyone)
+
+
+@pytest.mark.parametrize("lost", [1, 2])
+async def test_lost_answers_of_renewals_do_not_end_a_role(lost: int) -> None:
+    async with run_fleet() as fleet:
+        await start(fleet)
+        roles = fleet.registrars()
+        for _ in range(10):
+            for name in roles.values():
+                fleet.daemons[name].platform.lose_puts = lost
+            await anyio.sleep(5)
+        assert fleet.registrars() == roles
+
+
+def make_lease(platform: FakePlatform, daemon: str) -> PlatformObject:
+    spec = {
+        "daemon": daemon,
+        "region": "n",
+        "failure_domain": "n1",
+        "host": daemon,
+        "port": 1,
+        "incarnation": 7,
+        "renewed": 0,
+    }
+    stored = platform.table.put(LEASE_KIND, "n1-0", spec, None)
+    return PlatformObject.model_validate(stored)
+
+
+async def test_paused_holder_steps_down_at_its_first_renewal() -> None:
+    platform = FakePlatform(ObjectTable())
+    mine = make_lease(platform, "a0")
+    make_lease(platform, "a1")
+    with anyio.fail_after(6):
+        await hold_lease(platform, CLAIM, mine)
+    stored = platform.table.get(LEASE_KIND, "n1-0")
+    assert stored is not None
+    assert stored["spec"]["daemon"] == "a1"
+
+
+async def test_renewal_of_unknown_outcome_is_found_later() -> None:
+    platform = FakePlatform(ObjectTable())
+    mine = make_lease(platform, "a0")
+    make_lease(platform, "a0")
+    with anyio.move_on_after(60) as scope:
+        await hold_lease(platform, CLAIM, mine)
+    assert scope.cancelled_caught, "the newer object is this holder's own"
+
+
+@pytest.mark.parametrize(
+    ("steps", "lapsed"),
+    [
+        ([("list", 1), ("wait", 14)], False),
+        ([("list", 1), ("wait", 16)], True),
+        ([("list", 1), ("wait", 14), ("list", 2), ("wait", 14)], False),
+        ([("list", 1), ("wait", 14), ("list", 1), ("wait", 2)], True),
+        # While nothing can be observed, no lease lapses; the clock then starts anew.
+        ([("list", 1), ("lose", 0), ("wait", 60)], False),
+        ([("list", 1), ("lose", 0), ("wait", 60), ("list", 1), ("wait", 14)], False),
+        ([("list", 1), ("lose", 0), ("wait", 60), ("list", 1), ("wait", 16)], True),
+    ],
+)
+async def test_lease_lapses_by_the_observers_clock(
+    steps: list[tuple[str, int]], lapsed: bool
+) -> None:
+    table = LeaseTable(anyio.current_time)
+    spec: dict[str, Any] = {
+        "daemon": "a0",
+        "region": "n",
+        "failure_domain": "n1",
+        "host": "a0",
+        "port": 1,
+        "incarnation": 7,
+    }
+    for step, value in steps:
+        if step == "wait":
+            await anyio.sleep(value)
+        elif step == "lose":
+            table.lose()
+        else:
+            item = {
+                "kind": LEASE_KIND,
+                "metadata": {"name": "n1-0", "resourceVersion": value},
+                "spec": spec,
+            }
+            table.take_listing(Listing(value, (PlatformObject.model_validate(item),)))
+    assert table.leases()["n1-0"].lapsed is lapsed
