--- /dev/null
+++ b/src/berylmast/bin/tests/test_apply.py
@@ -0,0 +1,90 @@
+"""Guards against an apply that misreports whether the document was accepted."""
+
+from typing import Any
+
+import anyio
+import pytest
+
+from berylmast_dev.fleet import find_ports
+from berylmast_dev.store import Store
+
+from ..._serve import make_server
+from ...platform import client as client_module
+from ...settings import Address
+from ..berylmastctl import EXIT_CONFLICT, EXIT_UNAVAILABLE, EXIT_UNKNOWN, _apply
+
+pytestmark = pytest.mark.anyio
+
+OTHER = {"version": 8, "text": "other", "writers": ["other"]}
+
+
+@pytest.fixture
+def anyio_backend(real_clock: Any) -> Any:
+    return real_clock
+
+
+async def run_apply(store: Store, faults: dict[str, Any], race: bool) -> int:
+    address = Address(host="127.0.0.1", port=find_ports(1))
+    server = make_server(store.app, address)
+    code = -1
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(server.serve)
+        while not server.started:
+            await anyio.sleep(0.01)
+        if race:
+            tg.start_soon(_interfere, store)
+        store.control(faults)
+        code = await _apply("text", "test", address)
+        server.should_exit = server.force_exit = True
+        tg.cancel_scope.cancel()
+    return code
+
+
+async def _interfere(store: Store) -> None:
+    """Store another document after the write has arrived but before it runs."""
+    while not store.calls["put documents"]:
+        await anyio.sleep(0.001)
+    store.table.put("documents", "test", OTHER, None)
+
+
+@pytest.mark.parametrize(
+    ("faults", "race", "code", "version"),
+    [
+        ({}, False, 0, 8),
+        ({"lose_answers": 1}, False, 0, 8),
+        ({"lose_answers": 2}, False, 0, 8),
+        ({"slow_s": 0.05}, True, EXIT_CONFLICT, 8),
+        ({"outage": "refuse"}, False, EXIT_UNAVAILABLE, 7),
+        ({"outage": "hang"}, False, EXIT_UNAVAILABLE, 7),
+    ],
+)
+async def test_exit_code_tells_what_became_of_the_document(
+    faults: dict[str, Any],
+    race: bool,
+    code: int,
+    version: int,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(client_module, "CALL_TIMEOUT_S", 0.2)
+    store = Store()
+    store.table.put("documents", "test", {"version": 7, "text": "old"}, None)
+    assert await run_apply(store, dict(faults), race) == code
+    stored = store.table.get("documents", "test")
+    assert stored is not None
+    assert stored["spec"]["version"] == version
+
+
+async def test_outage_that_begins_with_the_write_leaves_the_outcome_unknown(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(client_module, "CALL_TIMEOUT_S", 0.1)
+    store = Store()
+    plain_run = store._run
+
+    def run_then_fail(*args: Any) -> tuple[int, Any]:
+        answer = plain_run(*args)
+        store.faults.outage = "hang"
+        return answer
+
+    monkeypatch.setattr(store, "_run", run_then_fail)
+    assert await run_apply(store, {}, False) == EXIT_UNKNOWN
