Drop idle platform connections before the server does

Change: the client closes connections idle for 2 s.

Conclusion: test_calls_at_the_servers_idle_limit_are_not_lost.

--- a/src/berylmast/platform/client.py
+++ b/src/berylmast/platform/client.py
@@ -20,6 +20,10 @@
 )
 
 CALL_TIMEOUT_S = 2.0
+IDLE_CONNECTION_S = 2.0
+"""Servers commonly close connections idle for 5 s, which is also the interval of lease
+renewals: a call sent at that moment is lost and must be read back."""
+
 BOOKMARK_INTERVAL_S = 1.0
 """Requested interval of bookmarks; they show that a quiet watch still works."""
 
@@ -41,7 +45,9 @@
     def __init__(self, address: Address) -> None:
         self.calls = 0
         self._base = f"http://{address}/objects"
-        self._pool = httpcore.AsyncConnectionPool(max_connections=8)
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=8, keepalive_expiry=IDLE_CONNECTION_S
+        )
 
     async def aclose(self) -> None:
         """Close all connections."""
--- a/src/berylmast/platform/tests/test_store.py
+++ b/src/berylmast/platform/tests/test_store.py
@@ -27,10 +27,13 @@
 
 
 @asynccontextmanager
-async def serve() -> AsyncIterator[tuple[Store, PlatformClient, Address]]:
+async def serve(
+    idle_s: int = 5,
+) -> AsyncIterator[tuple[Store, PlatformClient, Address]]:
     store = Store()
     address = Address(host="127.0.0.1", port=find_ports(1))
     server = make_server(store.app, address)
+    server.config.timeout_keep_alive = idle_s
     client = PlatformClient(address)
     async with anyio.create_task_group() as tg:
         tg.start_soon(server.serve)
@@ -125,3 +128,16 @@
     with pytest.raises(PlatformUnavailable) as caught:
         await client.get("things", "a")
     assert not caught.value.sent
+
+
+async def test_calls_at_the_servers_idle_limit_are_not_lost(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    monkeypatch.setattr(client_module, "IDLE_CONNECTION_S", 0.5)
+    async with serve(idle_s=1) as (store, client, _):
+        stored = None
+        for _ in range(4):
+            result = await put_confirmed(client, "things", "a", {"n": 1}, stored)
+            stored = result.unwrap()
+            await anyio.sleep(1.0)
+        assert store.report()["by_call"] == {"put things": 4}, "nothing is read back"
