Replace the idle connection test by one that fails without the fix

The earlier form passed with the fault present: the close and the call must coincide. The new server ends a connection at its second request, which is what the fault does.

--- a/src/berylmast/platform/tests/test_store.py
+++ b/src/berylmast/platform/tests/test_store.py
@@ -1,12 +1,13 @@
 """Guards against a client and a stand-in store that disagree, over real sockets."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any
 
 import anyio
 import httpcore
 import pytest
+from anyio.abc import SocketAttribute, SocketStream
 
 from berylmast_dev.fleet import find_ports
 from berylmast_dev.store import Store
@@ -27,13 +28,10 @@
 
 
 @asynccontextmanager
-async def serve(
-    idle_s: int = 5,
-) -> AsyncIterator[tuple[Store, PlatformClient, Address]]:
+async def serve() -> AsyncIterator[tuple[Store, PlatformClient, Address]]:
     store = Store()
     address = Address(host="127.0.0.1", port=find_ports(1))
     server = make_server(store.app, address)
-    server.config.timeout_keep_alive = idle_s
     client = PlatformClient(address)
     async with anyio.create_task_group() as tg:
         tg.start_soon(server.serve)
@@ -130,14 +128,28 @@
     assert not caught.value.sent
 
 
-async def test_calls_at_the_servers_idle_limit_are_not_lost(
+async def test_connection_near_the_servers_idle_limit_is_not_used_again(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
-    monkeypatch.setattr(client_module, "IDLE_CONNECTION_S", 0.5)
-    async with serve(idle_s=1) as (store, client, _):
-        stored = None
-        for _ in range(4):
-            result = await put_confirmed(client, "things", "a", {"n": 1}, stored)
-            stored = result.unwrap()
-            await anyio.sleep(1.0)
-        assert store.report()["by_call"] == {"put things": 4}, "nothing is read back"
+    """A server that closes idle connections loses a call sent at that moment."""
+    monkeypatch.setattr(client_module, "IDLE_CONNECTION_S", 0.1)
+    body = b'{"kind": "k", "metadata": {"name": "a"}, "spec": {}}'
+    answer = b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+
+    async def serve_once(stream: SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            await stream.send(answer)
+            with suppress(anyio.EndOfStream):
+                await stream.receive()
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    client = PlatformClient(Address(host="127.0.0.1", port=port))
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(listener.serve, serve_once)
+        assert await client.get("things", "a") is not None
+        await anyio.sleep(0.2)
+        assert await client.get("things", "a") is not None
+        await client.aclose()
+        tg.cancel_scope.cancel()
