--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -1,20 +1,22 @@
 """Wires the parts of one daemon together and runs them."""
 
 import os
-import signal
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import AbstractAsyncContextManager, asynccontextmanager
 from itertools import count
 from random import Random
 
 import anyio
+from anyio.abc import TaskGroup
 
-from ._serve import HttpServer, make_server
+from ._serve import make_server
 from .backends import AttemptLedger, Owner
 from .backends.client import BackendClient
+from .backends.health import Health, follow_health, make_check
 from .callers import make_app
 from .callers.forward import Forwarder
+from .callers.leaving import close_connections
 from .daemons import (
     Accept,
     Exchange,
@@ -24,13 +26,18 @@
     connect_exchanges,
 )
 from .daemons.frames import Announce, OpeningFrame, Sync
+from .lifecycle import LeaveReason, Lifecycle
 from .limits import AdmissionController, RetryBudget
-from .membership import ControlMeter, Directory, Member, Place, make_dial
-from .model import AttemptId, Endpoint, ServiceSlice
-from .operators.admin import make_admin_app
+from .membership import Directory
+from .membership.finder import Place
+from .membership.links import ControlMeter, make_dial
+from .membership.member import Member
+from .model import AttemptId, Endpoint, EndpointState, ServiceSlice
+from .operators.daemon_admin import make_daemon_admin
 from .platform import PlatformClient
-from .routing import Router
+from .routing import Prober, Router
 from .settings import DaemonSettings
+from .shutdown import serve_until_signal
 from .telemetry import Sight, log_event
 
 
@@ -44,7 +51,9 @@
     identity = Identity(cfg.daemon_id, make_incarnation())
     directory = Directory()
     sight = Sight(cfg.statsd)
-    owner = _make_owner(cfg, identity, directory)
+    lifecycle = Lifecycle()
+    admission = _make_admission(cfg, identity, directory)
+    owner = _make_owner(cfg, admission)
     router = Router(
         directory,
         region=cfg.region,
@@ -56,34 +65,58 @@
     member = _make_member(cfg, identity, directory, client, meter)
     async with anyio.create_task_group() as tg:
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
+        prober = Prober(
+            pool,
+            router.probe_budget,
+            find_stale=_make_stale_finder(router, cfg.daemon_id),
+            record_load=router.record_load,
+            rng=Random(),
+        )
+        tg.start_soon(prober.run)
         forwarder = Forwarder(
             router=router,
             retries=RetryBudget(),
             open_exchange=_make_opener(pool, owner, cfg.daemon_id),
             next_attempt=_make_attempts(identity),
+            endpoints=directory.endpoints,
         )
-        listener: PeerListener | None = None
-        if owner is not None:
-            accept = _make_accept(owner, member)
-            listener = PeerListener(cfg.peers, identity, accept)
+        accept = _make_accept(owner, member) if owner else None
+        listener = PeerListener(cfg.peers, identity, accept)
+        if admission is not None and owner is not None:
+            await tg.start(owner.run)
             await tg.start(listener.run)
+            lifecycle.add_listener(_make_leave_listener(admission, listener, member))
+            _start_health(tg, cfg, lifecycle)
         tg.start_soon(member.run)
+        app = make_app(directory, cfg.limits, forwarder, sight)
         callers = make_server(
-            make_app(directory, cfg.limits, forwarder, sight), cfg.callers
+            close_connections(app, lambda: lifecycle.stopping), cfg.callers
+        )
+        admin = make_server(
+            make_daemon_admin(
+                sight,
+                lifecycle,
+                admission,
+                router.summarise,
+                _make_membership_report(member, meter, listener),
+            ),
+            cfg.admin,
         )
-        reports = {"status": _make_status(sight, member, meter, listener)}
-        admin = make_server(make_admin_app(reports), cfg.admin)
-        tg.start_soon(callers.serve)
         tg.start_soon(admin.serve)
         log_event("started", daemon=cfg.daemon_id, callers=cfg.callers)
-        await _wait_signal([callers, admin])
+        await serve_until_signal(
+            callers,
+            lifecycle,
+            cfg.drain,
+            _make_request_counter(listener, admission),
+        )
         log_event("stopped", daemon=cfg.daemon_id)
         tg.cancel_scope.cancel()
 
 
-def _make_owner(
+def _make_admission(
     cfg: DaemonSettings, identity: Identity, directory: Directory
-) -> Owner | None:
+) -> AdmissionController | None:
     if cfg.backend is None or cfg.service is None:
         return None
     service = cfg.service
@@ -93,7 +126,14 @@
         assert found is not None
         return found
 
-    admission = AdmissionController(cfg.daemon_id, identity.incarnation, get_slice)
+    return AdmissionController(cfg.daemon_id, identity.incarnation, get_slice)
+
+
+def _make_owner(
+    cfg: DaemonSettings, admission: AdmissionController | None
+) -> Owner | None:
+    if cfg.backend is None or admission is None:
+        return None
     return Owner(admission, AttemptLedger(), BackendClient(cfg.backend, 260))
 
 
@@ -129,24 +169,61 @@
     return accept
 
 
-def _make_status(
-    sight: Sight, member: Member, meter: ControlMeter, listener: PeerListener | None
+def _make_membership_report(
+    member: Member, meter: ControlMeter, listener: PeerListener
 ) -> Callable[[], object]:
     def report() -> object:
-        sent, received = meter.count()
-        if listener is not None:
-            accepted = listener.count_control_bytes()
-            sent, received = sent + accepted[0], received + accepted[1]
-        membership = {
+        dialled, accepted = meter.count(), listener.count_control_bytes()
+        return {
             **member.report(),
-            "control_bytes_sent": sent,
-            "control_bytes_received": received,
+            "control_bytes_sent": dialled[0] + accepted[0],
+            "control_bytes_received": dialled[1] + accepted[1],
         }
-        return {**sight.summarise(), "membership": membership}
 
     return report
 
 
+def _make_request_counter(
+    listener: PeerListener, admission: AdmissionController | None
+) -> Callable[[], int]:
+    """Count requests of other daemons, also those whose connection has ended."""
+
+    def count_requests() -> int:
+        running = 0 if admission is None else admission.report().in_flight
+        return max(running, listener.open_exchanges)
+
+    return count_requests
+
+
+def _make_leave_listener(
+    admission: AdmissionController, listener: PeerListener, member: Member
+) -> Callable[[bool], None]:
+    def on_change(leaving: bool) -> None:
+        admission.draining = leaving
+        draining, ready = EndpointState.DRAINING, EndpointState.READY
+        member.announce_state(draining if leaving else ready)
+        if leaving:
+            listener.announce_leaving()
+
+    return on_change
+
+
+def _start_health(tg: TaskGroup, cfg: DaemonSettings, lifecycle: Lifecycle) -> None:
+    if cfg.health is None or cfg.backend is None:
+        return
+
+    def on_change(health: Health) -> None:
+        if health is Health.READY:
+            lifecycle.remove(LeaveReason.HEALTH)
+        else:
+            lifecycle.add(LeaveReason.HEALTH)
+
+    # Work is taken only once the backend server says that it is ready.
+    lifecycle.add(LeaveReason.HEALTH)
+    check = make_check(cfg.backend, cfg.health)
+    tg.start_soon(follow_health, check, cfg.health, on_change)
+
+
 def _make_endpoint(cfg: DaemonSettings, identity: Identity) -> Endpoint:
     assert cfg.service is not None
     return Endpoint(
@@ -166,19 +243,26 @@
     return lambda: AttemptId(identity.daemon, identity.incarnation, next(counter))
 
 
+def _make_stale_finder(
+    router: Router, daemon_id: str
+) -> Callable[[], Sequence[Endpoint]]:
+    """Return the endpoints to probe; the local one needs no connection to itself."""
+    return lambda: [e for e in router.find_stale() if e.backend != daemon_id]
+
+
 def _make_opener(
     pool: PeerPool, owner: Owner | None, daemon_id: str
 ) -> Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]:
     def open_exchange(endpoint: Endpoint) -> AbstractAsyncContextManager[Exchange]:
         if owner is not None and endpoint.backend == daemon_id:
-            return _open_local(owner)
+            return open_local(owner)
         return pool.exchange(endpoint)
 
     return open_exchange
 
 
 @asynccontextmanager
-async def _open_local(owner: Owner) -> AsyncIterator[Exchange]:
+async def open_local(owner: Owner) -> AsyncIterator[Exchange]:
     """Serve the local backend server without a socket."""
     entry_side, owner_side = connect_exchanges()
 
@@ -197,16 +281,3 @@
         finally:
             owner_side.lose()
             entry_side.discard()
-
-
-async def _wait_signal(servers: list[HttpServer]) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for signum in signals:
-            log_event("stopping", signal=signum.name)
-            break
-    for server in servers:
-        server.should_exit = True
-    while any(server.started for server in servers):
-        await anyio.sleep(0.05)
-        if all(not server.server_state.connections for server in servers):
-            return
--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -8,7 +8,14 @@
 from dataclasses import dataclass
 
 from ..errors import ErrorKind
-from ..model import AttemptId, Headers, LoadReport, RequestHead
+from ..model import (
+    AttemptId,
+    AttemptState,
+    Headers,
+    KeyStatus,
+    LoadReport,
+    RequestHead,
+)
 
 CONNECTION = 0
 """Exchange id of frames that concern the whole connection."""
@@ -59,10 +66,14 @@
 
 @dataclass(frozen=True, slots=True)
 class End:
-    """The body is whole. A body without this frame was cut."""
+    """The body is whole. A body without this frame was cut.
+
+    An owner adds its load: that of the answer's head is older by the body's time.
+    """
 
     exchange: int
     trailers: Headers = ()
+    load: LoadReport | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -148,6 +159,65 @@
     attempt: AttemptId
 
 
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """Answer to a query; after ``RUNNING`` a second one follows at the attempt's end.
+
+    ``answer_status`` is 0 if no answer was kept; else ``headers`` and ``body`` are it.
+    """
+
+    exchange: int
+    state: AttemptState
+    kind: ErrorKind | None = None
+    detail: str = ""
+    answer_status: int = 0
+    headers: Headers = ()
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyBegin:
+    """Opens an exchange: may a request with this idempotency key run?
+
+    ``token`` names the asking request, so that asking twice is harmless;
+    ``deadline_ms`` is the time that remains for it, in milliseconds.
+    """
+
+    exchange: int
+    service: str
+    tenant: str
+    key: str
+    fingerprint: str
+    token: AttemptId
+    deadline_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeyState:
+    """Answer to ``KeyBegin`` and ``KeyFinish``; the answer fields as in ``Outcome``."""
+
+    exchange: int
+    status: KeyStatus
+    answer_status: int = 0
+    headers: Headers = ()
+    body: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class KeyFinish:
+    """Opens an exchange: what became of the request that was given this key."""
+
+    exchange: int
+    service: str
+    tenant: str
+    key: str
+    token: AttemptId
+    status: KeyStatus
+    answer_status: int = 0
+    headers: Headers = ()
+    body: bytes = b""
+
+
 Record = tuple[str, str, str, int, str, str, int, int, str]
 """An endpoint record on the wire: the fields of ``model.Endpoint`` in order."""
 
@@ -277,6 +347,10 @@
     | Pong
     | GoAway
     | Query
+    | Outcome
+    | KeyBegin
+    | KeyState
+    | KeyFinish
     | Announce
     | Sync
     | Subscribe
@@ -291,8 +365,8 @@
     | Unsubscribe
 )
 
-OpeningFrame = Request | Probe | Query | Announce | Sync
-OPENING_FRAMES = (Request, Probe, Query, Announce, Sync)
+OpeningFrame = Request | Probe | Query | KeyBegin | KeyFinish | Announce | Sync
+OPENING_FRAMES = (Request, Probe, Query, KeyBegin, KeyFinish, Announce, Sync)
 
 CONTROL_OPENING_FRAMES = (Announce, Sync)
 """A connection opened with one of these carries control traffic only."""
--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -4,7 +4,7 @@
 import pytest
 
 from ...errors import ErrorKind
-from ...model import AttemptId, LoadReport, RequestHead
+from ...model import AttemptId, AttemptState, KeyStatus, LoadReport, RequestHead
 from .. import frames
 from ..codec import FrameReader, ProtocolError, decode_frame, encode_frame
 
@@ -33,6 +33,7 @@
     frames.Response(1, 200, [(b"x", b"y")], LOAD),
     frames.Body(1, b"abc"),
     frames.End(1, [(b"checksum", b"1")]),
+    frames.End(1, [], LOAD),
     frames.Credit(1, 4096),
     frames.Reset(1, ErrorKind.CANCELLED),
     frames.Refuse(1, ErrorKind.OVERLOADED, "no slot", LOAD),
@@ -43,6 +44,14 @@
     frames.Pong(),
     frames.GoAway(),
     frames.Query(1, AttemptId("orders-n1", 7, 12)),
+    frames.Outcome(1, AttemptState.RUNNING, headers=[]),
+    frames.Outcome(1, AttemptState.FINISHED, None, "", 200, [(b"x", b"y")], b"abc"),
+    frames.Outcome(1, AttemptState.FAILED, ErrorKind.BACKEND_CUT, "cut", headers=[]),
+    frames.KeyBegin(1, "orders", "t", "k", "POST", AttemptId("n1", 7, 12), 900),
+    frames.KeyState(1, KeyStatus.FINISHED, 200, [(b"x", b"y")], b"abc"),
+    frames.KeyFinish(
+        1, "orders", "t", "k", AttemptId("n1", 7, 12), KeyStatus.UNKNOWN, headers=[]
+    ),
     frames.Announce(1, "orders-n1", "north", "n1", (RECORD,)),
     frames.Sync(1, "n1-0"),
     frames.Subscribe(1, (("orders", "d1"),), ("orders.example",)),
@@ -79,7 +88,7 @@
         [6, 1, "x"],
         [1, 1, ["short"]],
         [7, 1, "no-such-kind"],
-        [22, 1, [["short", "record"]]],
+        [26, 1, [["short", "record"]]],
     ],
 )
 def test_bad_frame_is_a_protocol_error(items: object) -> None:
--- a/src/berylmast/membership/__init__.py
+++ b/src/berylmast/membership/__init__.py
@@ -1,8 +1,9 @@
-"""What this daemon knows of services and their backend servers, and how it spreads."""
+"""What this daemon knows of services and their backend servers, and how it spreads.
+
+Other packages need ``Directory``. The daemon imports ``Member`` from its own module:
+membership reads documents, whose checks need routing, which needs the directory.
+"""
 
 from .directory import Directory
-from .finder import Place
-from .links import ControlMeter, make_dial
-from .member import Member
 
-__all__ = ["ControlMeter", "Directory", "Member", "Place", "make_dial"]
+__all__ = ["Directory"]
--- a/src/berylmast/membership/feeds.py
+++ b/src/berylmast/membership/feeds.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from ..operators.revisions import DOCUMENT_KIND
 from ..platform import (
     EventType,
     Listing,
@@ -17,8 +18,6 @@
 from .leases import LEASE_KIND, LeaseTable
 from .shard import ENDPOINT_KIND
 
-DOCUMENT_KIND = "documents"
-
 Take = Callable[[PlatformObject], None]
 
 
--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -14,9 +14,11 @@
 from ...daemons.frames import Announce, Frame, Sync
 from ...model import Endpoint
 from ...platform.tests.fake import FakePlatform
-from .. import Directory, Member, Place
+from .. import Directory
+from ..finder import Place
 from ..leases import LEASE_KIND
 from ..links import Dial
+from ..member import Member
 
 ROUTE = '{"idempotent": true, "priority": "normal", "deadline_ms": 1000}'
 
--- a/src/berylmast/membership/tests/test_sockets.py
+++ b/src/berylmast/membership/tests/test_sockets.py
@@ -19,7 +19,10 @@
 from ...model import Endpoint, EndpointState
 from ...platform import PlatformClient, put_confirmed
 from ...settings import Address
-from .. import ControlMeter, Directory, Member, Place, make_dial
+from .. import Directory
+from ..finder import Place
+from ..links import ControlMeter, make_dial
+from ..member import Member
 from .fleet import make_text
 
 pytestmark = pytest.mark.anyio
@@ -128,6 +131,7 @@
         dial = make_dial(Identity("a", 1), meter)
         async with dial(HOST, address.port) as exchange:
             await exchange.send(Announce(exchange.id, "a", "n", "n1", ()))
+            assert listener.open_exchanges == 0, "a drain does not wait for it"
             assert await exchange.receive() == Beat(exchange.id, 7)
         sent, received = meter.count()
         await anyio.sleep(0.1)
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -4,6 +4,8 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
+from .errors import ErrorKind
+
 Headers = Sequence[tuple[bytes, bytes]]
 
 
@@ -131,12 +133,24 @@
     link_bytes_per_s: int = 250_000
 
 
+@dataclass(frozen=True, slots=True)
+class ShiftStep:
+    """One step of a shift between regions; ``starts_at_s`` is Unix time in seconds.
+
+    A step without a start time begins only when the document names it.
+    """
+
+    weights: Mapping[str, float]
+    starts_at_s: float | None = None
+
+
 @dataclass(frozen=True, slots=True)
 class ServiceSlice:
     """The part of an accepted document that concerns one service.
 
-    ``priorities`` are ordered, the most urgent first. ``region_weights`` is the current
-    step of a shift between buildings; an empty mapping leaves the choice to locality.
+    ``priorities`` are ordered, the most urgent first. ``region_weights`` are in force
+    where there is no ``shift``; an empty mapping leaves the choice to locality.
+    Without ``ejection``, backend servers that answer errors stay in the choice.
     """
 
     service: str
@@ -151,6 +165,23 @@
     tenant_header: str = "x-tenant"
     budgets: Budgets = Budgets()
     max_body_bytes: int = 1 << 30
+    shift: tuple[ShiftStep, ...] = ()
+    shift_current: int = 0
+    ejection: bool = True
+
+    def weights_at(self, now_s: float) -> Mapping[str, float]:
+        """Return the region weights in force at a Unix time in seconds.
+
+        That is the step that the document names, or a later one whose date has passed.
+        """
+        if not self.shift:
+            return self.region_weights
+        begun = [
+            index
+            for index, step in enumerate(self.shift)
+            if step.starts_at_s is not None and step.starts_at_s <= now_s
+        ]
+        return self.shift[max([self.shift_current, *begun])].weights
 
     def rank(self, priority: str) -> int:
         """Return the position of a priority, 0 being the most urgent."""
@@ -164,9 +195,54 @@
 class AttemptResult:
     """What one attempt came to, for load, limits and histograms.
 
-    ``latency_s`` is in seconds from the start of the attempt.
+    ``latency_s`` is in seconds from the start of the attempt. ``status`` is the backend
+    server's, None if it did not answer; ``kind`` is the error of an attempt that is not
+    ``ok``. ``sent_bytes`` and ``answer_bytes`` are the sizes of the bodies.
     """
 
     ok: bool
     refused: bool
     latency_s: float
+    status: int | None = None
+    kind: ErrorKind | None = None
+    sent_bytes: int = 0
+    answer_bytes: int = 0
+
+
+class AttemptState(StrEnum):
+    """What an owner answers to a query for an attempt id."""
+
+    NOT_SEEN = "not-seen"
+    RUNNING = "running"
+    FINISHED = "finished"
+    FAILED = "failed"
+    REFUSED = "refused"
+    FORGOTTEN = "forgotten"
+
+
+class KeyStatus(StrEnum):
+    """What the holder of an idempotency key records or answers."""
+
+    NEW = "new"
+    RUNNING = "running"
+    FINISHED = "finished"
+    UNKNOWN = "unknown"
+    NOT_RUN = "not-run"
+    MISMATCH = "mismatch"
+    FULL = "full"
+
+
+@dataclass(frozen=True, slots=True)
+class KeptAnswer:
+    """A whole small answer of a backend server, kept to be replayed."""
+
+    status: int
+    headers: Headers
+    body: bytes
+
+
+MAX_KEPT_ANSWER_BYTES = 16 * 1024
+"""Longest body that is kept; it travels in one frame, as long as a body frame."""
+
+MAX_KEPT_HEADER_BYTES = 16 * 1024
+"""Answers with longer headers are not kept, so that the frame stays in its limit."""
--- a/src/berylmast_dev/fleet.py
+++ b/src/berylmast_dev/fleet.py
@@ -132,6 +132,7 @@
                 str(path),
                 "--environment=demo",
                 f"--platform={HOST}:{self.platform_port}",
+                "--base=0",
             ],
             check=True,
         )
