Name the daemons that keep the control benchmark from settling

Cause: a run with 32 daemons did not settle in 120 s and left no trace of the reason.

Change: the benchmark raises with the last report, or the end of the log, of each daemon that has not reached the expected state.

Conclusion: the reason of that run stays unknown; the next such run will show it.

--- a/src/berylmast_dev/control_fleet.py
+++ b/src/berylmast_dev/control_fleet.py
@@ -30,6 +30,10 @@
 ENVIRONMENT = "bench"
 
 
+class NotSettled(Exception):
+    """Some daemons ended or did not reach the expected state."""
+
+
 @dataclass(frozen=True, slots=True)
 class Sample:
     """One daemon's membership report and process figures at one moment."""
@@ -129,23 +133,36 @@
         return samples
 
     async def wait_all(self, check: Callable[[dict[str, Any]], bool]) -> float:
-        """Wait until the report of every daemon passes; return the seconds it took."""
+        """Wait until the report of every daemon passes; return the seconds it took.
+
+        Raises NotSettled with what is known of the others if some have ended, or have
+        not passed after SETTLE_LIMIT_S.
+        """
         started_s = time.monotonic()
+        pending: dict[str, object] = dict.fromkeys(self.ports, "no answer")
 
-        async def wait_one(port: int) -> None:
-            while True:
+        async def wait_one(name: str, port: int) -> None:
+            process = self.fleet.processes[name]
+            while process.poll() is None:
                 try:
                     status = await self.get_json(port + 2, "/status")
+                    pending[name] = status["membership"]
                     if check(status["membership"]):
+                        del pending[name]
                         return
                 except (httpcore.NetworkError, httpcore.ProtocolError):
                     pass
                 await anyio.sleep(POLL_S)
+            log = (self.folder / f"{name}.log").read_text()[-500:]
+            pending[name] = f"ended with {process.returncode}: {log}"
 
-        with anyio.fail_after(SETTLE_LIMIT_S):
+        with anyio.move_on_after(SETTLE_LIMIT_S):
             async with anyio.create_task_group() as tg:
-                for port in self.ports.values():
-                    tg.start_soon(wait_one, port)
+                for name, port in self.ports.items():
+                    tg.start_soon(wait_one, name, port)
+        if pending:
+            lines = [f"{name}: {state}" for name, state in pending.items()]
+            raise NotSettled("\n".join(lines))
         return time.monotonic() - started_s
 
     async def wait_settled(self) -> float:
