Refuse slices too large for a frame; fetch no refused version again

Cause: a slice beyond the frame limit would end every exchange that carries it. A document that one release cannot read was fetched from peers every few seconds.

Change: a document with such a slice is refused by name, and registrars ask peers only for versions that they have not tried.

--- a/src/berylmast/membership/mesh.py
+++ b/src/berylmast/membership/mesh.py
@@ -42,6 +42,10 @@
 
     document: CutDocument
 
+    @property
+    def newest_version(self) -> int:
+        """Return the highest document version known, also if it was refused."""
+
     def own_records(self) -> list[Endpoint]:
         """Return the records that this registrar answers for."""
 
@@ -124,7 +128,7 @@
         while True:
             match await receive_within_limit(exchange):
                 case Beat(version=version):
-                    if version > self._peers.document.version and not self._fetching:
+                    if version > self._peers.newest_version and not self._fetching:
                         self._tg.start_soon(self._fetch, exchange, version)
                 case Endpoints(records=records):
                     await self._take_records(exchange, unpack_records(records))
@@ -150,7 +154,7 @@
         self._fetching = True
         try:
             await anyio.sleep(FETCH_DELAY_S * self._rng.uniform(1.0, 2.0))
-            if version > self._peers.document.version:
+            if version > self._peers.newest_version:
                 await exchange.send(Fetch(exchange.id))
                 await anyio.sleep(FETCH_DELAY_S)
         except ExchangeLost:
--- a/src/berylmast/membership/registrar.py
+++ b/src/berylmast/membership/registrar.py
@@ -75,7 +75,7 @@
             tg.start_soon(self._writer.run)
             tg.start_soon(self._intake.run)
             tg.start_soon(self._sweep)
-            tg.start_soon(self._expire_adopted, adopted)
+            tg.start_soon(self._expire, adopted, ADOPT_S)
             await follow_store(
                 self._platform,
                 self._environment,
@@ -86,6 +86,11 @@
                 on_shard=self._take_shard,
             )
 
+    @property
+    def newest_version(self) -> int:
+        """Return the highest document version known, also if it was refused."""
+        return self._intake.newest
+
     def leases(self) -> Iterable[Lease]:
         """Return all registrars known, this one first."""
         others = self._lease_table.leases()
@@ -163,12 +168,14 @@
             if self.sessions.get(session.daemon) is session:
                 del self.sessions[session.daemon]
                 if session.record is not None and not self.ended:
-                    self._tg.start_soon(self._expire, session.record)
+                    self._tg.start_soon(self._expire, [session.record], GONE_DELAY_S)
 
-    async def _expire(self, record: Endpoint) -> None:
-        await anyio.sleep(GONE_DELAY_S)
-        if record.backend not in self.sessions:
-            self._spread_own(self.table.make_gone(record.backend, record.order))
+    async def _expire(self, records: list[Endpoint], delay_s: float) -> None:
+        """Mark those gone that have not announced themselves again after a delay."""
+        await anyio.sleep(delay_s)
+        for record in records:
+            if record.backend not in self.sessions:
+                self._spread_own(self.table.make_gone(record.backend, record.order))
 
     async def _announce_later(
         self, session: Session, record: Endpoint, delay_s: float
@@ -178,13 +185,6 @@
         if attached and session.record == record:
             self._spread_own([record])
 
-    async def _expire_adopted(self, adopted: list[Endpoint]) -> None:
-        """Mark those gone that did not come back after the last registrar ended."""
-        await anyio.sleep(ADOPT_S)
-        for record in adopted:
-            if record.backend not in self.sessions:
-                self._spread_own(self.table.make_gone(record.backend, record.order))
-
     async def _sweep(self) -> None:
         """Look for lapsed leases, and mark daemons gone that went with theirs."""
         while True:
--- a/src/berylmast/membership/slices.py
+++ b/src/berylmast/membership/slices.py
@@ -17,6 +17,9 @@
 MAX_DOCUMENT_BYTES = 1_000_000
 """The platform holds no larger values."""
 
+MAX_SLICE_BYTES = 200_000
+"""A slice travels in one frame, which may have 256 KiB."""
+
 SERVICES_PER_STEP = 10
 """Services cut without a pause, about 1 ms."""
 
@@ -59,7 +62,10 @@
     document = parse_document(text)
     for service in document.services:
         part = make_slice(document, service, 0)
-        yield part, encode_slice(part)
+        data = encode_slice(part)
+        if len(data) > MAX_SLICE_BYTES:
+            raise DocumentError(f"services.{service}: {len(data)} bytes are too large")
+        yield part, data
 
 
 def _assemble(
@@ -75,18 +81,21 @@
 
 
 class DocumentIntake:
-    """Cuts the newest document offered, one at a time; skips those overtaken."""
+    """Cuts the newest document offered, one at a time; skips those overtaken.
+
+    ``newest`` is the highest version offered, also if it was not acceptable.
+    """
 
     def __init__(self, on_cut: Callable[[CutDocument], None]) -> None:
         self._on_cut = on_cut
-        self._newest = 0
+        self.newest = 0
         self._offered: tuple[str, int] | None = None
         self._wake = anyio.Event()
 
     def offer(self, text: str, version: int) -> None:
         """Take a document unless a newer one has been offered or cut."""
-        if version > self._newest:
-            self._newest = version
+        if version > self.newest:
+            self.newest = version
             self._offered = (text, version)
             self._wake.set()
 
--- a/src/berylmast/membership/tests/test_documents.py
+++ b/src/berylmast/membership/tests/test_documents.py
@@ -128,7 +128,15 @@
         assert await daemon.directory.wait_service("drawings.example") is not None
 
 
-@pytest.mark.parametrize("text", ["{", '{"services": {}}'])
+@pytest.mark.parametrize(
+    "text",
+    [
+        "{",
+        '{"services": {}}',
+        # Its slice does not fit into a frame.
+        make_text(orders=6).replace("orders.example", "x" * 300_000),
+    ],
+)
 async def test_bad_document_in_the_store_leaves_the_last_one(text: str) -> None:
     async with run_fleet() as fleet:
         fleet.apply(1, orders=6)
@@ -176,3 +184,22 @@
         assert found is not None
         assert found.slots == 9
         assert fleet.known("a0", "drawings") == {"a1"}
+
+
+async def test_refused_version_is_not_fetched_again_and_again() -> None:
+    """A document of a newer release may be unreadable here for a whole upgrade."""
+    async with run_fleet() as fleet:
+        fleet.apply(1, orders=6)
+        fleet.start("a0", "n1", "orders")
+        fleet.start("b0", "s1", "orders")
+        await anyio.sleep(15)
+        newer, older = (fleet.daemons[name].member.registrar for name in ("a0", "b0"))
+        assert newer is not None and older is not None
+        older.adopt_document("{", 2)
+        newer.adopt_document(make_text(orders=7), 2)
+        await anyio.sleep(1)
+        assert (newer.document.version, older.document.version) == (2, 1)
+        frames = fleet.frames
+        await anyio.sleep(100)
+        beats = 100 // 2 * 2 * 3
+        assert fleet.frames - frames < beats * 1.1
