Answer GET /explain on the admin interface

berylmastctl explain called a path that no daemon served, so operators could not see why a request went to a backend server or was refused. Router.explain runs the real choice on a copy of the state of one service, so that the answer can't drift from what requests get, and no counter, trial, ramp, budget or random state changes. Admin handlers that want the query now get it.

Tests compare the state before and after, and the explained with the real choice.

--- a/src/berylmast/bin/_output.py
+++ b/src/berylmast/bin/_output.py
@@ -57,4 +57,6 @@
 
 
 def _format(cell: object) -> str:
+    if cell is None:
+        return "-"
     return f"{cell:.1f}" if isinstance(cell, float) else str(cell)
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -35,6 +35,7 @@
 from .membership.member import Member
 from .model import AttemptId, Endpoint, EndpointState, ServiceSlice
 from .operators.daemon_admin import make_daemon_admin
+from .operators.explaining import make_explain
 from .platform import PlatformClient
 from .routing import Prober, Router
 from .settings import DaemonSettings
@@ -103,6 +104,7 @@
                 admission,
                 router.summarise,
                 _make_membership_report(member, meter, listener),
+                make_explain(directory, router),
             ),
             cfg.admin,
         )
--- a/src/berylmast/operators/admin.py
+++ b/src/berylmast/operators/admin.py
@@ -3,18 +3,29 @@
 import json
 from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
+from urllib.parse import parse_qsl
 
 App = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
 Report = Callable[[], object]
 Action = Callable[[], object]
+Query = Callable[[Mapping[str, str]], object]
 
 
-def make_admin_app(reports: Mapping[str, Report], actions: Mapping[str, Action]) -> App:
+def make_admin_app(
+    reports: Mapping[str, Report],
+    actions: Mapping[str, Action],
+    queries: Mapping[str, Query],
+) -> App:
     """Return an ASGI app: ``GET /<report>`` reads, ``POST /<action>`` acts.
 
-    Both answer with JSON; an unknown name is answered with the known ones.
+    ``GET /<query>?name=value`` reads with parameters. All answer with JSON; an unknown
+    name is answered with the known ones.
     """
-    handlers = {"GET": reports, "POST": actions}
+    handlers: dict[str, dict[str, Query]] = {
+        "GET": {name: _ignore_query(report) for name, report in reports.items()}
+        | dict(queries),
+        "POST": {name: _ignore_query(action) for name, action in actions.items()},
+    }
 
     async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
         known = handlers.get(scope["method"], {})
@@ -22,11 +33,20 @@
         if handler is None:
             await _send_json(send, 404, {"error": "not found", "known": sorted(known)})
         else:
-            await _send_json(send, 200, handler())
+            await _send_json(send, 200, handler(_read_query(scope)))
 
     return app
 
 
+def _ignore_query(handler: Callable[[], object]) -> Query:
+    return lambda _: handler()
+
+
+def _read_query(scope: dict[str, Any]) -> dict[str, str]:
+    text: bytes = scope.get("query_string", b"")
+    return dict(parse_qsl(text.decode("latin-1"), keep_blank_values=True))
+
+
 async def _send_json(send: Any, status: int, data: object) -> None:
     headers = [(b"content-type", b"application/json")]
     await send({"type": "http.response.start", "status": status, "headers": headers})
--- a/src/berylmast/operators/daemon_admin.py
+++ b/src/berylmast/operators/daemon_admin.py
@@ -5,7 +5,7 @@
 from ..lifecycle import LeaveReason, Lifecycle
 from ..limits import AdmissionController
 from ..telemetry import Sight
-from .admin import App, Report, make_admin_app
+from .admin import App, Query, Report, make_admin_app
 
 
 def make_daemon_admin(
@@ -14,8 +14,9 @@
     admission: AdmissionController | None,
     report_routing: Report,
     report_membership: Report,
+    explain: Query,
 ) -> App:
-    """Return the admin app: status, histograms and routing, drain and undrain."""
+    """Return the admin app: status, histograms, routing, explain, drain, undrain."""
 
     def report_lifecycle() -> object:
         return {"leaving": lifecycle.leaving, "reasons": lifecycle.reasons}
@@ -41,4 +42,5 @@
         "histograms": sight.summarise_histograms,
         "routing": report_routing,
     }
-    return make_admin_app(reports, {"drain": drain, "undrain": undrain})
+    actions = {"drain": drain, "undrain": undrain}
+    return make_admin_app(reports, actions, {"explain": explain})
--- /dev/null
+++ b/src/berylmast/operators/explaining.py
@@ -0,0 +1,46 @@
+"""How a daemon would treat a request, as an answer to operators."""
+
+from collections.abc import Mapping
+from dataclasses import asdict
+
+from ..callers.classify import find_route
+from ..membership import Directory
+from ..routing import Router
+from .admin import Query
+
+PARAMETERS = ("host", "method", "path")
+
+
+def make_explain(directory: Directory, router: Router) -> Query:
+    """Return the query that explains one request; it changes nothing.
+
+    A request that no service or route takes is answered with ``error``.
+    """
+
+    def explain(query: Mapping[str, str]) -> object:
+        missing = [name for name in PARAMETERS if name not in query]
+        if missing:
+            return {"error": f"missing parameter: {', '.join(missing)}"}
+        host, method, path = (query[name] for name in PARAMETERS)
+        service = directory.find_service(host.partition(":")[0].lower())
+        if service is None:
+            return {"error": f"no service known here answers to {host!r}"}
+        route = find_route(service, method, path.partition("?")[0])
+        if route is None:
+            return {"error": f"no route of {service.service} for {method} {path}"}
+        found = router.explain(service, idempotent=route.idempotent)
+        return {
+            "service": service.service,
+            "route": f"{','.join(sorted(route.methods)) or '*'} {route.path_prefix}",
+            "priority": route.priority,
+            "deadline_ms": route.deadline_ms,
+            "idempotent": route.idempotent,
+            "policy": service.policy,
+            "version": service.version,
+            "weights": dict(found.weights),
+            "chosen": found.chosen,
+            "reason": found.reason,
+            "candidates": [asdict(candidate) for candidate in found.candidates],
+        }
+
+    return explain
--- a/src/berylmast/operators/tests/test_admin.py
+++ b/src/berylmast/operators/tests/test_admin.py
@@ -19,6 +19,8 @@
         ("GET", "/histograms", 200, False),
         ("GET", "/routing", 200, False),
         ("POST", "/drain", 200, True),
+        ("GET", "/explain", 200, False),
+        ("POST", "/explain", 404, False),
         ("GET", "/drain", 404, False),
         ("POST", "/status", 404, False),
         ("DELETE", "/status", 404, False),
@@ -28,7 +30,7 @@
     method: str, path: str, status: int, leaving: bool
 ) -> None:
     lifecycle = Lifecycle()
-    app = make_daemon_admin(Sight(None), lifecycle, None, dict, dict)
+    app = make_daemon_admin(Sight(None), lifecycle, None, dict, dict, dict)
     sent: list[dict[str, Any]] = []
 
     async def send(message: dict[str, Any]) -> None:
--- /dev/null
+++ b/src/berylmast/operators/tests/test_explaining.py
@@ -0,0 +1,67 @@
+"""Guards against an explanation of another route than the one that requests get."""
+
+import json
+from pathlib import Path
+from random import Random
+from typing import Any
+from urllib.parse import urlencode
+
+import pytest
+
+from ...lifecycle import Lifecycle
+from ...membership import Directory
+from ...model import Endpoint
+from ...routing import Router
+from ...telemetry import Sight
+from ..daemon_admin import make_daemon_admin
+from ..document import make_slice, parse_document
+from ..explaining import make_explain
+
+EXAMPLE = Path(__file__).parents[4] / "examples" / "kalvola.json5"
+
+pytestmark = pytest.mark.anyio
+
+
+async def ask(query: dict[str, str]) -> Any:
+    directory = Directory()
+    document = parse_document(EXAMPLE.read_text())
+    directory.put_slice(make_slice(document, "orders", 7))
+    record = Endpoint("o1", "orders", "127.0.0.1", 1, "north", "n1", 1, 1)
+    directory.put_endpoint(record)
+    router = Router(directory, region="north", failure_domain="n1", rng=Random(1))
+    explain = make_explain(directory, router)
+    app = make_daemon_admin(Sight(None), Lifecycle(), None, dict, dict, explain)
+    sent: list[dict[str, Any]] = []
+
+    async def send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    text = urlencode(query).encode()
+    scope = {"method": "GET", "path": "/explain", "query_string": text}
+    await app(scope, None, send)
+    return json.loads(sent[1]["body"])
+
+
+@pytest.mark.parametrize(
+    ("method", "path", "priority", "idempotent"),
+    [("GET", "/orders", "normal", True), ("POST", "/orders?x=1", "urgent", False)],
+)
+async def test_route_of_a_request(
+    method: str, path: str, priority: str, idempotent: bool
+) -> None:
+    answer = await ask({"host": "Orders:80", "method": method, "path": path})
+    assert (answer["priority"], answer["idempotent"]) == (priority, idempotent)
+    assert (answer["version"], answer["chosen"]) == (7, "o1")
+    assert answer["candidates"][0]["failure_domain"] == "n1"
+
+
+@pytest.mark.parametrize(
+    ("query", "error"),
+    [
+        ({}, "missing parameter: host, method, path"),
+        ({"host": "x", "method": "GET", "path": "/"}, "answers to 'x'"),
+        ({"host": "orders", "method": "PUT", "path": "/"}, "no route of orders"),
+    ],
+)
+async def test_request_that_nothing_takes(query: dict[str, str], error: str) -> None:
+    assert error in (await ask(query))["error"]
--- a/src/berylmast/routing/ejection.py
+++ b/src/berylmast/routing/ejection.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 MAX_CONSECUTIVE_ERRORS = 5
 WINDOW_RESULTS = 20
@@ -125,6 +125,21 @@
                 return backend
         return None
 
+    def copy_for(self, backends: Collection[str]) -> "Ejections":
+        """Return independent records of some backend servers."""
+        other = Ejections()
+        other._records = {
+            backend: replace(record, results=record.results.copy())
+            for backend, record in self._records.items()
+            if backend in backends
+        }
+        other._ejected = {
+            backend: other._records[backend]
+            for backend in self._ejected
+            if backend in backends
+        }
+        return other
+
     def forget(self, backend: str) -> None:
         """Drop the record of a backend server that restarted."""
         self._records.pop(backend, None)
--- a/src/berylmast/routing/load_table.py
+++ b/src/berylmast/routing/load_table.py
@@ -1,8 +1,8 @@
 """What this entry knows of the load of each backend server."""
 
 import math
-from collections.abc import Sequence
-from dataclasses import dataclass, field
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass, field, replace
 from statistics import fmean, median
 
 from ..errors import ErrorKind
@@ -151,6 +151,17 @@
         """Return the number of this entry's own requests under way."""
         return len(self._get(backend).starts)
 
+    def copy_for(self, backends: Collection[str]) -> "LoadTable":
+        """Return an independent table of some backend servers."""
+        other = LoadTable()
+        other._turn = self._turn
+        other._loads = {
+            backend: replace(load, starts=list(load.starts))
+            for backend, load in self._loads.items()
+            if backend in backends
+        }
+        return other
+
     def prune(self, backends: frozenset[str]) -> None:
         """Drop what is known of backend servers that are gone and have no requests."""
         for backend in [b for b in self._loads if b not in backends]:
--- a/src/berylmast/routing/ramp.py
+++ b/src/berylmast/routing/ramp.py
@@ -1,7 +1,7 @@
 """Cold start: a new backend server begins with few requests of each entry."""
 
-from collections.abc import Sequence
-from dataclasses import dataclass
+from collections.abc import Collection, Sequence
+from dataclasses import dataclass, replace
 
 from ..model import Endpoint
 
@@ -57,12 +57,33 @@
         start = self._starts.get(backend)
         if start is None or not start.ramping:
             return True
-        age_s = now_s - start.seen_s
-        if age_s >= RAMP_S:
+        limit = self.get_limit(backend, now_s)
+        if limit is None:
             start.ramping = False
             return True
+        return own < limit
+
+    def get_limit(self, backend: str, now_s: float) -> int | None:
+        """Return how many requests a new backend server may have, None for any."""
+        start = self._starts.get(backend)
+        if start is None or not start.ramping:
+            return None
+        age_s = now_s - start.seen_s
+        if age_s >= RAMP_S:
+            return None
         grown = start.successes // SUCCESSES_PER_SLOT + int(age_s / SECONDS_PER_SLOT)
-        return own < FIRST_LIMIT + grown
+        return FIRST_LIMIT + grown
+
+    def copy_for(self, backends: Collection[str]) -> "Ramp":
+        """Return an independent ramp of some backend servers."""
+        other = Ramp()
+        other._first_call_s = dict(self._first_call_s)
+        other._starts = {
+            backend: replace(start)
+            for backend, start in self._starts.items()
+            if backend in backends
+        }
+        return other
 
     def prune(self, backends: frozenset[str]) -> None:
         """Drop the backend servers that are gone."""
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -2,6 +2,7 @@
 
 import time
 from collections.abc import Callable, Collection, Sequence
+from copy import copy, deepcopy
 from random import Random
 
 import anyio
@@ -11,6 +12,7 @@
 from ..membership import Directory
 from ..model import AttemptResult, Endpoint, LoadReport, ServiceSlice
 from .ejection import Ejections
+from .explain import Explanation, Known, explain_choice
 from .link_budget import LinkBudget
 from .load_table import LoadTable, is_error
 from .locality import (
@@ -142,6 +144,36 @@
             "link_refused": self.link_budget.refused,
         }
 
+    def explain(
+        self, service: ServiceSlice, *, idempotent: bool = True, body_bytes: int = 0
+    ) -> Explanation:
+        """Return what is known of the candidates and which one a request would get.
+
+        The choice runs on a copy: no counter, trial, ramp or budget changes.
+        """
+        endpoints = self._directory.endpoints(service.service)
+        dry = self._copy_for({endpoint.backend for endpoint in endpoints})
+        chosen = dry.choose(
+            service, exclude=(), body_bytes=body_bytes, idempotent=idempotent
+        )
+        known = Known(dry._loads, self._ejections, dry._ramp)
+        weights = service.weights_at(self._unix_time())
+        place = (self._region, self._failure_domain)
+        return explain_choice(service, endpoints, known, weights, place, chosen)
+
+    def _copy_for(self, backends: Collection[str]) -> "Router":
+        """Return a router that knows the same of some backend servers."""
+        other = copy(self)
+        other.probe_budget = deepcopy(self.probe_budget)
+        other.link_budget = deepcopy(self.link_budget)
+        other._rng = deepcopy(self._rng)
+        other._loads = self._loads.copy_for(backends)
+        other._ejections = self._ejections.copy_for(backends)
+        other._ramp = self._ramp.copy_for(backends)
+        other._called = dict(self._called)
+        other._chosen = dict(self._chosen)
+        return other
+
     def _prune(self, now_s: float) -> None:
         """Forget services that are no longer called and backend servers that left."""
         self._pruned_s = now_s
--- /dev/null
+++ b/src/berylmast/routing/tests/test_explain.py
@@ -0,0 +1,91 @@
+"""Guards against explanations that change what they explain or differ from it."""
+
+from typing import Any
+
+import anyio
+import pytest
+
+from ...model import Budgets, Endpoint, ServiceSlice
+from ..router import Router
+from .make import (
+    PAGES,
+    choose,
+    eject,
+    make_endpoint,
+    make_report,
+    make_router,
+    make_slice,
+    run_request,
+)
+
+pytestmark = pytest.mark.anyio
+
+OWN = make_endpoint("own", "north", "n1")
+NEAR = make_endpoint("near", "north", "n2")
+FAR = make_endpoint("far", "south", "s1")
+NO_LINK = make_slice(budgets=Budgets(link_bytes_per_s=0))
+SHIFTED = make_slice(region_weights={"south": 1.0})
+
+
+@pytest.mark.parametrize(
+    ("endpoints", "service", "chosen", "reason"),
+    [
+        ([OWN, NEAR, FAR], PAGES, "own", "own failure domain n1"),
+        ([NEAR, FAR], PAGES, "near", "own region, failure domain n2"),
+        ([FAR], PAGES, "far", "none usable in the own region"),
+        ([OWN, FAR], SHIFTED, "far", "drawn by the weights"),
+        ([FAR], NO_LINK, None, "refused: link-budget"),
+        ([], PAGES, None, "refused: no-backend"),
+    ],
+)
+async def test_choice_and_reason(
+    endpoints: list[Endpoint], service: ServiceSlice, chosen: str | None, reason: str
+) -> None:
+    router, _ = make_router(*endpoints)
+    found = router.explain(service)
+    assert found.chosen == chosen
+    assert reason in found.reason
+    assert [c.backend for c in found.candidates] == [e.backend for e in endpoints]
+
+
+def read_state(router: Router) -> dict[str, Any]:
+    return {
+        "summary": router.summarise(),
+        "called": dict(router._called),
+        "loads": repr(vars(router._loads)),
+        "ejections": repr(vars(router._ejections)),
+        "ramp": repr(vars(router._ramp)),
+        "rng": router._rng.getstate(),
+        "probe_tokens": router.probe_budget._ratio.tokens,
+        "link_tokens": router.link_budget._bucket.tokens,
+    }
+
+
+@pytest.mark.parametrize("service", [PAGES, NO_LINK, SHIFTED])
+async def test_explaining_changes_nothing_and_foretells(service: ServiceSlice) -> None:
+    router, _ = make_router(OWN, NEAR, FAR)
+    run_request(router)
+    router.record_load(make_report("near", in_flight=5, error_rate=0.2))
+    eject(router, "own")
+    await anyio.sleep(2)  # The trial of the ejected one is due.
+    before = read_state(router)
+    found = [router.explain(service).chosen for _ in range(3)]
+    assert read_state(router) == before
+    assert set(found) == {choose(router, service)}
+
+
+async def test_known_state_of_candidates() -> None:
+    router, directory = make_router(OWN, NEAR)
+    run_request(router)
+    await anyio.sleep(10)
+    directory.put_endpoint(make_endpoint("new"))
+    eject(router, "own")
+    router.record_start("near")
+    router.record_load(make_report("near", in_flight=3, draining=True))
+    candidates = {c.backend: c for c in router.explain(PAGES).candidates}
+    assert candidates["own"].ejected
+    assert candidates["own"].report_age_s is None
+    assert candidates["near"].draining
+    assert (candidates["near"].own, candidates["near"].report_age_s) == (1, 0.0)
+    assert candidates["new"].ramp_limit == 1
+    assert candidates["near"].ramp_limit is None
