Give the backend stand-in a health endpoint that can say draining

The daemon follows /health, but the stand-in had none, so that no test with real processes could show a drain that the backend server itself asks for.

--- a/src/berylmast_dev/backend.py
+++ b/src/berylmast_dev/backend.py
@@ -16,9 +16,10 @@
     """Runs each request for a drawn service time within a number of slots.
 
     ``/_control`` takes JSON: ``slow`` multiplies the service time, ``fail`` answers 500
-    at once. ``/_ledger`` lists the request ids that ran, in order; ``/_totals``
-    gives the body bytes sent and the number of requests whose connection was closed. A
-    request may ask for a longer answer with the header ``x-answer-bytes``.
+    at once, ``draining`` lets ``/health`` answer 503. ``/_ledger`` lists the request
+    ids that ran, in order; ``/_totals`` gives the body bytes sent and the number of
+    requests whose connection was closed. A request may ask for a longer answer with the
+    header ``x-answer-bytes``.
     """
 
     def __init__(self, *, slots: int, mean_ms: float, answer_bytes: int) -> None:
@@ -29,6 +30,7 @@
         self._ledger: list[str] = []
         self._slow = 1.0
         self._fail = False
+        self._draining = False
         self._sent_bytes = 0
         self._cancelled = 0
 
@@ -38,7 +40,11 @@
             control = json.loads(await read_body(receive))
             self._slow = control.get("slow", self._slow)
             self._fail = control.get("fail", self._fail)
+            self._draining = control.get("draining", self._draining)
             await send_json(send, 200, control)
+        elif scope["path"] == "/health":
+            status = 503 if self._draining else 200
+            await send_json(send, status, {"draining": self._draining})
         elif scope["path"] == "/_ledger":
             await send_json(send, 200, self._ledger)
         elif scope["path"] == "/_totals":
