--- a/src/berylmast/bin/_daemons.py
+++ b/src/berylmast/bin/_daemons.py
@@ -1,4 +1,4 @@
-"""Commands on daemons: status, histogram, explain, drain, undrain."""
+"""Commands on daemons: histogram, explain, drain, undrain."""
 
 import json
 from collections.abc import Sequence
@@ -84,31 +84,6 @@
     finish(Report(code, text, {"daemons": answers, "errors": errors}), output)
 
 
-@daemons.command
-def status(*, daemon: Daemons, output: Output = "text") -> None:
-    """Show state, load and document version of daemons.
-
-    Example: berylmastctl status --daemon IP:PORT --daemon IP:PORT
-    """
-    answers, errors = _call_all(daemon, "GET", "/status")
-    rows = []
-    for address, answer in sorted(answers.items()):
-        load = answer["load"] or {}
-        leaving = answer["lifecycle"]["reasons"]
-        rows.append(
-            [
-                address,
-                f"leaving ({','.join(leaving)})" if leaving else "ready",
-                load.get("in_flight", "-"),
-                load.get("queued", "-"),
-                load.get("limit", "-"),
-                (answer.get("membership") or {}).get("version", "-"),
-            ]
-        )
-    header = ["daemon", "state", "in flight", "queued", "limit", "version"]
-    _finish(format_table(header, rows), answers, errors, output)
-
-
 @daemons.command
 def histogram(*, daemon: Daemons, output: Output = "text") -> None:
     """Show latency percentiles per service, priority and tenant.
--- a/src/berylmast/bin/_output.py
+++ b/src/berylmast/bin/_output.py
@@ -19,6 +19,7 @@
     UNKNOWN = 4
     UNAVAILABLE = 5
     NOT_FOUND = 6
+    LAGGING = 7
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/berylmast/bin/_status.py
@@ -0,0 +1,129 @@
+"""The command ``status``: daemons, and the fleet as the platform knows it."""
+
+from dataclasses import asdict
+from typing import Annotated, Any
+
+import anyio
+from cyclopts import App, Parameter
+
+from ..operators.fleet_status import FleetStatus, read_fleet
+from ..operators.revisions import RevisionDamaged
+from ..platform import PlatformClient, PlatformUnavailable
+from ..settings import Address
+from ._daemons import call_daemons
+from ._documents import parse_address
+from ._output import Exit, Output, Report, finish, format_table, make_error
+
+SHORT_DIGEST = 12
+_UNREACHABLE = "unreachable"
+
+fleet = App(name="fleet")
+
+
+@fleet.command
+def status(
+    *,
+    platform: Annotated[
+        str | None, Parameter(help="Platform's object API, HOST:PORT.")
+    ] = None,
+    environment: Annotated[
+        str | None, Parameter(help="Name of the environment, with --platform.")
+    ] = None,
+    daemon: Annotated[
+        list[str] | None, Parameter(help="Admin address, HOST:PORT; repeatable.")
+    ] = None,
+    output: Output = "text",
+) -> None:
+    """Show the state of daemons, of the fleet, or both compared.
+
+    Exits with 5 if a daemon can't be reached, else with 7 if one has an older document
+    version in force than the accepted one.
+
+    Example: berylmastctl status --platform IP:PORT --environment trial --daemon IP:PORT
+    """
+    if (platform is None) != (environment is None) or not (platform or daemon):
+        message = "give --daemon, or --platform with --environment, or all three"
+        finish(make_error(Exit.INVALID, message), output)
+    store = None if platform is None else parse_address(platform)
+    addresses = [parse_address(text) for text in daemon or []]
+    try:
+        report = anyio.run(_read, store, environment or "", addresses)
+    except PlatformUnavailable as exc:
+        message = f"the platform can't be read: {exc}"
+        report = make_error(Exit.UNAVAILABLE, message)
+    except RevisionDamaged as exc:
+        report = make_error(Exit.INVALID, str(exc))
+    finish(report, output)
+
+
+async def _read(
+    store: Address | None, environment: str, addresses: list[Address]
+) -> Report:
+    found = None
+    if store is not None:
+        client = PlatformClient(store)
+        try:
+            found = await read_fleet(client, environment)
+        finally:
+            await client.aclose()
+    answers, errors = await call_daemons(addresses, "GET", "/status")
+    return make_report(found, answers, errors)
+
+
+def make_report(
+    found: FleetStatus | None, answers: dict[str, Any], errors: dict[str, str]
+) -> Report:
+    """Return what was read, with the daemons that lag behind the accepted version."""
+    accepted = 0 if found is None else found.version
+    lagging = [a for a, answer in answers.items() if _get_version(answer) < accepted]
+    parts = [] if found is None else _format_fleet(found)
+    if answers:
+        parts.append(_format_daemons(answers, lagging))
+    parts += [f"{_UNREACHABLE}: {error}" for error in errors.values()]
+    data: dict[str, Any] = {"daemons": answers, "errors": errors, "lagging": lagging}
+    if found is not None:
+        data["fleet"] = asdict(found)
+    code = Exit.LAGGING if lagging else Exit.OK
+    return Report(Exit.UNAVAILABLE if errors else code, "\n\n".join(parts), data)
+
+
+def _get_version(answer: dict[str, Any]) -> int:
+    return int((answer.get("membership") or {}).get("version", 0))
+
+
+def _format_fleet(found: FleetStatus) -> list[str]:
+    title = f"{found.environment}: no document accepted"
+    if found.version:
+        digest = found.digest[:SHORT_DIGEST]
+        title = f"{found.environment}: version {found.version} accepted, {digest}"
+    registrars = [
+        [r.shard, r.holder, r.region, r.failure_domain, r.address, r.renewed]
+        for r in found.registrars
+    ]
+    header = ["registrar", "holder", "region", "domain", "address", "renewed"]
+    endpoints = [[e.service, e.region, e.state, e.count] for e in found.endpoints]
+    return [
+        title,
+        format_table(header, registrars),
+        format_table(["service", "region", "state", "endpoints"], endpoints),
+    ]
+
+
+def _format_daemons(answers: dict[str, Any], lagging: list[str]) -> str:
+    rows = []
+    for address, answer in sorted(answers.items()):
+        load = answer["load"] or {}
+        leaving = answer["lifecycle"]["reasons"]
+        version = (answer.get("membership") or {}).get("version", "-")
+        rows.append(
+            [
+                address,
+                f"leaving ({','.join(leaving)})" if leaving else "ready",
+                load.get("in_flight", "-"),
+                load.get("queued", "-"),
+                load.get("limit", "-"),
+                f"{version} lagging" if address in lagging else version,
+            ]
+        )
+    header = ["daemon", "state", "in flight", "queued", "limit", "version"]
+    return format_table(header, rows)
--- a/src/berylmast/bin/berylmastctl.py
+++ b/src/berylmast/bin/berylmastctl.py
@@ -1,17 +1,19 @@
 """The operators' command line.
 
 Exit codes: 0 done, 2 wrong usage or invalid input, 3 conflict, 4 outcome unknown,
-5 not reachable, 6 not found.
+5 not reachable, 6 not found, 7 a daemon lags behind the accepted document.
 """
 
 from cyclopts import App
 
 from ._daemons import daemons
 from ._documents import documents
+from ._status import fleet
 
 app = App(name="berylmastctl", help=__doc__)
 app.command(documents, name="*")
 app.command(daemons, name="*")
+app.command(fleet, name="*")
 
 
 def main() -> None:
--- a/src/berylmast/bin/tests/test_ctl.py
+++ b/src/berylmast/bin/tests/test_ctl.py
@@ -26,6 +26,13 @@
         ),
         (["show", "--environment", "trial", "--platform", "x"], 2, "not HOST:PORT"),
         (["status", "--daemon", NOWHERE], 5, NOWHERE),
+        (["status"], 2, "give --daemon"),
+        (["status", "--platform", NOWHERE], 2, "give --daemon"),
+        (
+            ["status", "--environment", "trial", "--platform", NOWHERE],
+            5,
+            "the platform can't be read",
+        ),
         (["drain", "--daemon", NOWHERE], 5, NOWHERE),
         (["explain", "orders", "GET", "/", "--daemon", NOWHERE], 5, NOWHERE),
         (["chek", str(EXAMPLE)], 2, 'Unknown command "chek"'),
--- /dev/null
+++ b/src/berylmast/bin/tests/test_status.py
@@ -0,0 +1,45 @@
+"""Guards against a fleet status that hides daemons on an old document."""
+
+from typing import Any
+
+import pytest
+
+from ...operators.fleet_status import FleetStatus
+from .._output import Exit
+from .._status import make_report
+
+
+def make_answer(version: int) -> dict[str, Any]:
+    lifecycle = {"leaving": False, "reasons": []}
+    return {"lifecycle": lifecycle, "load": None, "membership": {"version": version}}
+
+
+ACCEPTED = FleetStatus("trial", 5, "d" * 64, (), (), ())
+
+
+@pytest.mark.parametrize(
+    ("found", "versions", "errors", "code", "lagging"),
+    [
+        (ACCEPTED, [5, 5], {}, Exit.OK, []),
+        (ACCEPTED, [5, 6], {}, Exit.OK, []),
+        (ACCEPTED, [5, 4], {}, Exit.LAGGING, ["1"]),
+        (ACCEPTED, [4, 5], {"x": "gone"}, Exit.UNAVAILABLE, ["0"]),
+        (ACCEPTED, [], {}, Exit.OK, []),
+        (None, [4], {}, Exit.OK, []),
+        (None, [], {"x": "gone"}, Exit.UNAVAILABLE, []),
+    ],
+)
+def test_lagging_and_unreachable_daemons(
+    found: FleetStatus | None,
+    versions: list[int],
+    errors: dict[str, str],
+    code: Exit,
+    lagging: list[str],
+) -> None:
+    answers = {str(n): make_answer(version) for n, version in enumerate(versions)}
+    report = make_report(found, answers, errors)
+    assert report.code is code
+    assert report.text.count("lagging") == len(lagging)
+    assert all(error in report.text for error in errors.values())
+    assert isinstance(report.data, dict)
+    assert report.data["lagging"] == lagging
--- a/src/berylmast/operators/revisions.py
+++ b/src/berylmast/operators/revisions.py
@@ -8,7 +8,13 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 from result import Err, Ok, Result
 
-from ..platform import Conflict, PlatformClient, PlatformObject, PlatformUnavailable
+from ..platform import (
+    Conflict,
+    Platform,
+    PlatformClient,
+    PlatformObject,
+    PlatformUnavailable,
+)
 
 DOCUMENT_KIND = "documents"
 CONFIRM_ATTEMPTS = 5
@@ -62,7 +68,7 @@
     return sha256(text.encode()).hexdigest()
 
 
-async def read_revision(client: PlatformClient, environment: str) -> Revision | None:
+async def read_revision(client: Platform, environment: str) -> Revision | None:
     """Return the accepted version of an environment, None if there is none.
 
     Raises PlatformUnavailable, RevisionDamaged.
