Refuse documents whose slices registrars can't distribute

A slice over 200 KB was refused by every registrar, but only after the document was accepted: it then stayed accepted and never came into force. check, apply, shift and promote now encode every slice and name the services that are too large. The encoding moves to operators.wire so that both sides measure the same bytes.

--- a/src/berylmast/bin/_documents.py
+++ b/src/berylmast/bin/_documents.py
@@ -21,6 +21,7 @@
     read_revision,
 )
 from ..operators.shifting import ShiftError, set_shift_step
+from ..operators.wire import parse_acceptable
 from ..platform import PlatformClient, PlatformUnavailable
 from ..settings import Address
 from ._output import Exit, Output, Report, finish, make_error
@@ -63,7 +64,7 @@
     """Read and check a document file; exits with its faults."""
     try:
         text = path.read_text()
-        parse_document(text)
+        parse_acceptable(text)
     except (OSError, UnicodeDecodeError) as exc:
         finish(make_error(Exit.INVALID, f"cannot read {path}: {exc}"), output)
     except DocumentError as exc:
@@ -186,7 +187,7 @@
             return make_error(Exit.CONFLICT, message)
         if compute_digest(stored.text) != stored.digest:
             return make_error(Exit.INVALID, f"{source}: text and digest disagree")
-        parse_document(stored.text)
+        parse_acceptable(stored.text)
         other = PlatformClient(parse_address(target_platform or platform))
         try:
             applied = await apply_revision(other, target, stored.text, base)
@@ -217,6 +218,7 @@
             message = f"environment {environment!r} has no document"
             return make_error(Exit.NOT_FOUND, message)
         text = set_shift_step(stored.text, service, step)
+        parse_acceptable(text)
         if text == stored.text:
             message = f"step {step} is in force already"
             return Report(Exit.OK, message, {"version": stored.version})
--- a/src/berylmast/membership/slices.py
+++ b/src/berylmast/membership/slices.py
@@ -1,6 +1,5 @@
 """A document cut into slices per service, and their wire form."""
 
-import json
 import zlib
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass, replace
@@ -8,23 +7,19 @@
 
 import anyio
 import anyio.lowlevel
-from pydantic import TypeAdapter, ValidationError
+from pydantic import ValidationError
 
 from ..model import ServiceSlice
 from ..operators import DocumentError, make_slice, parse_document
+from ..operators.wire import MAX_SLICE_BYTES, SLICE, encode_slice
 from ..telemetry import log_event
 
 MAX_DOCUMENT_BYTES = 1_000_000
 """The platform holds no larger values."""
 
-MAX_SLICE_BYTES = 200_000
-"""A slice travels in one frame, which may have 256 KiB."""
-
 SERVICES_PER_STEP = 10
 """Services cut without a pause, about 1 ms."""
 
-_SLICE = TypeAdapter(ServiceSlice)
-
 
 @dataclass(frozen=True, slots=True)
 class CutDocument:
@@ -113,22 +108,10 @@
                 log_event("document refused", version=version, reason=str(exc))
 
 
-def encode_slice(part: ServiceSlice) -> bytes:
-    """Return a slice as JSON that is the same in every process and version.
-
-    Sets are sorted: their order differs between processes, and the digest must not.
-    """
-    data = _SLICE.dump_python(replace(part, version=0), mode="json")
-    data["hosts"] = sorted(data["hosts"])
-    for route in data["routes"]:
-        route["methods"] = sorted(route["methods"])
-    return json.dumps(data, separators=(",", ":")).encode()
-
-
 def decode_slice(data: bytes, version: int) -> ServiceSlice | None:
     """Return the slice of a version, None if it is not one that this daemon knows."""
     try:
-        return replace(_SLICE.validate_json(data), version=version)
+        return replace(SLICE.validate_json(data), version=version)
     except ValidationError:
         return None
 
