--- a/src/berylmast/bin/_status.py
+++ b/src/berylmast/bin/_status.py
@@ -6,6 +6,7 @@
 import anyio
 from cyclopts import App, Parameter
 
+from ..model import EndpointState
 from ..operators.fleet_status import FleetStatus, read_fleet
 from ..operators.revisions import RevisionDamaged
 from ..platform import PlatformClient, PlatformUnavailable
@@ -32,6 +33,10 @@
     daemon: Annotated[
         list[str] | None, Parameter(help="Admin address, HOST:PORT; repeatable.")
     ] = None,
+    admin_port: Annotated[
+        int | None,
+        Parameter(help="Ask every announced instance on this port, with --platform."),
+    ] = None,
     output: Output = "text",
 ) -> None:
     """Show the state of daemons, of the fleet, or both compared.
@@ -46,8 +51,11 @@
         finish(make_error(Exit.INVALID, message), output)
     store = None if platform is None else parse_address(platform)
     addresses = [parse_address(text) for text in daemon or []]
+    if admin_port is not None and store is None:
+        message = "--admin-port needs --platform, which names the instances"
+        finish(make_error(Exit.INVALID, message), output)
     try:
-        report = anyio.run(_read, store, environment or "", addresses)
+        report = anyio.run(_read, store, environment or "", addresses, admin_port)
     except PlatformUnavailable as exc:
         message = f"the platform can't be read: {exc}"
         report = make_error(Exit.UNAVAILABLE, message)
@@ -57,7 +65,10 @@
 
 
 async def _read(
-    store: Address | None, environment: str, addresses: list[Address]
+    store: Address | None,
+    environment: str,
+    addresses: list[Address],
+    admin_port: int | None,
 ) -> Report:
     found = None
     if store is not None:
@@ -66,10 +77,23 @@
             found = await read_fleet(client, environment)
         finally:
             await client.aclose()
+    if found is not None and admin_port is not None:
+        addresses = addresses + list_admin_addresses(found, admin_port)
     answers, errors = await call_daemons(addresses, "GET", "/status")
     return make_report(found, answers, errors)
 
 
+def list_admin_addresses(found: FleetStatus, port: int) -> list[Address]:
+    """Return the address of every instance whose endpoint is not gone.
+
+    Records hold no admin address. Instances have addresses of their own, and the same
+    settings but for those, so that one port serves for all.
+    """
+    gone = EndpointState.GONE
+    hosts = {record.host for record in found.records if record.state is not gone}
+    return [Address(host=host, port=port) for host in sorted(hosts)]
+
+
 def make_report(
     found: FleetStatus | None, answers: dict[str, Any], errors: dict[str, str]
 ) -> Report:
--- a/src/berylmast/bin/tests/test_ctl.py
+++ b/src/berylmast/bin/tests/test_ctl.py
@@ -27,6 +27,7 @@
         (["show", "--environment", "trial", "--platform", "x"], 2, "not HOST:PORT"),
         (["status", "--daemon", NOWHERE], 5, NOWHERE),
         (["status"], 2, "give --daemon"),
+        (["status", "--daemon", NOWHERE, "--admin-port", "9"], 2, "needs --platform"),
         (["status", "--platform", NOWHERE], 2, "give --daemon"),
         (
             ["status", "--environment", "trial", "--platform", NOWHERE],
--- a/src/berylmast/bin/tests/test_status.py
+++ b/src/berylmast/bin/tests/test_status.py
@@ -4,9 +4,10 @@
 
 import pytest
 
+from ...model import Endpoint, EndpointState
 from ...operators.fleet_status import FleetStatus
 from .._output import Exit
-from .._status import make_report
+from .._status import list_admin_addresses, make_report
 
 
 def make_answer(version: int) -> dict[str, Any]:
@@ -43,3 +44,15 @@
     assert all(error in report.text for error in errors.values())
     assert isinstance(report.data, dict)
     assert report.data["lagging"] == lagging
+
+
+def test_every_instance_that_is_not_gone_is_asked_once() -> None:
+    states = [EndpointState.READY, EndpointState.DRAINING, EndpointState.GONE]
+    records = tuple(
+        Endpoint(f"{n}-{m}", "orders", f"host-{n}", 1, "north", "n1", 1, 1, state)
+        for n, state in enumerate(states)
+        for m in range(2)
+    )
+    found = FleetStatus("trial", 5, "", (), (), records)
+    addresses = [str(address) for address in list_admin_addresses(found, 8082)]
+    assert addresses == ["host-0:8082", "host-1:8082"]
