Test a drain that the backend server asks for with real processes

The daemon's health check was tested with fakes only. Under 60 orders a second, the backend server that answers 503 on /health gets no new work after 3 s, and no order is cut, lost or run twice.

--- a/src/berylmast_dev/fleet.py
+++ b/src/berylmast_dev/fleet.py
@@ -37,6 +37,9 @@
     port: int
     """First of four ports: callers, peers, admin, backend server."""
 
+    health: bool = False
+    """Whether the daemon follows the backend server's health endpoint."""
+
     @property
     def entry(self) -> tuple[str, int]:
         """Return the address for callers."""
@@ -106,7 +109,7 @@
 
     def start_daemon(self, member: Member) -> None:
         """Write the settings of one daemon and start it."""
-        settings = {
+        settings: dict[str, object] = {
             "daemon_id": member.name,
             "environment": "demo",
             "region": member.region,
@@ -119,6 +122,8 @@
             "platform": {"host": HOST, "port": self.platform_port},
             "start_spread_s": 0.2,
         }
+        if member.health:
+            settings["health"] = {"interval_s": 0.5}
         path = self._folder / f"{member.name}.json"
         path.write_text(json.dumps(settings, indent=2))
         self.start_process(f"daemon-{member.name}", self.daemon_module, str(path))
--- a/src/berylmast_dev/tests/test_drain.py
+++ b/src/berylmast_dev/tests/test_drain.py
@@ -6,7 +6,14 @@
 import anyio
 import pytest
 
-from ..fleet import Fleet, Member, find_ports, read_ledger, run_fleet
+from ..fleet import (
+    Fleet,
+    Member,
+    control_backend,
+    find_ports,
+    read_ledger,
+    run_fleet,
+)
 from ..load import LoadClass, run_load
 
 pytestmark = pytest.mark.anyio
@@ -54,3 +61,38 @@
     runs = [request for ledger in ledgers for request in ledger]
     assert sorted(runs) == sorted(result.answered_ids)
     assert exit_code == 0
+
+
+async def test_backend_server_that_says_it_drains_gets_no_new_work() -> None:
+    first = find_ports(12)
+    members = [
+        Member(f"orders-{n}", "orders", "north", "n1", 6, 20.0, first + 4 * n, True)
+        for n in range(3)
+    ]
+    before: list[str] = []
+    late: list[str] = []
+
+    async def drain_one() -> None:
+        await anyio.sleep(1.5)
+        before.extend(await read_ledger(members[0]))
+        await control_backend(members[0], draining=True)
+        await anyio.sleep(LEAVE_LIMIT_S)
+        ledger = await read_ledger(members[0])
+        await anyio.sleep(1.0)
+        late.extend((await read_ledger(members[0]))[len(ledger) :])
+
+    async with run_fleet(members, DOCUMENT) as fleet:
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(drain_one)
+            # The daemon beside the draining backend server stays an entry.
+            entries = [member.entry for member in members]
+            results = await run_load(entries, [ORDERS], SECONDS)
+        ledgers = [await read_ledger(member) for member in members]
+        assert fleet.processes["daemon-orders-0"].poll() is None
+    result = results["orders"]
+    assert result.outcomes == {}
+    assert result.answered > 0.7 * ORDERS.rate * SECONDS
+    assert before != []
+    assert late == []
+    runs = [request for ledger in ledgers for request in ledger]
+    assert sorted(runs) == sorted(result.answered_ids)
