Report an apply that wrote nothing as not reachable, hide empty changes

With the platform down, apply exited with 4 and said "outcome unknown, look before you repeat: nothing was written", though it had stopped at the read before the write: it now exits with 5 like the other commands. diff listed steps without a date as "starts_at: None -> None", since an absent value and null differed.

--- a/src/berylmast/bin/_documents.py
+++ b/src/berylmast/bin/_documents.py
@@ -240,6 +240,9 @@
         data = {"version": revision.version, "digest": revision.digest}
         return Report(Exit.OK, message, data)
     error = applied.unwrap_err()
+    if isinstance(error, ApplyUnknown) and not error.sent:
+        message = f"the platform can't be read, nothing was changed: {error.reason}"
+        return make_error(Exit.UNAVAILABLE, message)
     if isinstance(error, ApplyUnknown):
         message = f"{environment}: outcome unknown, look before you repeat: "
         return make_error(Exit.UNKNOWN, message + error.reason)
--- a/src/berylmast/bin/tests/test_ctl.py
+++ b/src/berylmast/bin/tests/test_ctl.py
@@ -11,6 +11,7 @@
 EXAMPLE = Path(__file__).parents[4] / "examples" / "kalvola.json5"
 # Nothing listens on the discard port of the loopback address.
 NOWHERE = "127.0.0.1:9"
+PLATFORM = f"--platform={NOWHERE}"
 
 
 @pytest.mark.parametrize(
@@ -26,6 +27,11 @@
         ),
         (["show", "--environment", "trial", "--platform", "x"], 2, "not HOST:PORT"),
         (["status", "--daemon", NOWHERE], 5, NOWHERE),
+        (
+            ["apply", str(EXAMPLE), "--base=0", "--environment=x", PLATFORM],
+            5,
+            "nothing was changed",
+        ),
         (["status"], 2, "give --daemon"),
         (["status", "--daemon", NOWHERE, "--admin-port", "9"], 2, "needs --platform"),
         (["status", "--platform", NOWHERE], 2, "give --daemon"),
--- a/src/berylmast/operators/changes.py
+++ b/src/berylmast/operators/changes.py
@@ -48,7 +48,7 @@
         for key in sorted(old.keys() | new.keys()):
             inner = f"{path}.{key}" if path else key
             yield from _compare(inner, old.get(key, _ABSENT), new.get(key, _ABSENT))
-    elif before is not after and before != after:
+    elif _show(before) != _show(after):
         yield Change(path, _show(before), _show(after))
 
 
--- a/src/berylmast/operators/revisions.py
+++ b/src/berylmast/operators/revisions.py
@@ -54,9 +54,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ApplyUnknown:
-    """The platform answered neither the write nor the reads that followed."""
+    """The platform answered neither the write nor the reads that followed.
+
+    ``sent`` is False if it did not even answer the read before the write.
+    """
 
     reason: str
+    sent: bool = True
 
 
 class RevisionDamaged(Exception):
@@ -104,7 +108,7 @@
     try:
         stored = await read_revision(client, environment)
     except PlatformUnavailable as exc:
-        return Err(ApplyUnknown(f"nothing was written: {exc}"))
+        return Err(ApplyUnknown(str(exc), sent=False))
     if (0 if stored is None else stored.version) != base:
         return Err(ApplyConflict(base, stored))
     spec = {
--- a/src/berylmast/operators/tests/test_document.py
+++ b/src/berylmast/operators/tests/test_document.py
@@ -177,3 +177,13 @@
 def test_shift_to_a_step_that_is_not_there(service: str, step: int) -> None:
     with pytest.raises(ShiftError):
         set_shift_step(TEXT, service, step)
+
+
+def test_new_shift_shows_only_the_values_that_it_has() -> None:
+    # A step without a date once showed as "starts_at: None -> None".
+    before = parse_document(encode(make_document()))
+    after = parse_document(encode(make_document(shift={"steps": STEPS[:1]})))
+    assert [str(change) for change in list_changes(before, after)] == [
+        "services.orders.shift.current: None -> 0",
+        "services.orders.shift.steps.0.weights.old: None -> 1.0",
+    ]
