--- a/src/berylmast/bin/_output.py
+++ b/src/berylmast/bin/_output.py
@@ -19,6 +19,7 @@
     UNKNOWN = 4
     UNAVAILABLE = 5
     NOT_FOUND = 6
+    LAGGING = 7
 
 
 @dataclass(frozen=True, slots=True)
@@ -57,4 +58,6 @@
 
 
 def _format(cell: object) -> str:
+    if cell is None:
+        return "-"
     return f"{cell:.1f}" if isinstance(cell, float) else str(cell)
--- a/src/berylmast/operators/revisions.py
+++ b/src/berylmast/operators/revisions.py
@@ -8,7 +8,13 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 from result import Err, Ok, Result
 
-from ..platform import Conflict, PlatformClient, PlatformObject, PlatformUnavailable
+from ..platform import (
+    Conflict,
+    Platform,
+    PlatformClient,
+    PlatformObject,
+    PlatformUnavailable,
+)
 
 DOCUMENT_KIND = "documents"
 CONFIRM_ATTEMPTS = 5
@@ -48,9 +54,13 @@
 
 @dataclass(frozen=True, slots=True)
 class ApplyUnknown:
-    """The platform answered neither the write nor the reads that followed."""
+    """The platform answered neither the write nor the reads that followed.
+
+    ``sent`` is False if it did not even answer the read before the write.
+    """
 
     reason: str
+    sent: bool = True
 
 
 class RevisionDamaged(Exception):
@@ -62,7 +72,7 @@
     return sha256(text.encode()).hexdigest()
 
 
-async def read_revision(client: PlatformClient, environment: str) -> Revision | None:
+async def read_revision(client: Platform, environment: str) -> Revision | None:
     """Return the accepted version of an environment, None if there is none.
 
     Raises PlatformUnavailable, RevisionDamaged.
@@ -98,7 +108,7 @@
     try:
         stored = await read_revision(client, environment)
     except PlatformUnavailable as exc:
-        return Err(ApplyUnknown(f"nothing was written: {exc}"))
+        return Err(ApplyUnknown(str(exc), sent=False))
     if (0 if stored is None else stored.version) != base:
         return Err(ApplyConflict(base, stored))
     spec = {
