--- a/src/berylmast/membership/leases.py
+++ b/src/berylmast/membership/leases.py
@@ -1,23 +1,15 @@
 """Registrar roles as lease objects of the platform."""
 
+import math
 from collections.abc import Callable
 from dataclasses import astuple, dataclass, replace
-from typing import Any
 
-import anyio
 from pydantic import TypeAdapter, ValidationError
-from result import Result
 
 from ..daemons.frames import LeaseItem
 from ..platform import (
-    EventType,
     Listing,
-    Platform,
     PlatformObject,
-    PutFailure,
-    PutFault,
-    WatchEvent,
-    put_confirmed,
 )
 
 LEASE_KIND = "registrars"
@@ -28,7 +20,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Lease:
-    """Who holds the registrar role of a shard, and how to reach it."""
+    """Who holds the registrar role of a shard, and how to reach it.
+
+    ``daemon`` is empty once the holder has released the role.
+    """
 
     shard: str
     daemon: str
@@ -53,6 +48,7 @@
     incarnation: int
     version: int
     since_s: float
+    read_s: float
 
 
 _LEASE = TypeAdapter(Lease)
@@ -77,11 +73,14 @@
     """Leases as one observer saw them change, by its own clock.
 
     Clocks of other daemons are never compared. While the platform can't be observed
-    no lease lapses, and afterwards every holder has a whole lease time to renew.
+    no lease lapses, and afterwards every holder has a whole lease time to renew. The
+    same holds after reads more than ``max_gap_s`` apart, between which an outage may
+    have gone unnoticed; a lease that has lapsed stays so until its version changes.
     """
 
-    def __init__(self, now: Callable[[], float]) -> None:
+    def __init__(self, now: Callable[[], float], max_gap_s: float = math.inf) -> None:
         self._now = now
+        self._max_gap_s = max_gap_s
         self._observed: dict[str, _Observed] = {}
         self.observing = False
 
@@ -94,15 +93,10 @@
         for shard in set(self._observed) - names:
             del self._observed[shard]
 
-    def take_event(self, event: WatchEvent) -> None:
-        """Apply one event of a watch."""
+    def take_object(self, item: PlatformObject) -> None:
+        """Take one lease as it is stored now."""
         self._resume()
-        if event.object is None:
-            return
-        if event.type is EventType.DELETED:
-            self._observed.pop(event.object.metadata.name, None)
-        else:
-            self._take(event.object)
+        self._take(item)
 
     def lose(self) -> None:
         """Note that the platform can't be observed."""
@@ -111,14 +105,17 @@
     def leases(self) -> dict[str, Lease]:
         """Return all leases by shard, each marked whether it has lapsed."""
         return {
-            shard: replace(observed.lease, lapsed=self._has_lapsed(observed))
+            shard: replace(
+                observed.lease,
+                lapsed=not observed.lease.daemon or self._has_lapsed(observed),
+            )
             for shard, observed in self._observed.items()
         }
 
     def lapsed_s(self, shard: str) -> float:
         """Return for how long a lease has lapsed, 0 if it has not."""
         observed = self._observed.get(shard)
-        if observed is None or not self.observing:
+        if observed is None or not self._has_lapsed(observed):
             return 0.0
         return max(0.0, self._now() - observed.since_s - LEASE_S)
 
@@ -135,23 +132,27 @@
         )
 
     def _has_lapsed(self, observed: _Observed) -> bool:
-        return self.observing and self._now() - observed.since_s >= LEASE_S
+        return self.observing and observed.read_s - observed.since_s >= LEASE_S
 
     def _resume(self) -> None:
         if not self.observing:
             self.observing = True
             for observed in self._observed.values():
-                observed.since_s = self._now()
+                observed.since_s = observed.read_s = self._now()
 
     def _take(self, item: PlatformObject) -> None:
         version = item.metadata.resource_version
         old = self._observed.get(item.metadata.name)
         if old is not None and old.version == version:
+            gap_s = self._now() - old.read_s
+            if gap_s > self._max_gap_s and not self._has_lapsed(old):
+                old.since_s = self._now()
+            old.read_s = self._now()
             return
         claim = read_claim(item)
         if claim is not None:
             self._observed[item.metadata.name] = _Observed(
-                claim.lease, claim.incarnation, version, self._now()
+                claim.lease, claim.incarnation, version, self._now(), self._now()
             )
 
 
@@ -165,51 +166,3 @@
         return Claim(lease, int(spec["incarnation"]))
     except (ValidationError, KeyError, ValueError):
         return None
-
-
-def _make_spec(claim: Claim, renewed: int) -> dict[str, Any]:
-    lease = claim.lease
-    return {
-        "daemon": lease.daemon,
-        "region": lease.region,
-        "failure_domain": lease.failure_domain,
-        "host": lease.host,
-        "port": lease.port,
-        "incarnation": claim.incarnation,
-        "renewed": renewed,
-    }
-
-
-async def claim_lease(
-    platform: Platform, claim: Claim, base: PlatformObject | None
-) -> Result[PlatformObject, PutFailure]:
-    """Take a lease that is still at ``base``, None for one that does not exist."""
-    spec = _make_spec(claim, 0)
-    return await put_confirmed(platform, LEASE_KIND, claim.lease.shard, spec, base)
-
-
-async def hold_lease(platform: Platform, claim: Claim, stored: PlatformObject) -> None:
-    """Renew a lease until another daemon holds it; then return.
-
-    A failed renewal is not the end: while the platform is down nobody else can take
-    the lease. A holder that was paused learns from the version conflict.
-    """
-    renewed = 0
-    while True:
-        await anyio.sleep(RENEW_INTERVAL_S)
-        renewed += 1
-        spec = _make_spec(claim, renewed)
-        result = await put_confirmed(
-            platform, LEASE_KIND, claim.lease.shard, spec, stored
-        )
-        if result.is_ok():
-            stored = result.unwrap()
-            continue
-        failure = result.unwrap_err()
-        if failure.fault is not PutFault.CONFLICT:
-            continue
-        found = None if failure.stored is None else read_claim(failure.stored)
-        if failure.stored is None or found != claim:
-            return
-        # An earlier renewal with an unknown outcome has taken effect after all.
-        stored = failure.stored
--- a/src/berylmast/membership/registrar.py
+++ b/src/berylmast/membership/registrar.py
@@ -14,6 +14,7 @@
 from ..telemetry import log_event
 from .damping import FlapDamper, comes_up
 from .feeds import follow_store
+from .lease_reader import MAX_GAP_S, LeaseReader
 from .leases import Lease, LeaseTable
 from .links import Dial
 from .mesh import Mesh
@@ -29,6 +30,8 @@
 """Time for the daemons of a registrar that was replaced to attach again."""
 
 SWEEP_INTERVAL_S = 2.0
+SILENCE_CHECK_S = 0.5
+"""Interval of the search for silent daemons among those attached."""
 
 
 class Registrar:
@@ -52,7 +55,7 @@
         self._environment = environment
         self._rng = rng
         self._tg = tg
-        self._lease_table = LeaseTable(anyio.current_time)
+        self._lease_table = LeaseTable(anyio.current_time, MAX_GAP_S)
         self._intake = DocumentIntake(self._put_document)
         self._cut_off = False
         self._known_leases: dict[str, Lease] = {}
@@ -60,6 +63,9 @@
         self._shards: dict[str, list[Endpoint]] = {}
         self._writer = ShardWriter(platform, own.shard, self.table)
         self._mesh = Mesh(self, own.shard, dial, rng, tg)
+        self._lease_reader = LeaseReader(
+            platform, self._lease_table, own.shard, self._mesh, rng, self._see_leases
+        )
 
     async def run(self) -> None:
         """Follow the platform and write the own shard until cancelled."""
@@ -75,13 +81,13 @@
             tg.start_soon(self._writer.run)
             tg.start_soon(self._intake.run)
             tg.start_soon(self._sweep)
+            tg.start_soon(self._end_silent)
+            tg.start_soon(self._lease_reader.run)
             tg.start_soon(self._expire, adopted, ADOPT_S)
             await follow_store(
                 self._platform,
                 self._environment,
                 self._rng,
-                lease_table=self._lease_table,
-                on_leases=self._see_leases,
                 on_document=self.adopt_document,
                 on_shard=self._take_shard,
             )
@@ -144,6 +150,15 @@
             self._cut_off = True
             self._tell_sessions()
 
+    def nominate(self, released: Lease) -> bool:
+        """Let an attached daemon of the same failure domain take over the own role."""
+        for session in self.sessions.values():
+            same = session.failure_domain == released.failure_domain
+            if same and session.daemon != released.daemon:
+                session.nominate(released)
+                return True
+        return False
+
     def own_records(self) -> list[Endpoint]:
         """Return the records of the daemons attached here."""
         return self._writer.records()
@@ -185,6 +200,13 @@
         if attached and session.record == record:
             self._spread_own([record])
 
+    async def _end_silent(self) -> None:
+        while True:
+            await anyio.sleep(SILENCE_CHECK_S)
+            now_s = anyio.current_time()
+            for session in self.sessions.values():
+                session.end_if_silent(now_s)
+
     async def _sweep(self) -> None:
         """Look for lapsed leases, and mark daemons gone that went with theirs."""
         while True:
--- a/src/berylmast/membership/session.py
+++ b/src/berylmast/membership/session.py
@@ -1,5 +1,6 @@
 """A registrar's side of the exchange with one attached daemon."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import replace
 from typing import Protocol
@@ -20,12 +21,16 @@
 )
 from ..model import Endpoint, EndpointState
 from .leases import Lease, pack_lease
-from .links import receive_within_limit, run_beside
+from .links import BEAT_LIMIT_S, run_beside
 from .records import RecordTable, choose_subset, cut_records, unpack_records
 from .slices import CutDocument
 
 COALESCE_S = 0.1
-"""Changes within this time reach a daemon together; mass restarts cost less."""
+"""Pause after each batch of frames to a daemon, in which further changes gather."""
+
+ENDPOINTS_INTERVAL_S = 1.0
+"""Shortest interval of endpoint changes to one daemon, so that a mass restart costs
+one frame a second. The first change after a pause and what is asked for go at once."""
 
 
 class Hub(Protocol):
@@ -50,7 +55,9 @@
         self._hub = hub
         self._exchange = exchange
         self._region = frame.region
-        self._failure_domain = frame.failure_domain
+        self.failure_domain = frame.failure_domain
+        # A role that this daemon shall claim at once.
+        self._nomination: Lease | None = None
         self._digests: dict[str, str] = {}
         self._held: dict[str, dict[str, Endpoint]] = {}
         self._sent_version = -1
@@ -58,13 +65,30 @@
         self._stale: dict[str, None] = {}
         self._disputes: list[Endpoint] = []
         self._leases_changed = True
+        self._next_endpoints_s = 0.0
         self._wake = anyio.Event()
         self._announced = unpack_records(frame.records)
+        self._scope = anyio.CancelScope()
+        self._heard_s = anyio.current_time()
 
     async def run(self) -> None:
-        """Serve the daemon; raises ExchangeLost when it is gone or silent."""
+        """Serve the daemon until ``end_if_silent`` ends it.
+
+        Raises ExchangeLost when the daemon is gone.
+        """
         self._hub.take_announced(self, self._announced)
-        await run_beside(self._receive, self._send)
+        self._exchange.on_beat = self._answer_beat
+        with self._scope:
+            await run_beside(self._receive, self._send)
+
+    def end_if_silent(self, now_s: float) -> None:
+        """End the session if nothing was received for BEAT_LIMIT_S.
+
+        The registrar checks all sessions together: a timer for each would have to be
+        set again at every heartbeat.
+        """
+        if now_s - self._heard_s >= BEAT_LIMIT_S:
+            self._scope.cancel()
 
     def note_services(self, services: Iterable[str]) -> None:
         """Note that endpoints of these services have changed."""
@@ -80,19 +104,34 @@
     def note_dispute(self, record: Endpoint) -> None:
         """Show the daemon a record that has it gone; it announces itself again."""
         self._disputes.append(record)
+        self._next_endpoints_s = 0.0
         self._wake.set()
 
+    def nominate(self, released: Lease) -> None:
+        """Let the daemon claim a released lease without the usual random delay.
+
+        It is shown as a lapsed lease of the daemon's own, which nobody else claims.
+        """
+        self._nomination = replace(released, daemon=self.daemon, lapsed=True)
+        self.note_leases()
+
     def note_leases(self) -> None:
         """Note that registrars have changed."""
         self._leases_changed = True
         self._wake.set()
 
+    def _answer_beat(self, _version: int) -> None:
+        self._heard_s = anyio.current_time()
+        self._exchange.send_beat(self._hub.document.version)
+
     async def _receive(self) -> None:
         while True:
-            match await receive_within_limit(self._exchange):
-                case Beat():
-                    version = self._hub.document.version
-                    await self._exchange.send(Beat(self._exchange.id, version))
+            frame = await self._exchange.receive()
+            self._heard_s = anyio.current_time()
+            match frame:
+                case Beat(version=version):
+                    # Arrived before the session began.
+                    self._answer_beat(version)
                 case Subscribe(services=services, hosts=hosts):
                     self._subscribe(services, hosts)
                 case Unsubscribe(services=services):
@@ -120,22 +159,30 @@
             self._digests[service] = digest
             self._held[service] = {}
             self._stale[service] = None
+            self._next_endpoints_s = 0.0
 
     async def _send(self) -> None:
         while True:
-            await self._wake.wait()
+            deadline_s = self._next_endpoints_s if self._stale else math.inf
+            with anyio.CancelScope(deadline=deadline_s):
+                await self._wake.wait()
             self._wake = anyio.Event()
             if self._leases_changed:
                 await self._send_leases()
             await self._send_hosts()
             # Endpoints first: a request that waits for a slice can then be forwarded.
-            await self._send_endpoints()
+            if anyio.current_time() >= self._next_endpoints_s:
+                await self._send_endpoints()
             await self._send_document()
             await anyio.sleep(COALESCE_S)
 
     async def _send_leases(self) -> None:
         self._leases_changed = False
-        leases = tuple(pack_lease(lease) for lease in self._hub.leases())
+        own = self._nomination
+        leases = tuple(
+            pack_lease(own if own is not None and lease.shard == own.shard else lease)
+            for lease in self._hub.leases()
+        )
         await self._exchange.send(Registrars(self._exchange.id, leases))
 
     async def _send_hosts(self) -> None:
@@ -158,6 +205,8 @@
         changed, self._disputes = self._disputes, []
         for service in stale:
             changed += self._update_held(service)
+        if changed:
+            self._next_endpoints_s = anyio.current_time() + ENDPOINTS_INTERVAL_S
         for part in cut_records(changed):
             await self._exchange.send(Endpoints(self._exchange.id, part))
 
@@ -165,7 +214,7 @@
         """Return the records of a service that the daemon lacks."""
         records = self._hub.table.of_service(service)
         ready = [r for r in records if r.state is EndpointState.READY]
-        wanted = choose_subset(ready, self.daemon, self._region, self._failure_domain)
+        wanted = choose_subset(ready, self.daemon, self._region, self.failure_domain)
         held = self._held[service]
         left = set(held) - {record.backend for record in records}
         records += [replace(held[name], state=EndpointState.GONE) for name in left]
