Write log lines with less work

The request line cost about a tenth of the entry's time: asdict copies every field, each value was checked character by character, and Logger.log walks the stack for a file and line that no line shows. Fields are now read directly, plain values pass one regular expression, and the record is made without the stack walk. The lines are unchanged.

--- a/src/berylmast/telemetry/logs.py
+++ b/src/berylmast/telemetry/logs.py
@@ -1,11 +1,14 @@
 """Log lines: one event a line, as key=value pairs."""
 
 import logging
+import re
 from typing import Any
 
 from pythonjsonlogger.core import BaseJsonFormatter
 
 _logger = logging.getLogger("berylmast")
+_PLAIN = re.compile(r"[A-Za-z0-9_.:,/+-]+")
+"""Values that are written as they are; the check by character is much slower."""
 
 
 class KeyValueFormatter(BaseJsonFormatter):
@@ -18,6 +21,8 @@
 
 def _quote(value: object) -> str:
     text = f"{value:.3f}" if isinstance(value, float) else str(value)
+    if _PLAIN.fullmatch(text):
+        return text
     if text and not any(c in ' "=\\' or not c.isprintable() for c in text):
         return text
     escaped = text.replace("\\", "\\\\").replace('"', '\\"')
@@ -47,4 +52,10 @@
 
 def log_event(event: str, *, level: int = logging.INFO, **fields: object) -> None:
     """Write one event with its fields."""
-    _logger.log(level, event, extra=fields)
+    # Logger.log walks the stack for the caller's file and line, which no line shows.
+    if _logger.isEnabledFor(level):
+        _logger.handle(
+            _logger.makeRecord(
+                _logger.name, level, "", 0, event, (), None, extra=fields
+            )
+        )
--- a/src/berylmast/telemetry/sight.py
+++ b/src/berylmast/telemetry/sight.py
@@ -1,7 +1,7 @@
 """Counters, timings, histograms and log lines of the requests of this entry."""
 
 from collections import Counter
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, fields
 
 from statsd import StatsClient
 
@@ -28,6 +28,9 @@
     duration_ms: float
 
 
+_LOG_FIELDS = tuple(field.name for field in fields(RequestLog))
+
+
 class Sight:
     """Records every finished request of this entry."""
 
@@ -49,7 +52,7 @@
         self._counts[key] += 1
         if self._statsd is not None:
             self._send_statsd(self._statsd, entry)
-        log_event("request", **asdict(entry))
+        log_event("request", **{name: getattr(entry, name) for name in _LOG_FIELDS})
 
     def _send_statsd(self, client: StatsClient, entry: RequestLog) -> None:
         name = f"{_clean(entry.service)}.{_clean(entry.priority)}"
