Cancel abandoned requests by scope instead of a watching task

An owner started two task groups and two tasks per request that only waited for a Reset, and each exchange made a memory stream and two events. Exchange now keeps a deque and makes events only for a waiter; cancel_on_reset cancels a scope from deliver. A request that was reset before dispatch is no longer dispatched.

--- a/src/berylmast/backends/dispatch.py
+++ b/src/berylmast/backends/dispatch.py
@@ -71,20 +71,13 @@
     Fills in ``end``, also when cancelled. Sends ``Refuse`` if nothing reached the
     backend server, ``Fail`` if the request may have run.
     """
-
-    async def cancel_on_reset() -> None:
-        await exchange.wait_reset()
-        tg.cancel_scope.cancel()
-
-    async with anyio.create_task_group() as tg:
-        tg.start_soon(cancel_on_reset)
+    with exchange.cancel_on_reset():
         try:
             await _dispatch(exchange, head, client, report, end)
             end.done = True
         except (ExchangeLost, RequestCut):
             # Nobody is left to answer; leaving the client cancels the request.
             pass
-        tg.cancel_scope.cancel()
 
 
 async def _iterate_body(
--- a/src/berylmast/backends/owner.py
+++ b/src/berylmast/backends/owner.py
@@ -185,7 +185,7 @@
         end = DispatchEnd()
         result: AttemptResult | None = None
         try:
-            if exchange.lost:
+            if exchange.lost or exchange.was_reset:
                 return
             if remaining_ms <= 0:
                 detail = "deadline passed in the queue"
@@ -218,23 +218,9 @@
         self, exchange: Exchange, head: RequestHead
     ) -> Result[Permit, Refusal] | None:
         """Wait for admission; None if the entry gave up meanwhile."""
-        admitted: Result[Permit, Refusal] | None = None
-
-        async def stop_when_abandoned() -> None:
-            await exchange.wait_reset()
-            tg.cancel_scope.cancel()
-
-        try:
-            async with anyio.create_task_group() as tg:
-                tg.start_soon(stop_when_abandoned)
-                admitted = await self._admission.acquire(head)
-                tg.cancel_scope.cancel()
-        except anyio.get_cancelled_exc_class():
-            # Cancelled from outside after the grant: nobody else holds the permit.
-            if admitted is not None and admitted.is_ok():
-                admitted.unwrap().release(None)
-            raise
-        return admitted
+        with exchange.cancel_on_reset():
+            return await self._admission.acquire(head)
+        return None
 
     async def _dispatch(
         self, recorder: AttemptExchange, head: RequestHead, end: DispatchEnd
--- a/src/berylmast/backends/recorder.py
+++ b/src/berylmast/backends/recorder.py
@@ -1,5 +1,8 @@
 """An owner's view of an exchange that records how the attempt ends."""
 
+from collections.abc import Iterator
+from contextlib import contextmanager
+
 import anyio
 
 from ..daemons import Exchange, ExchangeLost
@@ -70,6 +73,13 @@
         if self._outlives and not self._inner.was_reset:
             await anyio.sleep_forever()
 
+    @contextmanager
+    def cancel_on_reset(self, *, only_reset: bool = False) -> Iterator[None]:
+        """Cancel the block under the conditions of ``wait_reset``."""
+        only_reset = only_reset or self._outlives
+        with self._inner.cancel_on_reset(only_reset=only_reset):
+            yield
+
     def _record(self, frame: Frame) -> None:
         match frame:
             case Response():
--- a/src/berylmast/backends/tests/test_owner.py
+++ b/src/berylmast/backends/tests/test_owner.py
@@ -84,6 +84,17 @@
         assert fleet.count_runs() == {}
 
 
+@pytest.mark.parametrize("idempotent", [False, True])
+async def test_request_whose_reset_arrives_with_it_never_runs(idempotent: bool) -> None:
+    async with run_fleet("b1") as fleet:
+        opened = fleet.entry().open_exchange(fleet.endpoint("b1"))
+        async with opened as exchange:
+            head = make_head(idempotent=idempotent)
+            await exchange.send(frames.Request(exchange.id, head))
+        await anyio.sleep(60)
+        assert fleet.count_runs() == {}
+
+
 async def test_fault_in_one_dispatch_leaves_its_connection_open(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/src/berylmast/daemons/exchange.py
+++ b/src/berylmast/daemons/exchange.py
@@ -1,7 +1,8 @@
 """One exchange over a peer connection, with flow control of its bodies."""
 
-import math
-from collections.abc import Callable
+from collections import deque
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import anyio
 
@@ -59,11 +60,16 @@
         self.peer_closed = False
         self.was_reset = False
         self._opened = opened
-        self._reset = anyio.Event()
+        self._cancelled_scope: anyio.CancelScope | None = None
+        self._only_reset = False
         self._write = write
-        self._inbox_in, self._inbox = anyio.create_memory_object_stream[Frame](math.inf)
+        # Bounded by the window and the frames that a peer may send once.
+        self._inbox: deque[Frame] = deque()
+        # Events exist only while somebody waits: most requests need few of them.
+        self._arrived: anyio.Event | None = None
+        self._reset: anyio.Event | None = None
         self._credit = WINDOW_BYTES
-        self._credit_added = anyio.Event()
+        self._credit_added: anyio.Event | None = None
         self._undelivered = 0
         self._consumed = 0
 
@@ -74,6 +80,7 @@
         """
         if isinstance(frame, Body):
             while self._credit < len(frame.data) and not self.lost:
+                self._credit_added = self._credit_added or anyio.Event()
                 await self._credit_added.wait()
             self._credit -= len(frame.data)
         if self.lost:
@@ -91,17 +98,37 @@
 
         Raises ExchangeLost if the connection has ended.
         """
-        try:
-            frame = await self._inbox.receive()
-        except (anyio.EndOfStream, anyio.ClosedResourceError) as exc:
-            raise ExchangeLost from exc
+        while not self._inbox:
+            if self.lost:
+                raise ExchangeLost
+            self._arrived = self._arrived or anyio.Event()
+            await self._arrived.wait()
+        frame = self._inbox.popleft()
         if isinstance(frame, Body):
             self._return_credit(len(frame.data))
         return frame
 
     async def wait_reset(self) -> None:
         """Wait until the peer gives up this exchange or the connection ends."""
-        await self._reset.wait()
+        while not (self.was_reset or self.lost):
+            self._reset = self._reset or anyio.Event()
+            await self._reset.wait()
+
+    @contextmanager
+    def cancel_on_reset(self, *, only_reset: bool = False) -> Iterator[None]:
+        """Cancel the block when the peer gives up or the connection ends.
+
+        With ``only_reset`` the end of the connection does not count. One block at a
+        time may use it.
+        """
+        with anyio.CancelScope() as scope:
+            self._cancelled_scope = scope
+            self._only_reset = only_reset
+            self._notify_reset()
+            try:
+                yield
+            finally:
+                self._cancelled_scope = None
 
     def _return_credit(self, size: int) -> None:
         self._undelivered -= size
@@ -122,7 +149,7 @@
             return
         if isinstance(frame, Reset):
             self.was_reset = True
-            self._reset.set()
+            self._notify_reset()
         elif self.peer_closed or (self._opened and isinstance(frame, OPENING_FRAMES)):
             raise ExchangeMisused(f"{type(frame).__name__} on exchange {self.id}")
         if isinstance(frame, Body):
@@ -132,25 +159,42 @@
         self._opened = True
         self.peer_closed = self.peer_closed or isinstance(frame, CLOSING_FRAMES)
         if not self.lost:
-            self._inbox_in.send_nowait(frame)
+            self._inbox.append(frame)
+            self._wake_receiver()
 
     def lose(self) -> None:
         """End the exchange: frames already read stay readable, sending fails."""
         if self.lost:
             return
         self.lost = True
-        self._inbox_in.close()
-        self._reset.set()
+        self._wake_receiver()
+        self._notify_reset()
         self._wake_sender()
 
     def discard(self) -> None:
         """End the exchange and drop the frames that nobody has read."""
         self.lose()
-        self._inbox.close()
+        self._inbox.clear()
+
+    def _notify_reset(self) -> None:
+        if not (self.was_reset or self.lost):
+            return
+        if self._reset is not None:
+            self._reset.set()
+            self._reset = None
+        scope = self._cancelled_scope
+        if scope is not None and (self.was_reset or not self._only_reset):
+            scope.cancel()
+
+    def _wake_receiver(self) -> None:
+        if self._arrived is not None:
+            self._arrived.set()
+            self._arrived = None
 
     def _wake_sender(self) -> None:
-        self._credit_added.set()
-        self._credit_added = anyio.Event()
+        if self._credit_added is not None:
+            self._credit_added.set()
+            self._credit_added = None
 
 
 def connect_exchanges() -> tuple[Exchange, Exchange]:
--- a/src/berylmast/daemons/tests/test_exchange.py
+++ b/src/berylmast/daemons/tests/test_exchange.py
@@ -46,6 +46,66 @@
         await right.wait_reset()
 
 
+@pytest.mark.parametrize("early", [True, False])
+@pytest.mark.parametrize(
+    ("reset", "only_reset", "cancelled"),
+    [
+        (True, False, True),
+        (True, True, True),
+        (False, False, True),
+        (False, True, False),
+    ],
+)
+async def test_work_for_an_exchange_ends_with_it(
+    early: bool, reset: bool, only_reset: bool, cancelled: bool
+) -> None:
+    _, right = connect_exchanges()
+    went_on = False
+
+    def end() -> None:
+        if reset:
+            right.deliver(frames.Reset(1, ErrorKind.CANCELLED))
+        else:
+            right.lose()
+
+    async def work() -> None:
+        nonlocal went_on
+        with right.cancel_on_reset(only_reset=only_reset):
+            await anyio.sleep(5)
+            went_on = True
+
+    with anyio.fail_after(10):
+        async with anyio.create_task_group() as tg:
+            if early:
+                end()
+            tg.start_soon(work)
+            await anyio.sleep(1)
+            if not early:
+                end()
+    assert went_on is not cancelled
+
+
+async def test_every_waiting_receiver_is_woken() -> None:
+    """Events are made by the first waiter; a second must not replace the first's."""
+    left, right = connect_exchanges()
+    lost = 0
+
+    async def receive() -> None:
+        nonlocal lost
+        with pytest.raises(ExchangeLost):
+            await right.receive()
+        lost += 1
+
+    with anyio.fail_after(1):
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(receive)
+            tg.start_soon(receive)
+            await anyio.sleep(0.1)
+            right.lose()
+    assert lost == 2
+    assert left.lost is False
+
+
 @pytest.mark.parametrize(
     "sent",
     [
