--- a/src/berylmast/callers/attempt.py
+++ b/src/berylmast/callers/attempt.py
@@ -107,25 +107,42 @@
     except ExchangeLost:
         return Err(Refusal(ErrorKind.PEER_UNREACHABLE, "the stream to the owner ended"))
     trace.may_have_run = True
-    result: Result[None, Refusal] | None = None
+    if not req.head.has_body:
+        result = await _take_answer(router, exchange, req, body, answer, _send_nothing)
+        trace.answered = result is not None and result.is_ok()
+        return result
+    result = None
     async with anyio.create_task_group() as tg:
 
         def start_body() -> None:
             tg.start_soon(body.send_to, exchange)
 
-        if req.head.has_body and body.eager:
+        if body.eager:
             start_body()
-        try:
-            result = await _receive_answer(
-                router, exchange, req, body, answer, start_body
-            )
-            trace.answered = result.is_ok()
-        except ExchangeLost:
-            result = None
+        result = await _take_answer(router, exchange, req, body, answer, start_body)
+        trace.answered = result is not None and result.is_ok()
         tg.cancel_scope.cancel()
     return result
 
 
+def _send_nothing() -> None:
+    """Start no body: the request has none."""
+
+
+async def _take_answer(
+    router: Router,
+    exchange: Exchange,
+    req: Classified,
+    body: CallerBody,
+    answer: AnswerSink,
+    start_body: Callable[[], None],
+) -> Result[None, Refusal] | None:
+    try:
+        return await _receive_answer(router, exchange, req, body, answer, start_body)
+    except ExchangeLost:
+        return None
+
+
 async def _receive_answer(
     router: Router,
     exchange: Exchange,
