--- a/src/berylmast/callers/body.py
+++ b/src/berylmast/callers/body.py
@@ -49,7 +49,7 @@
         self._whole = length == 0
         self._sending = False
         self._taken = False
-        self._changed = anyio.Event()
+        self._changed: anyio.Event | None = None
 
     @property
     def eager(self) -> bool:
@@ -68,7 +68,7 @@
         waits until an admitted attempt sends the body.
         """
         while self._expects_continue and not self._sending and not self._whole:
-            await self._changed.wait()
+            await self._wait_change()
         while True:
             message = await self._receive()
             if message["type"] == "http.disconnect":
@@ -78,7 +78,7 @@
             if self._limit is not None and self.read_bytes > self._limit:
                 return self._refuse_size()
             while self._buffered >= READ_AHEAD_BYTES and not self._keeps:
-                await self._changed.wait()
+                await self._wait_change()
 
     async def send_to(self, exchange: Exchange) -> None:
         """Send the whole body.
@@ -108,7 +108,7 @@
                 await exchange.send_body(part)
             if self._whole:
                 return
-            await self._changed.wait()
+            await self._wait_change()
 
     def _drop_first(self) -> None:
         self._taken = True
@@ -132,6 +132,11 @@
         self._whole = False
         return Refusal(kind, f"the body is longer than {self._limit} bytes")
 
+    async def _wait_change(self) -> None:
+        self._changed = self._changed or anyio.Event()
+        await self._changed.wait()
+
     def _notify(self) -> None:
-        self._changed.set()
-        self._changed = anyio.Event()
+        if self._changed is not None:
+            self._changed.set()
+            self._changed = None
--- a/src/berylmast/daemons/connection.py
+++ b/src/berylmast/daemons/connection.py
@@ -75,7 +75,7 @@
         self._on_goaway = on_goaway
         self._reader = FrameReader()
         self._lanes = SendLanes()
-        self._queued = anyio.Event()
+        self._queued: anyio.Event | None = None
         self._exchanges: dict[int, Exchange] = {}
         self._exchange_opened = anyio.Event()
         self._next_id = CONNECTION + 1
@@ -146,7 +146,9 @@
     def write(self, frame: Frame) -> None:
         """Queue a frame for the writer task."""
         self._lanes.put(frame)
-        self._queued.set()
+        if self._queued is not None:
+            self._queued.set()
+            self._queued = None
 
     @property
     def open_exchanges(self) -> int:
@@ -161,8 +163,9 @@
 
     async def _write_frames(self) -> None:
         while True:
-            await self._queued.wait()
-            self._queued = anyio.Event()
+            if not self._lanes:
+                self._queued = anyio.Event()
+                await self._queued.wait()
             while self._lanes:
                 data = self._encode_batch()
                 self.bytes_sent += len(data)
