Take a free backend connection without yielding

Semaphore.acquire yields to the event loop and needs a timeout scope even when a connection is free. Cancellation is still checked before anything is sent.

--- a/src/berylmast/backends/client.py
+++ b/src/berylmast/backends/client.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 import anyio
+from anyio.lowlevel import checkpoint_if_cancelled
 
 from ..model import Headers
 from ..settings import Address
@@ -102,6 +103,13 @@
             self._release(conn, reusable)
 
     async def _acquire(self) -> None:
+        # acquire() yields to the event loop even when a connection is free.
+        await checkpoint_if_cancelled()
+        try:
+            self._free.acquire_nowait()
+            return
+        except anyio.WouldBlock:
+            pass
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 await self._free.acquire()
