--- a/src/berylmast/bin/berylmastd.py
+++ b/src/berylmast/bin/berylmastd.py
@@ -1,5 +1,6 @@
 """The daemon beside a backend server."""
 
+import gc
 import sys
 from pathlib import Path
 
@@ -35,9 +36,20 @@
         print(f"{settings}: settings are valid")
         return
     configure_logs()
+    _prepare_collector()
     anyio.run(run_daemon, cfg, backend_options={"use_uvloop": True})
 
 
+def _prepare_collector() -> None:
+    """Keep the loaded modules out of the garbage collector's full passes.
+
+    They are most of the heap and never freed; scanning them delays the requests under
+    way by tens of milliseconds.
+    """
+    gc.collect()
+    gc.freeze()
+
+
 def main() -> None:
     """Run the command line."""
     app()
