--- a/src/berylmast/tests/test_errors.py
+++ b/src/berylmast/tests/test_errors.py
@@ -1,5 +1,6 @@
 """Guards against error answers that leave the outcome out or claim too much."""
 
+from pathlib import Path
 from typing import Any
 
 import pytest
@@ -9,6 +10,8 @@
 
 pytestmark = pytest.mark.anyio
 
+OPERATIONS = Path(__file__).parents[3] / "docs" / "OPERATIONS.md"
+
 # Kinds of an end after dispatch, or whose time of dispatch is not known.
 MAY_HAVE_RUN = {
     ErrorKind.BODY_TOO_LARGE_UNKNOWN,
@@ -48,3 +51,11 @@
 
 def test_table_is_complete() -> None:
     assert set(ANSWERS) == set(ErrorKind)
+
+
+@pytest.mark.parametrize("kind", ErrorKind)
+def test_page_for_operators_states_each_kind_as_answered(kind: ErrorKind) -> None:
+    rows = [row.split("|") for row in OPERATIONS.read_text().splitlines()]
+    found = [row[2].strip() for row in rows if len(row) > 4 and f"`{kind}`" in row[1]]
+    answer = ANSWERS[kind]
+    assert found == [f"{answer.status} {answer.outcome}"]
