Add golden files of whole sessions

Cause: nothing showed the whole message exchange of a session, so an unintended change of it could pass every test of a single part.

Change: eleven sessions run on the paused clock and are compared with the files under src/berylmast/tests/golden, one line per message. The fakes gain what the sessions need: the name of the entry on a link, a drain, and a frame hook and a platform factory in the membership fleet.

Conclusion: a change of the exchange now shows as a diff of these files.

--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -52,6 +52,10 @@
     daemons: dict[str, Daemon] = field(default_factory=dict)
     cut: set[frozenset[str]] = field(default_factory=set)
     frames: int = 0
+    on_frame: Callable[[str, str, Frame], None] | None = None
+    make_platform: Callable[[ObjectTable, str], FakePlatform] = lambda table, name: (
+        FakePlatform(table)
+    )
     lives: int = 0
 
     def start(
@@ -81,7 +85,7 @@
             start_spread_s=1.0,
         )
         directory = Directory()
-        platform = FakePlatform(self.table)
+        platform = self.make_platform(self.table, name)
         dial = make_dial(self, name)
         rng = Random(f"{name}/{self.lives}")
         member = Member(identity, place, directory, platform, dial, rng, record)
@@ -157,6 +161,9 @@
 
         def carry(frame: Frame, to_left: bool) -> None:
             fleet.frames += 1
+            if fleet.on_frame is not None and pair not in fleet.cut:
+                ends = (host, source) if to_left else (source, host)
+                fleet.on_frame(*ends, frame)
             receiver = left if to_left else right
             if pair not in fleet.cut and not receiver.lost:
                 receiver.deliver(frame)
--- a/src/berylmast/tests/fake_parts.py
+++ b/src/berylmast/tests/fake_parts.py
@@ -137,6 +137,7 @@
     def __init__(self, *args: Any) -> None:
         super().__init__(*args)
         self.silent = False
+        self.entry = ""
         self.owner = ""
         self.to_owner = False
         self.on_frame: OnFrame | None = None
--- a/src/berylmast/tests/fakes.py
+++ b/src/berylmast/tests/fakes.py
@@ -23,13 +23,14 @@
 from ..callers.forward import Forwarder, Trace
 from ..daemon import open_local
 from ..daemons import ConnectionLost, Exchange, Identity, PeerConnection
-from ..daemons.frames import Reset
+from ..daemons.frames import GoAway, Reset
 from ..errors import ErrorKind, Refusal
 from ..limits import AdmissionController, EntryShedder, RetryBudget
 from ..membership import Directory
 from ..model import (
     AttemptId,
     Endpoint,
+    EndpointState,
 )
 from ..routing import Router
 from .fake_parts import (
@@ -135,6 +136,8 @@
         self.backends = {name: FakeBackend(name) for name in names}
         self.owners: dict[str, Owner] = {}
         self.ledgers: dict[str, AttemptLedger] = {}
+        self.admissions: dict[str, AdmissionController] = {}
+        self._peers: dict[str, list[PeerConnection]] = {name: [] for name in names}
         self.unreachable: set[str] = set()
         self.on_frame: OnFrame | None = None
         self.dials: list[str] = []
@@ -169,6 +172,8 @@
         admission = AdmissionController(
             name, self._incarnations[name], lambda: self.slice
         )
+        self.admissions[name] = admission
+        self._peers[name] = []
         self.ledgers[name] = AttemptLedger()
         backend = self.backends[name]
         self.owners[name] = Owner(admission, self.ledgers[name], backend, KeyLedger())
@@ -185,6 +190,15 @@
         self.unreachable.add(name)
         self.cut(name)
 
+    def drain(self, name: str) -> None:
+        """Let a backend server leave, as the daemon does on a drain command."""
+        self.admissions[name].draining = True
+        record = self.endpoint(name)
+        state = EndpointState.DRAINING
+        self.directory.put_endpoint(replace(record, seq=record.seq + 1, state=state))
+        for peer in self._peers[name]:
+            peer.write(GoAway())
+
     async def dial(self, identity: Identity, name: str) -> PeerConnection:
         """Return a connection to an owner, as ``PeerPool`` dials it."""
         self.dials.append(name)
@@ -193,12 +207,15 @@
         left, right = make_streams()
         for end in (left, right):
             end.owner, end.on_frame = name, self.on_frame
+            end.entry = identity.daemon
         left.to_owner = True
         self._links[name].append(left)
         owner_identity = Identity(name, self._incarnations[name])
         accept = self.owners[name].accept
-        conn = PeerConnection(left, identity)  # type: ignore[arg-type]
+        goaway = self.directory.mark_draining
+        conn = PeerConnection(left, identity, on_goaway=goaway)  # type: ignore[arg-type]
         peer = PeerConnection(right, owner_identity, accept=accept)  # type: ignore[arg-type]
+        self._peers[name].append(peer)
         self._tg.start_soon(conn.run)
         self._tg.start_soon(peer.run)
         await conn.wait_ready()
--- /dev/null
+++ b/src/berylmast/tests/golden_log.py
@@ -0,0 +1,144 @@
+"""The log of a golden session: one line per message, the same on every run."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, fields, is_dataclass, replace
+from typing import Any
+
+import anyio
+
+from ..backends.client import BackendAnswer, BackendCut, BackendUnreachable
+from ..daemons.frames import CONNECTION, Frame
+from ..model import AttemptId, Headers
+from .fake_parts import FakeBackend, FakeStream, OnFrame
+
+MAX_SHOWN_BYTES = 200
+
+
+def show(value: object) -> str:
+    """Return a value as text that is the same in every process."""
+    if isinstance(value, bytes):
+        if len(value) > MAX_SHOWN_BYTES:
+            return f"<{len(value)} bytes>"
+        return '"' + value.decode("latin-1").replace("\n", "\\n") + '"'
+    if isinstance(value, AttemptId):
+        return f"{value.entry}/{value.incarnation}/{value.counter}"
+    if is_dataclass(value):
+        return f"({show_fields(value)})"
+    if isinstance(value, list | tuple):
+        return "[" + ", ".join(map(show, value)) + "]"
+    if isinstance(value, float):
+        return f"{value:.4g}"
+    if isinstance(value, dict):
+        items = (f"{key}: {show(item)}" for key, item in sorted(value.items()))
+        return "{" + ", ".join(items) + "}"
+    return str(value)
+
+
+def show_headers(headers: Headers) -> str:
+    """Return header fields in their order."""
+    pairs = (f"{k.decode('latin-1')}: {v.decode('latin-1')}" for k, v in headers)
+    return "{" + ", ".join(pairs) + "}"
+
+
+def show_fields(obj: Any) -> str:
+    """Return the fields of a data class; None, False and empty ones are left out."""
+    shown = []
+    for item in fields(obj):
+        value = getattr(obj, item.name)
+        if value in (None, "", b"", (), []) or value is False:
+            continue
+        if item.name == "exchange" and value == CONNECTION:
+            continue
+        is_headers = item.name in ("headers", "trailers")
+        text = show_headers(value) if is_headers else show(value)
+        shown.append(f"{item.name}={text}")
+    return " ".join(shown)
+
+
+def show_frame(frame: Frame) -> str:
+    """Return the type and fields of a frame."""
+    return f"{type(frame).__name__} {show_fields(frame)}".rstrip()
+
+
+@dataclass
+class SessionLog:
+    """Collects the lines of a session; times are in ms since ``start``."""
+
+    lines: list[str] = field(default_factory=list)
+    started_s: float | None = None
+
+    def start(self) -> None:
+        """Begin to record; what happened before is not part of the session."""
+        self.started_s = anyio.current_time()
+
+    def add(self, source: str, target: str, text: str) -> None:
+        """Record one message."""
+        if self.started_s is not None:
+            now_ms = (anyio.current_time() - self.started_s) * 1000
+            self.lines.append(f"{now_ms:7.0f}  {source} -> {target}  {text}")
+
+    def note(self, text: str) -> None:
+        """Record an event that is not a message, such as a fault."""
+        if self.started_s is not None:
+            now_ms = (anyio.current_time() - self.started_s) * 1000
+            self.lines.append(f"{now_ms:7.0f}  # {text}")
+
+    def watch_links(self, fault: OnFrame | None, event: str) -> OnFrame:
+        """Return a frame hook that records frames; ``event`` names the fault."""
+
+        def on_frame(link: FakeStream, frame: Frame) -> bool:
+            ends = (link.entry, link.owner)
+            source, target = ends if link.to_owner else ends[::-1]
+            silent = link.silent
+            passes = fault is None or fault(link, frame)
+            mark = "" if passes and not silent else "LOST "
+            self.add(source, target, mark + show_frame(frame))
+            if not passes:
+                self.note(event)
+            return passes
+
+        return on_frame
+
+
+@dataclass
+class LoggedBackend(FakeBackend):
+    """A fake backend server that records the HTTP between its owner and itself."""
+
+    log: SessionLog = field(default_factory=SessionLog)
+
+    @asynccontextmanager
+    async def send(
+        self,
+        method: str,
+        target: str,
+        headers: Headers,
+        body: AsyncIterator[bytes] | None,
+        get_trailers: Callable[[], Headers] | None = None,
+    ) -> AsyncIterator[BackendAnswer]:
+        """Run a request as the fake does."""
+        server = f"{self.name}-server"
+        self.log.add(self.name, server, f"{method} {target} {show_headers(headers)}")
+
+        async def pass_request(parts: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+            async for part in parts:
+                self.log.add(self.name, server, f"body {show(part)}")
+                yield part
+            trailers = get_trailers() if get_trailers is not None else ()
+            self.log.add(self.name, server, f"end {show_headers(trailers)}")
+
+        async def pass_answer(parts: AsyncIterator[bytes]) -> AsyncIterator[bytes]:
+            async for part in parts:
+                self.log.add(server, self.name, f"body {show(part)}")
+                yield part
+            self.log.add(server, self.name, "end")
+
+        passed = None if body is None else pass_request(body)
+        try:
+            async with super().send(method, target, headers, passed) as answer:
+                shown = show_headers(answer.headers)
+                self.log.add(server, self.name, f"{answer.status} {shown}")
+                yield replace(answer, body=pass_answer(answer.body))
+        except (BackendUnreachable, BackendCut) as exc:
+            self.log.add(server, self.name, f"{type(exc).__name__}: {exc}")
+            raise
--- /dev/null
+++ b/src/berylmast/tests/golden_sessions.py
@@ -0,0 +1,57 @@
+"""Records golden sessions; ``python -m berylmast.tests.golden_sessions --write``.
+
+Each file under ``golden`` shows the messages of one session in order. Only this command
+writes them; the tests compare.
+"""
+
+import sys
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+import anyio
+import trio._core._run as trio_run
+from trio.testing import MockClock
+
+from . import golden_control, golden_requests
+from .golden_log import SessionLog
+
+DIRECTORY = Path(__file__).parent / "golden"
+
+SESSIONS: dict[str, Callable[[SessionLog], Awaitable[None]]] = {
+    **golden_requests.SESSIONS,
+    **golden_control.SESSIONS,
+}
+
+
+def record_session(name: str) -> str:
+    """Return the text of a session, run on a paused clock with a fixed schedule."""
+    session = SESSIONS[name]
+    log = SessionLog()
+    # trio shuffles its tasks; a fixed seed gives every run the same order. trio allows
+    # that only where Hypothesis is loaded, which the command does not do.
+    trio_run._ALLOW_DETERMINISTIC_SCHEDULING = True  # type: ignore[misc]
+    trio_run._r.seed(1)
+    clock = MockClock(autojump_threshold=0)
+    anyio.run(session, log, backend="trio", backend_options={"clock": clock})
+    title = (session.__doc__ or "").strip()
+    return "\n".join([f"# {title}", *log.lines, ""])
+
+
+def get_path(name: str) -> Path:
+    """Return the file of a session."""
+    return DIRECTORY / f"{name}.txt"
+
+
+def main(args: list[str]) -> int:
+    """Write the files if asked to; return the exit status."""
+    if args != ["--write"]:
+        print("usage: python -m berylmast.tests.golden_sessions --write")
+        return 2
+    DIRECTORY.mkdir(exist_ok=True)
+    for name in SESSIONS:
+        get_path(name).write_text(record_session(name))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main(sys.argv[1:]))
