Hand a registrar's role over when its daemon stops

Cause: a stopping registrar kept its lease until it lapsed.

Change: at the signal the holder empties its lease by a conditional update, lets one attached daemon of its failure domain claim it at once, waits up to 1 s until that has happened, then ends its exchanges so that its daemons attach elsewhere. A release takes at most 1 s without the platform.

After, on the paused clock with 4 and 40 daemons in the domain: under 1 s, fewer than 20 platform calls in all, no endpoint lost.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -88,6 +88,7 @@
             await tg.start(owner.run)
             await tg.start(listener.run)
             lifecycle.add_listener(_make_leave_listener(admission, listener, member))
+            lifecycle.add_stop_listener(member.hand_over)
             _start_health(tg, cfg, lifecycle)
         tg.start_soon(member.run)
         app = make_app(directory, cfg.limits, forwarder, sight)
--- a/src/berylmast/lifecycle.py
+++ b/src/berylmast/lifecycle.py
@@ -26,6 +26,7 @@
     def __init__(self, *reasons: LeaveReason) -> None:
         self._reasons = set(reasons)
         self._listeners: list[Callable[[bool], None]] = []
+        self._stop_listeners: list[Callable[[], None]] = []
 
     @property
     def leaving(self) -> bool:
@@ -46,9 +47,17 @@
         """Call a function at each change between ready and leaving."""
         self._listeners.append(listener)
 
+    def add_stop_listener(self, listener: Callable[[], None]) -> None:
+        """Call a function once when the process begins to exit."""
+        self._stop_listeners.append(listener)
+
     def add(self, reason: LeaveReason) -> None:
         """Stop taking new work."""
+        was_stopping = self.stopping
         self._change(lambda: self._reasons.add(reason))
+        if self.stopping and not was_stopping:
+            for listener in self._stop_listeners:
+                listener()
 
     def remove(self, reason: LeaveReason) -> None:
         """Withdraw one reason; the others stay in force."""
--- a/src/berylmast/membership/choice.py
+++ b/src/berylmast/membership/choice.py
@@ -51,7 +51,7 @@
             distance = 1 if lease.region == region else 2
         return (lease.lapsed, distance, -weigh(daemon, lease.shard))
 
-    usable = [lease for lease in leases if lease.daemon not in avoided]
+    usable = [lease for lease in leases if lease.daemon and lease.daemon not in avoided]
     return min(usable, key=rank, default=None)
 
 
--- a/src/berylmast/membership/election.py
+++ b/src/berylmast/membership/election.py
@@ -18,6 +18,11 @@
 MAX_BACKOFF_S = 60.0
 """Longest interval of claims while the platform is down or claims keep failing."""
 
+HAND_OVER_LIMIT_S = 1.0
+"""Time for the nominated daemon to claim; its one call takes milliseconds."""
+
+HAND_OVER_POLL_S = 0.1
+
 Serve = Callable[[Claim], Coroutine[Any, Any, None]]
 """Serves as registrar until cancelled."""
 
@@ -26,7 +31,8 @@
     """Decides when this daemon becomes a registrar.
 
     ``make_claim`` returns this daemon's claim to a shard; ``learn`` is told of leases
-    that a claim showed.
+    that a claim showed; ``nominate`` lets one attached daemon claim a released lease
+    and tells whether there is any.
     """
 
     def __init__(
@@ -36,6 +42,7 @@
         registrars: int,
         make_claim: Callable[[str], Claim],
         learn: Callable[[Lease], None],
+        nominate: Callable[[Lease], bool],
         rng: Random,
     ) -> None:
         self._platform = platform
@@ -43,6 +50,8 @@
         self._registrars = registrars
         self._make_claim = make_claim
         self._learn = learn
+        self._nominate = nominate
+        self._stopping = anyio.Event()
         self._rng = rng
         self._leases: Mapping[str, Lease] = {}
         self._first_hand = False
@@ -58,10 +67,15 @@
         self._first_hand = first_hand
         self._wake.set()
 
+    def stop(self) -> None:
+        """Hand over the role held, if any, and claim none from now on."""
+        self._stopping.set()
+        self._wake.set()
+
     async def run(self, serve: Serve) -> None:
-        """Claim vacant roles and serve them, until cancelled."""
+        """Claim vacant roles and serve them, until stopped."""
         backoff_s = CANDIDATE_SPREAD_S
-        while True:
+        while not self._stopping.is_set():
             await self._wake.wait()
             self._wake = anyio.Event()
             shard = self._find_vacancy()
@@ -71,7 +85,7 @@
             if self._must_wait(shard):
                 await anyio.sleep(self._rng.uniform(0.0, backoff_s))
                 backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
-            if self._find_vacancy() != shard:
+            if self._stopping.is_set() or self._find_vacancy() != shard:
                 continue
             stored = await self._claim(shard)
             if stored is not None:
@@ -110,7 +124,7 @@
 
     def _may_replace(self, holder: Claim, lapsed: Lease | None) -> bool:
         own = self._make_claim(holder.lease.shard)
-        if holder.lease.daemon == own.lease.daemon:
+        if holder.lease.daemon in ("", own.lease.daemon):
             return True
         return lapsed is not None and lapsed.daemon == holder.lease.daemon
 
@@ -120,6 +134,25 @@
         self._learn(claim.lease)
         async with anyio.create_task_group() as tg:
             tg.start_soon(serve, claim)
-            await hold_lease(self._platform, claim, stored)
+            if await hold_lease(self._platform, claim, stored, self._stopping):
+                await self._hand_over(claim.lease)
             log_event("registrar role lost", shard=shard)
             tg.cancel_scope.cancel()
+
+    async def _hand_over(self, lease: Lease) -> None:
+        """Let one attached daemon take the role over before the others are let go."""
+        if self._nominate(lease):
+            with anyio.move_on_after(HAND_OVER_LIMIT_S):
+                while not await self._has_holder(lease.shard):
+                    await anyio.sleep(HAND_OVER_POLL_S)
+
+    async def _has_holder(self, shard: str) -> bool:
+        try:
+            stored = await self._platform.get(LEASE_KIND, shard)
+        except PlatformUnavailable:
+            return False
+        claim = None if stored is None else read_claim(stored)
+        if claim is None or not claim.lease.daemon:
+            return False
+        self._learn(claim.lease)
+        return True
--- a/src/berylmast/membership/leases.py
+++ b/src/berylmast/membership/leases.py
@@ -21,13 +21,19 @@
 
 LEASE_KIND = "registrars"
 RENEW_INTERVAL_S = 5.0
+RELEASE_LIMIT_S = 1.0
+"""A stopping holder does not wait longer for the platform; its lease then lapses."""
+
 LEASE_S = 15.0
 """A lease lapses when an observer has seen no new version for three renewals."""
 
 
 @dataclass(frozen=True, slots=True)
 class Lease:
-    """Who holds the registrar role of a shard, and how to reach it."""
+    """Who holds the registrar role of a shard, and how to reach it.
+
+    ``daemon`` is empty once the holder has released the role.
+    """
 
     shard: str
     daemon: str
@@ -109,7 +115,10 @@
     def leases(self) -> dict[str, Lease]:
         """Return all leases by shard, each marked whether it has lapsed."""
         return {
-            shard: replace(observed.lease, lapsed=self._has_lapsed(observed))
+            shard: replace(
+                observed.lease,
+                lapsed=not observed.lease.daemon or self._has_lapsed(observed),
+            )
             for shard, observed in self._observed.items()
         }
 
@@ -190,15 +199,25 @@
     return await put_confirmed(platform, LEASE_KIND, claim.lease.shard, spec, base)
 
 
-async def hold_lease(platform: Platform, claim: Claim, stored: PlatformObject) -> None:
-    """Renew a lease until another daemon holds it; then return.
+async def hold_lease(
+    platform: Platform,
+    claim: Claim,
+    stored: PlatformObject,
+    stopping: anyio.Event,
+) -> bool:
+    """Renew a lease until another daemon holds it or ``stopping`` is set.
+
+    Returns True if the lease has been released because of ``stopping``.
 
     A failed renewal is not the end: while the platform is down nobody else can take
     the lease. A holder that was paused learns from the version conflict.
     """
     renewed = 0
     while True:
-        await anyio.sleep(RENEW_INTERVAL_S)
+        with anyio.move_on_after(RENEW_INTERVAL_S):
+            await stopping.wait()
+        if stopping.is_set():
+            return await _release_lease(platform, claim, stored)
         renewed += 1
         spec = _make_spec(claim, renewed)
         result = await put_confirmed(
@@ -212,6 +231,22 @@
             continue
         found = None if failure.stored is None else read_claim(failure.stored)
         if failure.stored is None or found != claim:
-            return
+            return False
         # An earlier renewal with an unknown outcome has taken effect after all.
         stored = failure.stored
+
+
+async def _release_lease(
+    platform: Platform, claim: Claim, stored: PlatformObject
+) -> bool:
+    """Empty the holder of a lease that is still at ``stored``; tell whether it is.
+
+    After a renewal of unknown outcome the version differs, and the lease lapses.
+    """
+    spec = {**_make_spec(claim, 0), "daemon": ""}
+    with anyio.move_on_after(RELEASE_LIMIT_S):
+        result = await put_confirmed(
+            platform, LEASE_KIND, claim.lease.shard, spec, stored
+        )
+        return result.is_ok()
+    return False
--- a/src/berylmast/membership/member.py
+++ b/src/berylmast/membership/member.py
@@ -68,6 +68,7 @@
             place.registrars_per_domain,
             make_claims(identity, place),
             self._learn_one,
+            self._nominate,
             rng,
         )
         directory.ask_with(self._ask_host)
@@ -102,6 +103,10 @@
         if self._attachment is not None:
             self._attachment.note_record()
 
+    def hand_over(self) -> None:
+        """Give up the registrar role, if any, and take none: this process ends soon."""
+        self._election.stop()
+
     def report(self) -> dict[str, object]:
         """Return what this daemon knows, for operators."""
         services = self._directory.services()
@@ -220,6 +225,9 @@
             for scope in self._served:
                 scope.cancel()
 
+    def _nominate(self, released: Lease) -> bool:
+        return self.registrar is not None and self.registrar.nominate(released)
+
     def _ask_host(self, host: str) -> None:
         if self._attachment is not None:
             self._attachment.ask_host(host)
--- a/src/berylmast/membership/mesh.py
+++ b/src/berylmast/membership/mesh.py
@@ -133,6 +133,9 @@
                     await anyio.sleep(CHECK_LINK_S)
                     continue
                 lease = self._leases.get(shard, lease)
+            if not lease.daemon:
+                await anyio.sleep(DIAL_BACK_S)
+                continue
             started_s = anyio.current_time()
             try:
                 async with self._dial(lease.host, lease.port) as exchange:
--- a/src/berylmast/membership/registrar.py
+++ b/src/berylmast/membership/registrar.py
@@ -150,6 +150,15 @@
             self._cut_off = True
             self._tell_sessions()
 
+    def nominate(self, released: Lease) -> bool:
+        """Let an attached daemon of the same failure domain take over the own role."""
+        for session in self.sessions.values():
+            same = session.failure_domain == released.failure_domain
+            if same and session.daemon != released.daemon:
+                session.nominate(released)
+                return True
+        return False
+
     def own_records(self) -> list[Endpoint]:
         """Return the records of the daemons attached here."""
         return self._writer.records()
--- a/src/berylmast/membership/session.py
+++ b/src/berylmast/membership/session.py
@@ -50,7 +50,9 @@
         self._hub = hub
         self._exchange = exchange
         self._region = frame.region
-        self._failure_domain = frame.failure_domain
+        self.failure_domain = frame.failure_domain
+        # A role that this daemon shall claim at once.
+        self._nomination: Lease | None = None
         self._digests: dict[str, str] = {}
         self._held: dict[str, dict[str, Endpoint]] = {}
         self._sent_version = -1
@@ -98,6 +100,14 @@
         self._disputes.append(record)
         self._wake.set()
 
+    def nominate(self, released: Lease) -> None:
+        """Let the daemon claim a released lease without the usual random delay.
+
+        It is shown as a lapsed lease of the daemon's own, which nobody else claims.
+        """
+        self._nomination = replace(released, daemon=self.daemon, lapsed=True)
+        self.note_leases()
+
     def note_leases(self) -> None:
         """Note that registrars have changed."""
         self._leases_changed = True
@@ -157,7 +167,11 @@
 
     async def _send_leases(self) -> None:
         self._leases_changed = False
-        leases = tuple(pack_lease(lease) for lease in self._hub.leases())
+        own = self._nomination
+        leases = tuple(
+            pack_lease(own if own is not None and lease.shard == own.shard else lease)
+            for lease in self._hub.leases()
+        )
         await self._exchange.send(Registrars(self._exchange.id, leases))
 
     async def _send_hosts(self) -> None:
@@ -187,7 +201,7 @@
         """Return the records of a service that the daemon lacks."""
         records = self._hub.table.of_service(service)
         ready = [r for r in records if r.state is EndpointState.READY]
-        wanted = choose_subset(ready, self.daemon, self._region, self._failure_domain)
+        wanted = choose_subset(ready, self.daemon, self._region, self.failure_domain)
         held = self._held[service]
         left = set(held) - {record.backend for record in records}
         records += [replace(held[name], state=EndpointState.GONE) for name in left]
--- a/src/berylmast/membership/tests/test_roles.py
+++ b/src/berylmast/membership/tests/test_roles.py
@@ -9,7 +9,16 @@
 
 from ...platform import Listing, PlatformObject
 from ...platform.tests.fake import FakePlatform
-from ..leases import LEASE_KIND, LEASE_S, Claim, Lease, LeaseTable, hold_lease
+from ..election import HAND_OVER_LIMIT_S
+from ..leases import (
+    LEASE_KIND,
+    LEASE_S,
+    RELEASE_LIMIT_S,
+    Claim,
+    Lease,
+    LeaseTable,
+    hold_lease,
+)
 from .fleet import Fleet, run_fleet
 
 pytestmark = pytest.mark.anyio
@@ -58,6 +67,48 @@
             assert attached.failure_domain[0] == ("n" if name[0] == "a" else "s")
 
 
+@pytest.mark.parametrize("daemons", [4, 40])
+async def test_stopping_holder_hands_its_role_over_at_once(daemons: int) -> None:
+    """Without a release the takeover waits for the lapse, 15 to 25 s."""
+    async with run_fleet() as fleet:
+        await start(fleet)
+        for number in range(4, daemons):
+            fleet.start(f"a{number}", "n1")
+        await anyio.sleep(10)
+        old = fleet.registrars()["n1-0"]
+        calls = sum(d.platform.calls for d in fleet.daemons.values())
+        fleet.daemons[old].member.hand_over()
+        await fleet.wait_until(
+            lambda: fleet.registrars().get("n1-0", old) != old, HAND_OVER_LIMIT_S
+        )
+        calls = sum(d.platform.calls for d in fleet.daemons.values()) - calls
+        assert calls < 20, "one daemon claims, not all"
+        for _ in range(100):
+            await anyio.sleep(0.1)
+            for name in fleet.daemons:
+                assert fleet.known(name) == set(fleet.daemons)
+        assert fleet.daemons[old].member.role is None
+        for name, daemon in fleet.daemons.items():
+            assert daemon.member.attached is not None
+            assert (
+                daemon.member.attached.shard == f"{'n' if name[0] == 'a' else 's'}1-0"
+            )
+
+
+async def test_stopping_holder_waits_for_no_platform() -> None:
+    async with run_fleet() as fleet:
+        await start(fleet)
+        old = fleet.registrars()["n1-0"]
+        fleet.set_down(True)
+        fleet.daemons[old].member.hand_over()
+        await fleet.wait_until(
+            lambda: fleet.daemons[old].member.role is None, RELEASE_LIMIT_S + 0.1
+        )
+        await anyio.sleep(10)
+        attached = fleet.daemons[old].member.attached
+        assert attached is not None and attached.shard == "s1-0"
+
+
 async def test_few_daemons_compete_for_a_vacant_role() -> None:
     async with run_fleet() as fleet:
         for number in range(60):
@@ -156,7 +207,7 @@
     mine = make_lease(platform, "a0")
     make_lease(platform, "a1")
     with anyio.fail_after(6):
-        await hold_lease(platform, CLAIM, mine)
+        await hold_lease(platform, CLAIM, mine, anyio.Event())
     stored = platform.table.get(LEASE_KIND, "n1-0")
     assert stored is not None
     assert stored["spec"]["daemon"] == "a1"
@@ -167,7 +218,7 @@
     mine = make_lease(platform, "a0")
     make_lease(platform, "a0")
     with anyio.move_on_after(60) as scope:
-        await hold_lease(platform, CLAIM, mine)
+        await hold_lease(platform, CLAIM, mine, anyio.Event())
     assert scope.cancelled_caught, "the newer object is this holder's own"
 
 
