Send endpoint changes to a daemon at most once a second

Cause: at a restart of everything a registrar sent a frame per subscriber nearly for each daemon that joined.

Change: after a frame of changes the next one waits for 1 s; the first change after a pause, a new subscription and a dispute go at once. The code that claims, renews and releases a lease moves to a module of its own.

--- a/src/berylmast/membership/election.py
+++ b/src/berylmast/membership/election.py
@@ -9,7 +9,8 @@
 from ..platform import Platform, PlatformObject, PlatformUnavailable
 from ..telemetry import log_event
 from .choice import find_vacancy
-from .leases import LEASE_KIND, Claim, Lease, claim_lease, hold_lease, read_claim
+from .holding import claim_lease, hold_lease
+from .leases import LEASE_KIND, Claim, Lease, read_claim
 
 CANDIDATE_SPREAD_S = 5.0
 """Random delay before a claim: of 250 daemons about ten try before the first one's
--- a/src/berylmast/membership/session.py
+++ b/src/berylmast/membership/session.py
@@ -1,5 +1,6 @@
 """A registrar's side of the exchange with one attached daemon."""
 
+import math
 from collections.abc import Iterable
 from dataclasses import replace
 from typing import Protocol
@@ -25,7 +26,11 @@
 from .slices import CutDocument
 
 COALESCE_S = 0.1
-"""Changes within this time reach a daemon together; mass restarts cost less."""
+"""Pause after each batch of frames to a daemon, in which further changes gather."""
+
+ENDPOINTS_INTERVAL_S = 1.0
+"""Shortest interval of endpoint changes to one daemon, so that a mass restart costs
+one frame a second. The first change after a pause and what is asked for go at once."""
 
 
 class Hub(Protocol):
@@ -60,6 +65,7 @@
         self._stale: dict[str, None] = {}
         self._disputes: list[Endpoint] = []
         self._leases_changed = True
+        self._next_endpoints_s = 0.0
         self._wake = anyio.Event()
         self._announced = unpack_records(frame.records)
         self._scope = anyio.CancelScope()
@@ -98,6 +104,7 @@
     def note_dispute(self, record: Endpoint) -> None:
         """Show the daemon a record that has it gone; it announces itself again."""
         self._disputes.append(record)
+        self._next_endpoints_s = 0.0
         self._wake.set()
 
     def nominate(self, released: Lease) -> None:
@@ -152,16 +159,20 @@
             self._digests[service] = digest
             self._held[service] = {}
             self._stale[service] = None
+            self._next_endpoints_s = 0.0
 
     async def _send(self) -> None:
         while True:
-            await self._wake.wait()
+            deadline_s = self._next_endpoints_s if self._stale else math.inf
+            with anyio.CancelScope(deadline=deadline_s):
+                await self._wake.wait()
             self._wake = anyio.Event()
             if self._leases_changed:
                 await self._send_leases()
             await self._send_hosts()
             # Endpoints first: a request that waits for a slice can then be forwarded.
-            await self._send_endpoints()
+            if anyio.current_time() >= self._next_endpoints_s:
+                await self._send_endpoints()
             await self._send_document()
             await anyio.sleep(COALESCE_S)
 
@@ -194,6 +205,8 @@
         changed, self._disputes = self._disputes, []
         for service in stale:
             changed += self._update_held(service)
+        if changed:
+            self._next_endpoints_s = anyio.current_time() + ENDPOINTS_INTERVAL_S
         for part in cut_records(changed):
             await self._exchange.send(Endpoints(self._exchange.id, part))
 
--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -1,5 +1,6 @@
 """Members of one process with a network in memory, on the paused clock."""
 
+from collections import Counter
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -52,6 +53,7 @@
     daemons: dict[str, Daemon] = field(default_factory=dict)
     cut: set[frozenset[str]] = field(default_factory=set)
     frames: int = 0
+    kinds: Counter[type[Frame]] = field(default_factory=Counter)
     lives: int = 0
 
     def start(
@@ -157,6 +159,7 @@
 
         def carry(frame: Frame, to_left: bool) -> None:
             fleet.frames += 1
+            fleet.kinds[type(frame)] += 1
             receiver = left if to_left else right
             if pair not in fleet.cut and not receiver.lost:
                 receiver.deliver(frame)
--- a/src/berylmast/membership/tests/test_member.py
+++ b/src/berylmast/membership/tests/test_member.py
@@ -5,6 +5,7 @@
 import anyio
 import pytest
 
+from ...daemons.frames import Endpoints
 from ...model import EndpointState
 from ..leases import LEASE_KIND
 from ..links import BEAT_INTERVAL_S, BEAT_LIMIT_S
@@ -313,3 +314,20 @@
         await anyio.sleep(20 * BEAT_INTERVAL_S)
         assert registrar.sessions == sessions
         assert fleet.frames - frames <= 4 * 2 * 21
+
+
+async def test_joins_in_a_row_reach_a_daemon_once_a_second() -> None:
+    """A frame for each change to each daemon makes a mass restart costly."""
+    async with run_fleet() as fleet:
+        for number in range(10):
+            fleet.start(f"a{number}", "n1")
+        await anyio.sleep(SETTLED_S)
+        fleet.kinds.clear()
+        for number in range(40):
+            fleet.start(f"late{number}", "n1", "orders", seeds=("a0",))
+            await anyio.sleep(0.1)
+        await fleet.wait_until(
+            lambda: all(len(fleet.known(name)) == 50 for name in fleet.daemons), 2.0
+        )
+        # About 5 to each of 50 daemons; one per change would be about 1,000.
+        assert fleet.kinds[Endpoints] <= 300
--- a/src/berylmast/membership/tests/test_roles.py
+++ b/src/berylmast/membership/tests/test_roles.py
@@ -10,15 +10,8 @@
 from ...platform import Listing, PlatformObject
 from ...platform.tests.fake import FakePlatform
 from ..election import HAND_OVER_LIMIT_S
-from ..leases import (
-    LEASE_KIND,
-    LEASE_S,
-    RELEASE_LIMIT_S,
-    Claim,
-    Lease,
-    LeaseTable,
-    hold_lease,
-)
+from ..holding import RELEASE_LIMIT_S, hold_lease
+from ..leases import LEASE_KIND, LEASE_S, Claim, Lease, LeaseTable
 from .fleet import Fleet, run_fleet
 
 pytestmark = pytest.mark.anyio
--- a/src/berylmast/tests/test_lifecycle.py
+++ b/src/berylmast/tests/test_lifecycle.py
@@ -27,6 +27,18 @@
     assert seen == [True, False]
 
 
+def test_stop_is_told_once_even_if_already_leaving() -> None:
+    """A registrar on an instance with a failed backend server must hand over too."""
+    seen: list[str] = []
+    lifecycle = Lifecycle(LeaveReason.HEALTH)
+    lifecycle.add_stop_listener(lambda: seen.append("stop"))
+    lifecycle.add(LeaveReason.OPERATOR)
+    assert not seen
+    lifecycle.add(LeaveReason.SIGNAL)
+    lifecycle.add(LeaveReason.SIGNAL)
+    assert seen == ["stop"]
+
+
 @pytest.mark.parametrize(
     ("busy_s", "timeout_s", "idle"), [(0, 1, True), (5, 10, True), (20, 10, False)]
 )
