Spread lease reads while links between registrars keep changing

Cause: at a restart of everything each new exchange between registrars led to a list of all leases within 0.3 s, several a second of each registrar.

Change: the delay doubles up to 4 s while links keep changing.

After, on the paused clock: at most 15 reads in 20 s of one change per 50 ms.

--- a/src/berylmast/membership/lease_reader.py
+++ b/src/berylmast/membership/lease_reader.py
@@ -22,7 +22,11 @@
 """Reads further apart than this, a call that timed out included, prove no lapse."""
 
 LINK_SPREAD_S = 0.3
-"""Random delay of the read after a link has changed; further changes join it."""
+"""Longest delay of the read after a link has changed; further changes join it.
+
+It doubles up to READ_INTERVAL_S while links keep changing: a restart of everything
+would otherwise cause several lists a second of each registrar.
+"""
 
 
 class Links(Protocol):
@@ -65,10 +69,15 @@
     async def run(self) -> None:
         """Read until cancelled."""
         await self._list()
+        spread_s = LINK_SPREAD_S
         while True:
             with anyio.move_on_after(READ_INTERVAL_S):
                 await self._links.link_changed.wait()
-                await anyio.sleep(self._rng.uniform(0.0, LINK_SPREAD_S))
+                await anyio.sleep(self._rng.uniform(spread_s / 2, spread_s))
+            if self._links.changed_shards:
+                spread_s = min(READ_INTERVAL_S, spread_s * 2)
+            else:
+                spread_s = LINK_SPREAD_S
             self._links.link_changed = anyio.Event()
             changed, self._links.changed_shards = self._links.changed_shards, set()
             if self._must_list(changed):
--- a/src/berylmast/membership/tests/test_roles.py
+++ b/src/berylmast/membership/tests/test_roles.py
@@ -1,5 +1,6 @@
 """Guards against two holders of one registrar role, and against roles left vacant."""
 
+from random import Random
 from typing import Any
 
 import anyio
@@ -11,6 +12,7 @@
 from ...platform.tests.fake import FakePlatform
 from ..election import HAND_OVER_LIMIT_S
 from ..holding import RELEASE_LIMIT_S, hold_lease
+from ..lease_reader import LeaseReader
 from ..leases import LEASE_KIND, LEASE_S, Claim, Lease, LeaseTable
 from .fleet import Fleet, run_fleet
 
@@ -137,6 +139,30 @@
             assert daemon.platform.log.count(("get", LEASE_KIND)) <= 31
 
 
+class ChangingLinks:
+    def __init__(self) -> None:
+        self.link_changed = anyio.Event()
+        self.changed_shards: set[str] = set()
+
+    def is_linked(self, shard: str) -> bool:
+        return True
+
+
+async def test_links_that_keep_changing_cause_few_lists() -> None:
+    """One list for every change would cost megabytes at a restart of everything."""
+    platform, links = FakePlatform(ObjectTable()), ChangingLinks()
+    table = LeaseTable(anyio.current_time)
+    reader = LeaseReader(platform, table, "n1-0", links, Random(1), lambda: None)
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(reader.run)
+        for number in range(400):
+            await anyio.sleep(0.05)
+            links.changed_shards.add(f"n1-{number}")
+            links.link_changed.set()
+        tg.cancel_scope.cancel()
+    assert 5 <= platform.calls <= 15
+
+
 async def test_holder_removed_for_good_is_not_searched_for_ever() -> None:
     async with run_fleet() as fleet:
         await start(fleet)
