Add the fault matrix as behave scenario outlines

Cause: the promises P1 to P7 were tested per package; no test struck each fault at each step of a request and of a document change.

Change: features/ runs 160 cells: 13 faults at 4 steps of a request and 4 of a document change, 32 cells of pairs, 24 of the same fault twice. Each cell joins the request path (FakeFleet) with members and store (membership Fleet) on the paused clock and checks P1 to P7 from the stand-ins' records.

--- /dev/null
+++ b/features/matrix/cell.py
@@ -0,0 +1,144 @@
+"""Runs one cell: strikes a fault at a step, lets the fleet recover, then checks it."""
+
+from collections.abc import Callable, Sequence
+
+import anyio
+import trio._core._run as trio_run
+from trio.testing import MockClock
+
+from berylmast.daemons.frames import Body, Continue, End, Frame, Request
+from berylmast.tests.fakes import FakeStream
+
+from .checks import Verdict, check_all
+from .faults import FAULTS
+from .world import World, run_world
+
+REQUEST_STEPS: dict[str, type[Frame]] = {
+    "before dispatch": Request,
+    "after dispatch": Continue,
+    "answer under way": Body,
+    "answer lost": End,
+}
+DOCUMENT_STEPS = ("before commit", "during commit", "after commit", "during spread")
+ADOPTION_LIMIT_S = 9.0
+SECOND_FAULT_S = 0.3
+STEP_LIMIT_S = 10.0
+REPEAT_PAUSE_S = 0.2
+CHANGE_DELAY_S = 0.5
+CHANGE_TRIES = 3
+
+
+def run_cell(faults: Sequence[str], step: str, seed: int) -> Verdict:
+    """Run one cell on the paused clock; the seed fixes the order of trio's tasks."""
+    trio_run._r.seed(seed)
+    clock = MockClock(autojump_threshold=0)
+    return anyio.run(
+        _run, tuple(faults), step, backend="trio", backend_options={"clock": clock}
+    )
+
+
+async def _run(faults: tuple[str, ...], step: str) -> Verdict:
+    async with run_world() as world:
+        rounds = [faults]
+        if len(faults) == 2 and faults[0] == faults[1]:
+            rounds = [faults[:1], faults[:1]]
+        for names in rounds:
+            await _run_round(world, names, step)
+            await anyio.sleep(REPEAT_PAUSE_S)
+        ended_s = anyio.current_time()
+        world.calling = False
+        await _ensure_change(world)
+        last_s = max(ended_s, max(a.ended_s for a in world.operators.reports))
+        await anyio.sleep(last_s + ADOPTION_LIMIT_S - anyio.current_time())
+        return check_all(world, faults, step)
+
+
+async def _run_round(world: World, faults: tuple[str, ...], step: str) -> None:
+    """Strike once and wait until the faults and the change have ended."""
+    async with anyio.create_task_group() as tg:
+
+        def strike(target: str) -> None:
+            for number, name in enumerate(faults):
+                tg.start_soon(_run_fault, world, name, target, number * SECOND_FAULT_S)
+            if "store down" in faults and not any(FAULTS[f].breaks for f in faults):
+                tg.start_soon(_note_outage, world)
+
+        if step in REQUEST_STEPS:
+            await _strike_request(world, faults[0], step, strike)
+            await anyio.sleep(CHANGE_DELAY_S)
+            await world.operators.apply()
+        else:
+            await _strike_change(world, faults[0], step, strike)
+
+
+async def _run_fault(world: World, name: str, target: str, delay_s: float) -> None:
+    fault = FAULTS[name]
+    if delay_s:
+        await anyio.sleep(delay_s)
+        fault.begin(world, target)
+    await anyio.sleep(fault.duration_s)
+    fault.end(world, target)
+
+
+async def _note_outage(world: World) -> None:
+    """Record the versions in force late in an outage, when peers have spread them."""
+    await anyio.sleep(ADOPTION_LIMIT_S)
+    world.outage_versions = world.members.versions()
+
+
+async def _strike_request(
+    world: World, fault: str, step: str, strike: Callable[[str], None]
+) -> None:
+    """Begin the fault as the first frame of the step passes."""
+    struck = anyio.Event()
+
+    def on_frame(link: FakeStream, frame: Frame) -> bool:
+        if struck.is_set() or not isinstance(frame, REQUEST_STEPS[step]):
+            return True
+        struck.set()
+        FAULTS[fault].begin(world, link.owner)
+        strike(link.owner)
+        if step == "answer lost":
+            link.cut()
+        return True
+
+    world.on_frame = on_frame
+    with anyio.fail_after(STEP_LIMIT_S):
+        await struck.wait()
+
+
+async def _strike_change(
+    world: World, fault: str, step: str, strike: Callable[[str], None]
+) -> None:
+    """Begin the fault at a step of a change of the document."""
+    struck = anyio.Event()
+    base = world.operators.stored_version
+
+    def begin() -> None:
+        if not struck.is_set():
+            struck.set()
+            target = world.find_registrar()
+            FAULTS[fault].begin(world, target)
+            strike(target)
+
+    def see_adopted(version: int) -> None:
+        if version > base:
+            begin()
+
+    if step == "before commit":
+        begin()
+        await anyio.sleep(CHANGE_DELAY_S)
+    world.operators.platform.on_put = begin if step == "during commit" else None
+    world.on_adopted = see_adopted if step == "during spread" else None
+    await world.operators.apply()
+    if step == "after commit":
+        begin()
+    with anyio.fail_after(STEP_LIMIT_S):
+        await struck.wait()
+
+
+async def _ensure_change(world: World) -> None:
+    """Let a change through after the faults, so that there is one to adopt."""
+    for _ in range(CHANGE_TRIES):
+        if await world.operators.apply():
+            return
--- /dev/null
+++ b/features/matrix/checks.py
@@ -0,0 +1,177 @@
+"""The invariants P1 to P7, checked from the records of the stand-ins."""
+
+from collections.abc import Sequence
+
+import anyio
+
+from berylmast.operators.revisions import ApplyUnknown
+from berylmast.routing.probes import BURST_PROBES, RESERVED_BYTES
+
+from .document import Applied, make_document
+from .faults import FAULTS
+from .world import DEADLINE_MS, Asked, Drain, World
+
+Verdict = dict[str, list[str]]
+"""Violations by the name of the invariant; an empty list means that it holds."""
+
+PROBE_BYTES_PER_S = 2_000
+PROBE_RATIO = 0.5
+DRAIN_LIMIT_S = 3.0
+SLACK_S = 0.05
+
+
+def check_all(world: World, faults: Sequence[str], step: str) -> Verdict:
+    """Return the violations of every invariant."""
+    clean = step != "answer lost" and not any(FAULTS[name].breaks for name in faults)
+    return {
+        "P1": check_measuring(world),
+        "P2": check_answers(world),
+        "P3": check_not_run(world),
+        "P4": check_once(world),
+        "P5": check_left_alone(world),
+        "P6": check_not_cut(world, clean=clean),
+        "P7": check_documents(world),
+    }
+
+
+def check_measuring(world: World) -> list[str]:
+    """P1: probes and their answers stay within bytes per second and the ratio."""
+    seconds = anyio.current_time() - world.meter.started_s
+    most_bytes = PROBE_BYTES_PER_S * (seconds + 1) + RESERVED_BYTES
+    most_probes = len(world.asked) * PROBE_RATIO + BURST_PROBES
+    found = []
+    if world.meter.probes == 0:
+        found.append("no probe was seen: the check has no object")
+    if world.meter.size > most_bytes:
+        found.append(f"{world.meter.size} bytes of probes, {most_bytes:.0f} allowed")
+    if world.meter.probes > most_probes:
+        found.append(f"{world.meter.probes} probes, {most_probes:.0f} allowed")
+    return found
+
+
+def check_answers(world: World) -> list[str]:
+    """P2: each caller got the whole answer to its own request, or an error."""
+    found = [text for asked in world.asked for text in _check_answer(asked)]
+    if not any(a.call and a.call.outcome == "answered" for a in world.asked):
+        found.append("no request was answered")
+    return found
+
+
+def _check_answer(asked: Asked) -> list[str]:
+    call, name = asked.call, asked.request_id
+    if call is None:
+        return [f"{name} has neither an answer nor an error"]
+    if call.took_s > DEADLINE_MS / 1000 + SLACK_S:
+        return [f"{name} took {call.took_s:.2f} s"]
+    if call.outcome != "answered":
+        return [f"{name}: error after a whole answer"] if call.answer.finished else []
+    whole = f"{name}onetwo".encode()
+    if call.answer.body != whole or not call.answer.finished:
+        return [f"{name} was answered {call.answer.body!r}"]
+    return []
+
+
+def check_not_run(world: World) -> list[str]:
+    """P3: what is reported as not run is in no ledger."""
+    runs = world.requests.count_runs()
+    return [
+        f"{asked.request_id} reported not run, runs {runs[asked.request_id]}"
+        for asked in world.asked
+        if asked.call and asked.call.outcome == "not-run" and runs[asked.request_id]
+    ]
+
+
+def check_once(world: World) -> list[str]:
+    """P4: a request that is not idempotent is at most once over all ledgers."""
+    runs = world.requests.count_runs()
+    return [
+        f"{asked.request_id} ran {runs[asked.request_id]} times"
+        for asked in world.asked
+        if not asked.idempotent and runs[asked.request_id] > 1
+    ]
+
+
+def check_left_alone(world: World) -> list[str]:
+    """P5: no run starts on a draining backend server after DRAIN_LIMIT_S."""
+    return [
+        f"{run.request_id} started on {drain.backend} while it drained"
+        for drain in world.drains
+        for run in world.requests.backends[drain.backend].ledger
+        if drain.started_s + DRAIN_LIMIT_S < run.started_s < drain.ended_s
+    ]
+
+
+def check_not_cut(world: World, *, clean: bool) -> list[str]:
+    """P6: what ran as a drain began is completed, and answered if no link broke."""
+    return [
+        text for drain in world.drains for text in _check_drain(world, drain, clean)
+    ]
+
+
+def _check_drain(world: World, drain: Drain, clean: bool) -> list[str]:
+    asked = {a.request_id: a for a in world.asked}
+    ledger = world.requests.backends[drain.backend].ledger
+    completed = {run.request_id for run in ledger if run.completed}
+    found = []
+    for name in drain.running:
+        call = asked[name].call
+        # The end of a link cancels an idempotent request; another run replaces it.
+        must_complete = clean or not asked[name].idempotent
+        if must_complete and name not in completed:
+            found.append(f"{name} was cut on {drain.backend}")
+        elif clean and (call is None or call.outcome != "answered"):
+            found.append(f"{name} ran on {drain.backend} but was not answered")
+    return found
+
+
+def check_documents(world: World) -> list[str]:
+    """P7: reports are true, the last version is everywhere, no version goes back."""
+    accepted = world.operators.list_accepted()
+    found: list[str] = []
+    if [version for version, _ in accepted] != list(range(1, len(accepted) + 1)):
+        found.append(f"versions stored: {[version for version, _ in accepted]}")
+    for report in world.operators.reports:
+        found += _check_report(report, accepted)
+    found += _check_adopted(world, accepted[-1])
+    for directory in world.directories:
+        found += _check_order(directory.adopted)
+    if len(world.outage_versions) > 1:
+        found.append(f"versions late in the outage: {world.outage_versions}")
+    return found
+
+
+def _check_report(report: Applied, accepted: list[tuple[int, str]]) -> list[str]:
+    stored = [
+        version for version, text in accepted if text == make_document(report.mark)
+    ]
+    if report.result.is_ok():
+        told = [report.result.unwrap().version]
+        return [] if stored == told else [f"told {told}, stored as {stored}"]
+    error = report.result.unwrap_err()
+    if isinstance(error, ApplyUnknown) and "nothing was written" not in error.reason:
+        return []
+    return [f"told not accepted, stored as {stored}"] if stored else []
+
+
+def _check_adopted(world: World, last: tuple[int, str]) -> list[str]:
+    version, text = last
+    found = []
+    for name, daemon in world.members.daemons.items():
+        directory = daemon.directory
+        if directory.document_version != version:
+            found.append(f"{name} has {directory.document_version}, not {version}")
+        for service in directory.services():
+            part = directory.service(service)
+            if part and f'"connections": {part.connections},' not in text:
+                found.append(f"{name} has an old slice of {service}")
+    return found
+
+
+def _check_order(adopted: list[tuple[str, int]]) -> list[str]:
+    highest: dict[str, int] = {}
+    found = []
+    for name, version in adopted:
+        if version < highest.get(name, 0):
+            found.append(f"{name} went from {highest[name]} back to {version}")
+        highest[name] = max(version, highest.get(name, 0))
+    return found
--- /dev/null
+++ b/features/matrix/document.py
@@ -0,0 +1,100 @@
+"""The document of the matrix and the operators who change it."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, cast
+
+import anyio
+from result import Result
+
+from berylmast.operators.revisions import (
+    DOCUMENT_KIND,
+    ApplyConflict,
+    ApplyUnknown,
+    Revision,
+    apply_revision,
+)
+from berylmast.platform import PlatformClient, PlatformObject
+from berylmast.platform.tests.fake import FakePlatform
+from berylmast_dev.objects import ObjectTable
+
+ENVIRONMENT = "test"
+FIRST_MARK = 260
+
+ROUTES = (
+    '{"methods": ["POST"], "idempotent": false, "priority": "urgent",'
+    ' "deadline_ms": 4000},'
+    '{"methods": ["GET"], "idempotent": true, "priority": "browse",'
+    ' "deadline_ms": 4000}'
+)
+PRIORITIES = '[{"name": "urgent", "floor": 0.5}, {"name": "browse", "floor": 0.1}]'
+
+
+def make_document(mark: int) -> str:
+    """Return a document; ``mark`` tells it apart and is each service's connections."""
+    services = ",".join(
+        f'"{name}": {{"hosts": ["{name}.test"], "slots": 6, "connections": {mark},'
+        f' "routes": [{ROUTES}]}}'
+        for name in ("orders", "drawings")
+    )
+    return f'{{"priorities": {PRIORITIES}, "services": {{{services}}}}}'
+
+
+class OperatorPlatform(FakePlatform):
+    """The platform as one operator's command reaches it."""
+
+    def __init__(self, table: ObjectTable) -> None:
+        super().__init__(table)
+        self.on_put: Callable[[], None] | None = None
+
+    async def put(
+        self, kind: str, name: str, spec: dict[str, Any], version: int | None
+    ) -> PlatformObject:
+        """Tell that a write is under way, then write."""
+        if self.on_put is not None:
+            self.on_put()
+        return await super().put(kind, name, spec, version)
+
+
+@dataclass
+class Applied:
+    """What one operator was told of one change."""
+
+    mark: int
+    base: int
+    result: Result[Revision, ApplyConflict | ApplyUnknown]
+    ended_s: float
+
+
+class Operators:
+    """Change the document; ``reports`` holds what each was told."""
+
+    def __init__(self, table: ObjectTable) -> None:
+        self.platform = OperatorPlatform(table)
+        self.reports: list[Applied] = []
+        self._table = table
+        self._mark = FIRST_MARK
+
+    async def apply(self, base: int | None = None) -> bool:
+        """Apply a new text to a base, by default the version stored now."""
+        self._mark += 1
+        mark = self._mark
+        if base is None:
+            base = self.stored_version
+        client = cast(PlatformClient, self.platform)
+        text = make_document(mark)
+        result = await apply_revision(client, ENVIRONMENT, text, base)
+        self.reports.append(Applied(mark, base, result, anyio.current_time()))
+        return result.is_ok()
+
+    @property
+    def stored_version(self) -> int:
+        """Return the version that the store holds, 0 if there is none."""
+        found = self._table.get(DOCUMENT_KIND, ENVIRONMENT)
+        return 0 if found is None else int(found["spec"]["version"])
+
+    def list_accepted(self) -> list[tuple[int, str]]:
+        """Return each version and text that the store took, in order."""
+        events = self._table.changes(DOCUMENT_KIND, 0, ENVIRONMENT)
+        specs = [event["object"]["spec"] for event in events]
+        return [(spec["version"], spec["text"]) for spec in specs]
--- /dev/null
+++ b/features/matrix/faults.py
@@ -0,0 +1,168 @@
+"""The faults of the matrix; each begins at once and ends after its duration."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+import anyio
+
+from berylmast.model import EndpointState
+
+from .world import OWNERS, Drain, World
+
+SLOWDOWN = 10
+FLOOD_S = 1.5
+FLOOD_CALLS_PER_S = 180
+"""Four times what three backend servers of 6 slots and 0.4 s per request can do."""
+
+SLOW_STORE_S = 1.5
+RACING_OPERATORS = 3
+
+Act = Callable[[World, str], None]
+
+
+@dataclass(frozen=True)
+class Fault:
+    """``begin`` and ``end`` act on a daemon; ``breaks`` tells whether links break."""
+
+    begin: Act
+    end: Act = lambda world, target: None
+    duration_s: float = 0.0
+    breaks: bool = False
+
+
+def _slow(world: World, target: str) -> None:
+    backend = world.requests.backends[target]
+    backend.run_s, backend.part_pause_s = 0.2 * SLOWDOWN, 0.1 * SLOWDOWN
+
+
+def _restore(world: World, target: str) -> None:
+    backend = world.requests.backends[target]
+    backend.run_s, backend.part_pause_s, backend.status = 0.2, 0.1, 200
+
+
+def _drain(world: World, target: str) -> None:
+    ledger = world.requests.backends[target].ledger
+    running = [run.request_id for run in ledger if not run.completed]
+    world.drains.append(Drain(target, anyio.current_time(), running))
+    world.requests.admissions[target].draining = True
+    world.members.daemons[target].member.announce_state(EndpointState.DRAINING)
+    world.requests.announce_leaving(target)
+
+
+def _end_drain(world: World, target: str) -> None:
+    for drain in world.drains:
+        drain.ended_s = min(drain.ended_s, anyio.current_time())
+    world.requests.admissions[target].draining = False
+    daemon = world.members.daemons.get(target)
+    if daemon is not None:
+        daemon.member.announce_state(EndpointState.READY)
+
+
+def _fail_fast(world: World, target: str) -> None:
+    backend = world.requests.backends[target]
+    backend.run_s, backend.part_pause_s, backend.status = 0.001, 0.0, 500
+
+
+def _flood(priority: str) -> Act:
+    async def flood(world: World) -> None:
+        for _ in range(int(FLOOD_S * FLOOD_CALLS_PER_S)):
+            world.tg.start_soon(world.ask, priority, True)
+            await anyio.sleep(1 / FLOOD_CALLS_PER_S)
+
+    def act(world: World, target: str) -> None:
+        world.tg.start_soon(flood, world)
+
+    return act
+
+
+def _set_down(down: bool) -> Act:
+    def act(world: World, target: str) -> None:
+        world.members.set_down(down)
+        world.operators.platform.down = down
+
+    return act
+
+
+def _set_delay(delay_s: float) -> Act:
+    def act(world: World, target: str) -> None:
+        world.operators.platform.delay_s = delay_s
+        for daemon in world.members.daemons.values():
+            daemon.platform.delay_s = delay_s
+
+    return act
+
+
+def _lose_answers(world: World, target: str) -> None:
+    world.operators.platform.lose_puts = 1
+    for daemon in world.members.daemons.values():
+        daemon.platform.lose_puts = 1
+
+
+def _race(world: World, target: str) -> None:
+    base = world.operators.stored_version
+    for _ in range(RACING_OPERATORS):
+        world.tg.start_soon(world.operators.apply, base)
+
+
+def _pairs(world: World, name: str) -> set[frozenset[str]]:
+    return {frozenset({name, other}) for other in (*world.members.daemons, name)}
+
+
+def _pause(world: World, target: str) -> None:
+    """Isolate the registrar of r1: as others see it, a paused process does nothing."""
+    name = world.find_registrar()
+    world.paused = name
+    world.members.cut |= _pairs(world, name)
+    world.members.daemons[name].platform.down = True
+    if name in OWNERS:
+        world.requests.silence(name)
+        world.requests.unreachable.add(name)
+
+
+def _resume(world: World, target: str) -> None:
+    name = world.paused
+    world.members.cut -= _pairs(world, name)
+    world.members.daemons[name].platform.down = False
+    world.requests.unreachable.discard(name)
+
+
+def _silence(world: World, target: str) -> None:
+    world.members.silence(target)
+    if target in OWNERS:
+        world.requests.silence(target)
+
+
+def _cut(world: World, target: str) -> None:
+    world.members.cut_links(target)
+    if target in OWNERS:
+        world.requests.cut(target)
+
+
+def _kill(world: World, target: str) -> None:
+    for drain in world.drains:
+        drain.ended_s = min(drain.ended_s, anyio.current_time())
+    world.stop_member(target)
+
+
+def _start_again(world: World, target: str) -> None:
+    world.start_member(target)
+    store = world.operators.platform
+    platform = world.members.daemons[target].platform
+    platform.down, platform.delay_s = store.down, store.delay_s
+
+
+FAULTS: dict[str, Fault] = {
+    "slow backend": Fault(_slow, _restore, 4.0),
+    "draining backend": Fault(_drain, _end_drain, 8.0),
+    "fail fast": Fault(_fail_fast, _restore, 4.0),
+    "flood of least urgent": Fault(_flood("browse"), duration_s=FLOOD_S),
+    "flood of most urgent": Fault(_flood("urgent"), duration_s=FLOOD_S),
+    "store down": Fault(_set_down(True), _set_down(False), 12.0),
+    "store slow": Fault(_set_delay(SLOW_STORE_S), _set_delay(0.005), 12.0),
+    "write answer lost": Fault(_lose_answers),
+    "lease lapsed": Fault(_pause, _resume, 30.0, breaks=True),
+    "operators racing": Fault(_race, duration_s=0.5),
+    "connection silent": Fault(_silence, breaks=True),
+    "connection cut": Fault(_cut, breaks=True),
+    "owner killed": Fault(_kill, _start_again, 1.0, breaks=True),
+}
--- /dev/null
+++ b/features/matrix/table.py
@@ -0,0 +1,65 @@
+"""The table of the matrix: the state of every cell, and the cells known to be red."""
+
+from collections.abc import Iterable
+from pathlib import Path
+
+from .cell import DOCUMENT_STEPS, REQUEST_STEPS
+from .checks import Verdict
+
+COLUMNS = (*REQUEST_STEPS, *DOCUMENT_STEPS)
+NOT_RUN = "not run"
+REASON_PAIR = "the pair meets in no state of its own at this step, see the single cells"
+REASON_TWICE = "the repeat is run at one step of a request and one of a change only"
+KNOWN_RED_FILE = Path(__file__).parents[2] / "KNOWN-RED.txt"
+FIELDS = 3
+"""Of an entry of KNOWN-RED.txt that are read here: ``matrix``, the cell, the name."""
+
+
+class Table:
+    """Collects the verdicts of one run; rows are faults, columns are steps."""
+
+    def __init__(self, known_red: frozenset[tuple[str, str]]) -> None:
+        self.known_red = known_red
+        self._rows: dict[str, dict[str, str]] = {}
+        self._passed_over: list[str] = []
+
+    def record(self, row: str, step: str, verdict: Verdict) -> None:
+        """Enter the state of one cell."""
+        failed = [name for name, found in verdict.items() if found]
+        state = f"FAILED {' '.join(failed)}" if failed else "ok"
+        self._rows.setdefault(row, {})[step] = state
+
+    def pass_over(self, cell: str, name: str, found: Iterable[str]) -> None:
+        """Note a violation that KNOWN-RED.txt lists."""
+        self._passed_over.append(f"known red: {cell}, {name}: {'; '.join(found)}")
+
+    def render(self) -> str:
+        """Return the table, then the cells not run and those known to be red."""
+        width = max(len(row) for row in (*self._rows, "faults")) + 2
+        lines = ["faults".ljust(width) + "".join(c.ljust(18) for c in COLUMNS)]
+        for row, states in self._rows.items():
+            cells = (states.get(column, NOT_RUN).ljust(18) for column in COLUMNS)
+            lines.append(row.ljust(width) + "".join(cells))
+        return "\n".join([*lines, *self._passed_over, *self._list_not_run()])
+
+    def _list_not_run(self) -> list[str]:
+        """Return the cells that were not run, by row, with the reason."""
+        found = []
+        for row, states in self._rows.items():
+            left = [column for column in COLUMNS if column not in states]
+            reason = REASON_TWICE if row.endswith(", twice") else REASON_PAIR
+            if left:
+                found.append(f"not run: {row} @ {', '.join(left)}: {reason}")
+        return found
+
+
+def read_known_red(path: Path = KNOWN_RED_FILE) -> frozenset[tuple[str, str]]:
+    """Return the cells and invariants listed as ``matrix | cell | invariant | ...``."""
+    if not path.exists():
+        return frozenset()
+    found = set()
+    for line in path.read_text().splitlines():
+        fields = [field.strip() for field in line.split("|")]
+        if len(fields) >= FIELDS and fields[0] == "matrix":
+            found.add((fields[1], fields[2]))
+    return frozenset(found)
