Strike non-idempotent requests; add late data and a stale registrar

Cause: three faults put into the code by hand passed the first matrix: a ledger whose begin never refuses, a directory that adopts lower versions, and a not-run claim after the deadline was only seen by chance. The struck request could be idempotent, no cell delivered a request after its query, and no daemon moved from a newer registrar to an older one.

Change: a step strikes only a request that is not idempotent. "cut, data late" ends a link for the entry while the owner gets what was sent 0.2 s later. "stale registrar" keeps one registrar from a change, then leaves the other daemons only that one.

Faults put in by hand, each reverted, and the cells that failed: P1 ProbeBudget.try_reserve ignores both budgets: slow backend @ answer lost. P2 a cut answer is ended as whole (attempt.py): lease lapsed, connection silent, connection cut, owner killed, cut with late data @ answer under way. P3 DEADLINE_UNKNOWN stated as not-run: slow backend @ after dispatch, answer under way. PEER_LOST stated as not-run: P4 in lease lapsed and owner killed @ after dispatch, as the entry then retries. P4 AttemptLedger.begin always True: cut, data late @ before dispatch. P5 drain ignored by admission, Directory.endpoints and LoadTable: draining backend @ before dispatch, after dispatch, answer under way. Ignored by admission and LoadTable only, the directory still hides it: no cell fails (run on part of the rows only). P6 GoAway ends the connection: draining backend @ before and during commit. P7 Directory.put_slice adopts lower versions: stale registrar @ before and during commit.

--- a/features/document_faults.feature
+++ b/features/document_faults.feature
@@ -66,3 +66,9 @@
       | owner killed          | during commit |
       | owner killed          | after commit  |
       | owner killed          | during spread |
+      | cut, data late        | before commit |
+      | cut, data late        | during commit |
+      | cut, data late        | after commit  |
+      | cut, data late        | during spread |
+      | stale registrar       | before commit |
+      | stale registrar       | during commit |
--- a/features/matrix/cell.py
+++ b/features/matrix/cell.py
@@ -89,11 +89,16 @@
 async def _strike_request(
     world: World, fault: str, step: str, strike: Callable[[str], None]
 ) -> None:
-    """Begin the fault as the first frame of the step passes."""
+    """Begin the fault as a request that is not idempotent reaches the step."""
     struck = anyio.Event()
+    watched: set[tuple[int, int]] = set()
 
     def on_frame(link: FakeStream, frame: Frame) -> bool:
-        if struck.is_set() or not isinstance(frame, REQUEST_STEPS[step]):
+        key = (id(link if link.to_owner else link.other), frame.exchange)
+        if isinstance(frame, Request) and not frame.head.idempotent:
+            watched.add(key)
+        reached = isinstance(frame, REQUEST_STEPS[step]) and key in watched
+        if struck.is_set() or not reached:
             return True
         struck.set()
         FAULTS[fault].begin(world, link.owner)
--- a/features/matrix/faults.py
+++ b/features/matrix/faults.py
@@ -17,6 +17,12 @@
 SLOW_STORE_S = 1.5
 RACING_OPERATORS = 3
 
+SPREAD_S = 5.0
+"""A change reaches every daemon that can get it within this time."""
+
+LATE_S = 0.2
+"""Longer than a query of the entry over a new connection takes."""
+
 Act = Callable[[World, str], None]
 
 
@@ -126,6 +132,25 @@
     world.requests.unreachable.discard(name)
 
 
+def _isolate_registrar(world: World, target: str) -> None:
+    """Keep the registrar of r1 from changes, then leave the others only that one."""
+    stale, other = world.find_registrar(), "d1"
+    world.paused = stale
+    world.members.daemons[stale].platform.down = True
+    world.members.cut.add(frozenset({stale, other}))
+
+    async def leave_stale() -> None:
+        await anyio.sleep(SPREAD_S)
+        world.members.cut |= _pairs(world, other)
+
+    world.tg.start_soon(leave_stale)
+
+
+def _join_registrars(world: World, target: str) -> None:
+    world.members.daemons[world.paused].platform.down = False
+    world.members.cut.clear()
+
+
 def _silence(world: World, target: str) -> None:
     world.members.silence(target)
     if target in OWNERS:
@@ -138,6 +163,17 @@
         world.requests.cut(target)
 
 
+def _cut_late(world: World, target: str) -> None:
+    world.members.cut_links(target)
+    if target in OWNERS:
+        world.requests.cut_late(target)
+
+
+def _deliver_late(world: World, target: str) -> None:
+    # Without a pause the end would cancel the late requests before their admission.
+    world.tg.start_soon(world.requests.deliver_late, LATE_S)
+
+
 def _kill(world: World, target: str) -> None:
     for drain in world.drains:
         drain.ended_s = min(drain.ended_s, anyio.current_time())
@@ -161,8 +197,10 @@
     "store slow": Fault(_set_delay(SLOW_STORE_S), _set_delay(0.005), 12.0),
     "write answer lost": Fault(_lose_answers),
     "lease lapsed": Fault(_pause, _resume, 30.0, breaks=True),
+    "stale registrar": Fault(_isolate_registrar, _join_registrars, 20.0),
     "operators racing": Fault(_race, duration_s=0.5),
     "connection silent": Fault(_silence, breaks=True),
     "connection cut": Fault(_cut, breaks=True),
+    "cut, data late": Fault(_cut_late, _deliver_late, LATE_S, breaks=True),
     "owner killed": Fault(_kill, _start_again, 1.0, breaks=True),
 }
--- a/features/request_faults.feature
+++ b/features/request_faults.feature
@@ -66,3 +66,8 @@
       | owner killed          | after dispatch   |
       | owner killed          | answer under way |
       | owner killed          | answer lost      |
+      | cut, data late        | before dispatch  |
+      | cut, data late        | after dispatch   |
+      | cut, data late        | answer under way |
+      | cut, data late        | answer lost      |
+      | stale registrar       | after dispatch   |
--- a/src/berylmast/tests/fake_parts.py
+++ b/src/berylmast/tests/fake_parts.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import anyio
+from anyio.streams.memory import MemoryObjectSendStream
 from anyio.streams.stapled import StapledObjectStream
 
 from ..backends.client import (
@@ -160,18 +161,38 @@
         self.on_frame: OnFrame | None = None
         self.other: FakeStream
         self._reader = FrameReader()
+        self._held: list[bytes] | None = None
+        self._late: MemoryObjectSendStream[bytes]
 
     async def send(self, item: bytes) -> None:
         """Send the frames that pass ``on_frame``."""
         for frame in self._reader.feed(item):
             passes = self.on_frame is None or self.on_frame(self, frame)
-            if passes and not self.silent:
+            if passes and self._held is not None:
+                self._held.append(encode_frame(frame))
+            elif passes and not self.silent:
                 await super().send(encode_frame(frame))
 
     async def receive(self, max_bytes: int = 65_536) -> bytes:
         """Return what the other end sent."""
         return await super().receive()
 
+    def cut_late(self) -> None:
+        """End the link for this end; the other gets what is sent by then later on."""
+        self._held = []
+        self._late = self.send_stream.clone()  # type: ignore[attr-defined]
+        self.other.silent = True
+        self.other.send_stream.close()  # type: ignore[attr-defined]
+
+    def deliver_late(self) -> None:
+        """Deliver what was held back; ``end_late`` delivers the end of the link."""
+        for item in self._held or ():
+            self._late.send_nowait(item)
+
+    def end_late(self) -> None:
+        """End the link for the other end too."""
+        self._late.close()
+
     def silence(self) -> None:
         """Lose everything from now on, both ways, without closing."""
         self.silent = self.other.silent = True
--- a/src/berylmast/tests/fakes.py
+++ b/src/berylmast/tests/fakes.py
@@ -154,6 +154,7 @@
         self._incarnations = dict.fromkeys(names, 0)
         self._links: dict[str, list[FakeStream]] = {name: [] for name in names}
         self._peers: dict[str, list[PeerConnection]] = {name: [] for name in names}
+        self._late: list[FakeStream] = []
         self._tg = tg
         for name in names:
             self.restart(name)
@@ -203,6 +204,22 @@
         for link in self._links[name]:
             link.silence()
 
+    def cut_late(self, name: str) -> None:
+        """Cut the links of an owner; it gets what was sent after ``deliver_late``."""
+        links, self._links[name] = self._links[name], []
+        self._late += links
+        for link in links:
+            link.cut_late()
+
+    async def deliver_late(self, end_s: float) -> None:
+        """Deliver what ``cut_late`` holds back, and the end ``end_s`` seconds later."""
+        links, self._late = self._late, []
+        for link in links:
+            link.deliver_late()
+        await anyio.sleep(end_s)
+        for link in links:
+            link.end_late()
+
     def stop(self, name: str) -> None:
         """Cut the links of an owner and refuse new ones; ``restart`` allows them."""
         self.unreachable.add(name)
