--- a/src/berylmast/membership/member.py
+++ b/src/berylmast/membership/member.py
@@ -25,6 +25,12 @@
 MAX_BACKOFF_S = 30.0
 """30,000 daemons without any registrar then cost 1,000 calls a second."""
 
+REDIAL_S = 2.0
+"""Longest time between two dials of registrars that failed before.
+
+A dial costs the platform nothing. A daemon that was cut off has to catch up within 9 s.
+"""
+
 MOVE_SPREAD_S = 5.0
 """A new registrar does not get all its daemons at the same moment."""
 
@@ -130,12 +136,24 @@
                 if await self._attach(lease):
                     backoff_s = FIRST_BACKOFF_S
                 continue
-            await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+            if await self._redial(backoff_s * self._rng.uniform(0.5, 1.0)):
+                backoff_s = FIRST_BACKOFF_S
+                continue
             backoff_s = min(MAX_BACKOFF_S, backoff_s * 2)
             # The role taken meanwhile, or a registrar no longer avoided, needs no call.
             if self._choose() is None and not await self._ask_seeds():
                 await self._list_leases()
 
+    async def _redial(self, duration_s: float) -> bool:
+        """Try the known registrars for a time; tell whether one of them worked."""
+        end_s = anyio.current_time() + duration_s
+        while (left_s := end_s - anyio.current_time()) > 0:
+            await anyio.sleep(min(left_s, REDIAL_S * self._rng.uniform(0.5, 1.0)))
+            known = [lease for lease in self._leases.values() if lease.daemon]
+            if known and await self._attach(self._rng.choice(known)):
+                return True
+        return False
+
     async def _attach(self, lease: Lease) -> bool:
         """Attach to a registrar until that ends; tell whether it worked for a while."""
         started_s = anyio.current_time()
--- a/src/berylmast/tests/fake_parts.py
+++ b/src/berylmast/tests/fake_parts.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 import anyio
+from anyio.streams.memory import MemoryObjectSendStream
 from anyio.streams.stapled import StapledObjectStream
 
 from ..backends.client import (
@@ -71,12 +72,22 @@
     ANSWER = "answer"
 
 
+@dataclass
+class FakeRun:
+    """One run in a backend server's ledger; ``started_s`` is on the test's clock."""
+
+    request_id: str
+    started_s: float
+    completed: bool = False
+
+
 @dataclass
 class FakeBackend(BackendClient):
     """Replaces the HTTP client; ``runs`` is the backend server's own ledger.
 
     ``cut_at`` ends the connection at a step; ``stall_at`` makes the backend server
-    silent there. ``run_s`` is the service time in seconds.
+    silent there. ``run_s`` is the service time in seconds. With ``echo`` the answer's
+    first part is the request id. ``ledger`` holds the same runs with their times.
     """
 
     name: str
@@ -88,6 +99,9 @@
     stall_at: Step | None = None
     runs: list[str] = field(default_factory=list)
     received: list[tuple[dict[bytes, bytes], bytes]] = field(default_factory=list)
+    status: int = 200
+    echo: bool = False
+    ledger: list[FakeRun] = field(default_factory=list)
 
     @asynccontextmanager
     async def send(
@@ -104,18 +118,23 @@
         data = b"".join([part async for part in body]) if body is not None else b""
         values = {key.lower(): value for key, value in headers}
         assert len(values) == len(headers), "a header was set twice"
-        self.runs.append(values[b"x-request-id"].decode())
+        request_id = values[b"x-request-id"].decode()
+        run = FakeRun(request_id, anyio.current_time())
+        self.runs.append(request_id)
+        self.ledger.append(run)
         self.received.append((values, data))
         await anyio.sleep(self.run_s)
         await self._fail_at(Step.RUN)
-        yield BackendAnswer(200, self.headers, self._iterate_parts())
+        yield BackendAnswer(self.status, self.headers, self._iterate_parts(run))
 
-    async def _iterate_parts(self) -> AsyncIterator[bytes]:
-        for number, part in enumerate(self.parts):
+    async def _iterate_parts(self, run: FakeRun) -> AsyncIterator[bytes]:
+        named = (run.request_id.encode(),) if self.echo else ()
+        for number, part in enumerate((*named, *self.parts)):
             if number:
                 await anyio.sleep(self.part_pause_s)
                 await self._fail_at(Step.ANSWER)
             yield part
+        run.completed = True
 
     async def _fail_at(self, step: Step) -> None:
         if self.stall_at is step:
@@ -143,18 +162,38 @@
         self.on_frame: OnFrame | None = None
         self.other: FakeStream
         self._reader = FrameReader()
+        self._held: list[bytes] | None = None
+        self._late: MemoryObjectSendStream[bytes]
 
     async def send(self, item: bytes) -> None:
         """Send the frames that pass ``on_frame``."""
         for frame in self._reader.feed(item):
             passes = self.on_frame is None or self.on_frame(self, frame)
-            if passes and not self.silent:
+            if passes and self._held is not None:
+                self._held.append(encode_frame(frame))
+            elif passes and not self.silent:
                 await super().send(encode_frame(frame))
 
     async def receive(self, max_bytes: int = 65_536) -> bytes:
         """Return what the other end sent."""
         return await super().receive()
 
+    def cut_late(self) -> None:
+        """End the link for this end; the other gets what is sent by then later on."""
+        self._held = []
+        self._late = self.send_stream.clone()  # type: ignore[attr-defined]
+        self.other.silent = True
+        self.other.send_stream.close()  # type: ignore[attr-defined]
+
+    def deliver_late(self) -> None:
+        """Deliver what was held back; ``end_late`` delivers the end of the link."""
+        for item in self._held or ():
+            self._late.send_nowait(item)
+
+    def end_late(self) -> None:
+        """End the link for the other end too."""
+        self._late.close()
+
     def silence(self) -> None:
         """Lose everything from now on, both ways, without closing."""
         self.silent = self.other.silent = True
