Log and count requests that are refused before they are classified

Cause: a request for an unknown host left no log line, and its answer an empty request id. Change: such refusals are recorded with service and priority (none) and a new request id.

--- a/src/berylmast/callers/app.py
+++ b/src/berylmast/callers/app.py
@@ -13,10 +13,10 @@
 from .answer import CallerAnswer
 from .body import CallerBody
 from .classify import (
-    REQUEST_ID_HEADER,
     Classified,
     classify_request,
     read_host,
+    read_request_id,
     read_wait_s,
 )
 from .context import AnswerSink
@@ -27,6 +27,9 @@
 TRAILERS_KEY = "berylmast.trailers"
 """Scope key of the list to which the HTTP server adds the request's trailers."""
 
+UNCLASSIFIED = "(none)"
+"""Service and priority in the log of a request refused before they were known."""
+
 
 class AnswerCut(Exception):
     """The answer ended early; the server closes the caller's connection."""
@@ -44,7 +47,8 @@
             return
         if running >= limits.max_requests:
             detail = f"{running} requests of callers are running"
-            await _refuse(scope, send, Refusal(ErrorKind.TOO_MANY_REQUESTS, detail))
+            refusal = Refusal(ErrorKind.TOO_MANY_REQUESTS, detail)
+            await _refuse(scope, send, refusal, sight)
             return
         running += 1
         try:
@@ -53,7 +57,7 @@
                 scope, directory, limits, forwarder.next_attempt
             )
             if classified.is_err():
-                await _refuse(scope, send, classified.unwrap_err())
+                await _refuse(scope, send, classified.unwrap_err(), sight)
             else:
                 req = classified.unwrap()
                 await _serve(scope, receive, send, req, forwarder, sight)
@@ -63,9 +67,26 @@
     return app
 
 
-async def _refuse(scope: dict[str, Any], send: Any, refusal: Refusal) -> None:
+async def _refuse(
+    scope: dict[str, Any], send: Any, refusal: Refusal, sight: Sight
+) -> None:
+    """Refuse a request that was not classified; log and count it all the same."""
     headers = dict(scope["headers"])
-    request_id = headers.get(REQUEST_ID_HEADER, b"").decode("latin-1")
+    request_id = read_request_id(headers)
+    sight.record_request(
+        RequestLog(
+            request=request_id,
+            service=UNCLASSIFIED,
+            priority=UNCLASSIFIED,
+            tenant="",
+            backend="",
+            attempts=0,
+            outcome=refusal.answer.outcome,
+            reason=refusal.kind,
+            status=refusal.answer.status,
+            duration_ms=0.0,
+        )
+    )
     # A caller that waits for 100 Continue leaves its body out: the next bytes on the
     # connection would be taken for that body.
     close = b"expect" in headers
--- a/src/berylmast/callers/classify.py
+++ b/src/berylmast/callers/classify.py
@@ -1,6 +1,6 @@
 """From an HTTP request to a classified request head."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 from uuid import uuid4
@@ -98,7 +98,7 @@
     if length is not None and length > service.max_body_bytes:
         return _refuse(ErrorKind.BODY_TOO_LARGE, f"body of {length} bytes")
     head = RequestHead(
-        request_id=values.get(REQUEST_ID_HEADER, b"").decode("latin-1") or uuid4().hex,
+        request_id=read_request_id(values),
         attempt=next_attempt(),
         service=service.service,
         priority=route.priority,
@@ -143,6 +143,11 @@
     return value.decode("latin-1").partition(":")[0].lower()
 
 
+def read_request_id(values: Mapping[bytes, bytes]) -> str:
+    """Return the caller's request id, a new one if it sent none."""
+    return values.get(REQUEST_ID_HEADER, b"").decode("latin-1") or uuid4().hex
+
+
 def read_wait_s(scope: dict[str, Any]) -> float:
     """Return how long a request may wait for an unknown host, by its own deadline."""
     text: bytes = dict(scope["headers"]).get(DEADLINE_HEADER, b"")
