--- a/src/berylmast/daemons/codec.py
+++ b/src/berylmast/daemons/codec.py
@@ -19,6 +19,10 @@
 MAX_FRAME_BYTES = 256 * 1024
 """A larger frame is a protocol error; a body frame carries at most 16 KiB."""
 
+MAX_ARRAY_ITEMS = 4_096
+"""msgpack makes room for an array before its items arrive: without a limit, 5 KB of
+nested array heads took 82 MB. The longest arrays are subscriptions to all services."""
+
 _NESTED = (AttemptId, LoadReport, RequestHead)
 # Tags are positions in the Frame union: new frame types are appended there.
 _FRAME_TYPES: tuple[type[Any], ...] = get_args(Frame)
@@ -98,7 +102,10 @@
 
     def __init__(self) -> None:
         self._unpacker = msgpack.Unpacker(
-            raw=False, max_buffer_size=2 * MAX_FRAME_BYTES, use_list=True
+            raw=False,
+            max_buffer_size=2 * MAX_FRAME_BYTES,
+            max_array_len=MAX_ARRAY_ITEMS,
+            use_list=True,
         )
 
     def feed(self, data: bytes) -> Iterator[Frame]:
--- /dev/null
+++ b/src/berylmast/daemons/tests/test_codec_properties.py
@@ -0,0 +1,129 @@
+"""Guards against bytes that break the frame codec, however they arrive."""
+
+import tracemalloc
+from dataclasses import fields, is_dataclass
+from typing import Any, cast, get_args, get_origin
+
+import msgpack
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ...model import Headers
+from ..codec import MAX_FRAME_BYTES, FrameReader, ProtocolError, encode_frame
+from ..frames import Frame
+from .test_codec import FRAMES
+
+MEMORY_LIMIT_BYTES = 160 * MAX_FRAME_BYTES
+"""msgpack makes room for each of 1,024 nested arrays before their items arrive."""
+
+HEADERS = st.lists(st.tuples(st.binary(max_size=20), st.binary(max_size=20)))
+INTEGERS = st.integers(0, 2**64 - 1)
+
+
+def build(cls: type[Any]) -> st.SearchStrategy[Any]:
+    """Return any value of a frame type or of a type inside one."""
+    return st.builds(cls, **{item.name: build_field(item.type) for item in fields(cls)})
+
+
+def build_field(kind: Any) -> st.SearchStrategy[Any]:
+    """Return any value of a field's type; integers are those that msgpack can carry."""
+    args = get_args(kind)
+    if kind is Headers:
+        return HEADERS
+    if kind is int:
+        return INTEGERS
+    if kind is float:
+        return st.floats(allow_nan=False)
+    if is_dataclass(kind):
+        return build(cast(type[Any], kind))
+    if get_origin(kind) is tuple and args[-1] is Ellipsis:
+        return st.lists(build_field(args[0]), max_size=3).map(tuple)
+    if get_origin(kind) is tuple:
+        return st.tuples(*map(build_field, args))
+    if args:
+        return st.one_of(*map(build_field, args))
+    return st.from_type(kind)
+
+
+ANY_FRAME = st.one_of([build(cls) for cls in get_args(Frame)])
+SCALARS = st.none() | st.booleans() | INTEGERS | st.floats() | st.text() | st.binary()
+VALUES = st.recursive(
+    SCALARS,
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=10,
+)
+
+
+def cut(data: bytes, cuts: list[int]) -> list[bytes]:
+    """Return the bytes in parts, some of them empty."""
+    ends = sorted(at % (len(data) + 1) for at in cuts)
+    starts = [0, *ends]
+    return [data[a:b] for a, b in zip(starts, [*ends, len(data)], strict=True)]
+
+
+@given(st.lists(ANY_FRAME, min_size=1, max_size=4), st.lists(st.integers(0, 5000)))
+def test_frames_survive_any_cutting(sent: list[Frame], cuts: list[int]) -> None:
+    reader = FrameReader()
+    parts = cut(b"".join(map(encode_frame, sent)), cuts)
+    assert [frame for part in parts for frame in reader.feed(part)] == sent
+
+
+def read(parts: list[bytes]) -> list[Frame]:
+    """Return the frames up to the first damage; any other exception is a fault."""
+    reader, frames = FrameReader(), []
+    try:
+        for part in parts:
+            for frame in reader.feed(part):
+                frames.append(frame)
+    except ProtocolError:
+        pass
+    return frames
+
+
+@given(st.binary(max_size=200), st.lists(st.integers(0, 200), max_size=3))
+def test_any_bytes_give_frames_or_a_protocol_error(
+    data: bytes, cuts: list[int]
+) -> None:
+    assert all(isinstance(frame, get_args(Frame)) for frame in read(cut(data, cuts)))
+
+
+@given(st.integers(-1, 40), st.lists(VALUES, max_size=6))
+def test_any_values_give_a_frame_or_a_protocol_error(tag: int, items: Any) -> None:
+    for frame in read([msgpack.packb([tag, *items])]):
+        encode_frame(frame)
+
+
+@given(
+    st.sampled_from(FRAMES),
+    st.lists(st.tuples(st.integers(0, 500), st.integers(0, 255)), max_size=4),
+)
+def test_damaged_frame_is_a_frame_or_a_protocol_error(
+    frame: Frame, damage: list[tuple[int, int]]
+) -> None:
+    data = bytearray(encode_frame(frame))
+    for at, value in damage:
+        data[at % len(data)] = value
+    read([bytes(data)])
+
+
+@pytest.mark.parametrize(
+    "unit",
+    [
+        b"\xdd\x00\x07\xff\xff",  # arrays within arrays, each said to be long
+        b"\xdd\x00\x00\x0f\xff",
+        b"\xdf\x00\x03\xff\xff\xa1a",  # the same with maps
+        b"\x91",
+        b"\xc6\x7f\xff\xff\xff",
+        b"\xdb\x00\x07\xff\xff",
+    ],
+)
+def test_no_stream_takes_unbounded_memory(unit: bytes) -> None:
+    """Guards against a peer that claims sizes which it never sends, or does send."""
+    tracemalloc.start()
+    try:
+        read([unit * 100] * 20)
+        read([unit, *[bytes(MAX_FRAME_BYTES)] * 256])
+        assert tracemalloc.get_traced_memory()[1] < MEMORY_LIMIT_BYTES
+    finally:
+        tracemalloc.stop()
--- a/src/berylmast/membership/directory.py
+++ b/src/berylmast/membership/directory.py
@@ -33,6 +33,7 @@
         self._slices: dict[str, ServiceSlice] = {}
         self._dropped: dict[str, int] = {}
         self._hosts: dict[str, str] = {}
+        self._claims: dict[str, set[str]] = {}
         self._endpoints: dict[str, dict[str, Endpoint]] = {}
         self._gone: dict[tuple[str, str], None] = {}
         self._ask_host: Callable[[str], None] | None = None
@@ -133,7 +134,8 @@
         self._dropped.pop(new.service, None)
         self._slices[new.service] = new
         for host in new.hosts:
-            self._hosts[host] = new.service
+            self._claims.setdefault(host, set()).add(new.service)
+            self._settle_host(host)
             self._wake(host)
         return True
 
@@ -177,9 +179,20 @@
         if old is None:
             return
         for host in old.hosts:
-            # Another service may have taken the host over in the same document.
-            if self._hosts.get(host) == service:
-                del self._hosts[host]
+            self._claims[host].discard(service)
+            self._settle_host(host)
+
+    def _settle_host(self, host: str) -> None:
+        """Give a host to the service with the newest slice that has it.
+
+        While a host moves from one service to another, slices of both may arrive in
+        any order, also from a registrar with an older document.
+        """
+        claims = self._claims[host]
+        if claims:
+            self._hosts[host] = max(claims, key=lambda n: (self._slices[n].version, n))
+        else:
+            del self._claims[host], self._hosts[host]
 
     def _wake(self, host: str) -> None:
         event = self._waiting.pop(host, None)
--- a/src/berylmast/operators/checks.py
+++ b/src/berylmast/operators/checks.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection, Iterator
 from difflib import get_close_matches
+from math import isfinite
 
 from .models import Document, ServiceModel, ShiftModel
 
@@ -87,6 +88,8 @@
                 yield f"{path}.{region}: the region has no backend server"
         if not any(weight > 0 for weight in step.weights.values()):
             yield f"{path}: no region has a weight above 0"
+        if not isfinite(sum(step.weights.values())):
+            yield f"{path}: the weights are too large to be added up"
 
 
 def _describe_unknown(value: str, known: Collection[str]) -> str:
--- a/src/berylmast/operators/document.py
+++ b/src/berylmast/operators/document.py
@@ -18,7 +18,11 @@
 
     Raises DocumentError with one line per fault.
     """
-    size = len(text.encode())
+    try:
+        size = len(text.encode())
+    except UnicodeEncodeError as exc:
+        # JSON from the platform's store may hold half of a surrogate pair.
+        raise DocumentError(f"character {exc.start}: not valid Unicode") from exc
     if size > MAX_DOCUMENT_BYTES:
         raise DocumentError(
             f"the document has {size} bytes, at most {MAX_DOCUMENT_BYTES} are allowed"
--- a/src/berylmast/operators/models.py
+++ b/src/berylmast/operators/models.py
@@ -8,8 +8,12 @@
 """The platform holds values of up to 1 MB."""
 
 
+MAX_SLOTS = 1_000_000
+"""Load reports carry the slots; an integer beyond 64 bits cannot be sent."""
+
+
 class _Strict(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
+    model_config = ConfigDict(extra="forbid", frozen=True, allow_inf_nan=False)
 
 
 class PriorityModel(_Strict):
@@ -67,7 +71,9 @@
     hosts: frozenset[str] = Field(min_length=1)
     policy: str = "hot_cold"
     ejection: bool = Field(True, description="leave out servers that answer errors")
-    slots: int = Field(ge=1, description="concurrent requests of one backend server")
+    slots: int = Field(
+        ge=1, le=MAX_SLOTS, description="concurrent requests of one backend server"
+    )
     connections: int = Field(260, ge=1, description="connections of a backend server")
     max_body_bytes: int = Field(1 << 30, ge=0)
     regions: dict[str, RegionModel] = {}
