--- a/src/berylmast/operators/tests/test_document_properties.py
+++ b/src/berylmast/operators/tests/test_document_properties.py
@@ -119,3 +119,20 @@
     text = json.dumps(valid)
     parse_document(text)
     check(text)
+
+
+def list_places(value: Any) -> list[tuple[Any, Any]]:
+    """Return every container inside a value with each of its keys."""
+    keys = list(value) if isinstance(value, dict) else range(len(value))
+    found = [(value, key) for key in keys]
+    inner = [value[key] for key in keys if isinstance(value[key], dict | list)]
+    return found + [place for item in inner for place in list_places(item)]
+
+
+@pytest.mark.parametrize("value", [None, -1, 9, 0.5, "", "x", [], {}, [[]], math.inf])
+def test_each_value_replaced_is_a_document_or_a_fault(value: Any) -> None:
+    for number in range(len(list_places(SHIFTED))):
+        document = copy.deepcopy(SHIFTED)
+        place, key = list_places(document)[number]
+        place[key] = value
+        check(json.dumps(document))
