--- a/src/berylmast/backends/_http.py
+++ b/src/berylmast/backends/_http.py
@@ -19,7 +19,6 @@
 """Bytes of a response's head, or of its trailers, that are accepted."""
 
 _READ_BYTES = 64 * 1024
-_SWITCHING_PROTOCOLS = 101
 
 
 class BackendCut(Exception):
@@ -87,13 +86,13 @@
                 self._fault = f"more than {MAX_HEAD_BYTES} bytes of headers"
 
     def on_headers_complete(self) -> None:
-        """Take the head; one with a status of 1xx is skipped."""
+        """Take the head; one with a status of 1xx is skipped.
+
+        The parser itself refuses a change of protocol.
+        """
         if self.complete:
             return
         status = self._parser.get_status_code()
-        if status == _SWITCHING_PROTOCOLS:
-            self._fault = "the server changed to a protocol nobody asked for"
-            return
         if status < 200:
             self._interim = True
             return
--- a/src/berylmast/backends/tests/test_client.py
+++ b/src/berylmast/backends/tests/test_client.py
@@ -169,6 +169,22 @@
         client.close()
 
 
+async def test_connection_with_a_doubled_empty_response_is_not_used_again() -> None:
+    connections = 0
+    raw = b"HTTP/1.1 204 No Content\r\n\r\n"
+
+    async def serve(stream: SocketStream) -> None:
+        nonlocal connections
+        connections += 1
+        await answer_with(raw + raw, [], close=False)(stream)
+
+    async with run_server(serve) as address:
+        client = BackendClient(address, 1)
+        for _ in range(2):
+            assert (await call(client))[0] == 204
+        assert connections == 2
+
+
 async def test_unreachable_server_is_told_apart_from_a_cut() -> None:
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
--- a/src/berylmast/callers/tests/test_app.py
+++ b/src/berylmast/callers/tests/test_app.py
@@ -48,7 +48,9 @@
 Owner = Callable[[Exchange], Coroutine[Any, Any, None]]
 
 
-def make_entry(owner: Owner, *, max_requests: int = 10) -> App:
+def make_entry(
+    owner: Owner, *, max_requests: int = 10, sight: Sight | None = None
+) -> App:
     """Return an app whose two backend servers are played by ``owner``."""
     directory = Directory()
     directory.put_slice(SLICE)
@@ -73,7 +75,8 @@
         next_attempt=lambda: AttemptId("e", 1, 1),
     )
     limits = LimitSettings(max_requests=max_requests)
-    return make_app(directory, limits, forwarder, Sight(None, log_requests=False))
+    sight = sight or Sight(None, log_requests=False)
+    return make_app(directory, limits, forwarder, sight)
 
 
 @dataclass
@@ -101,6 +104,9 @@
 
     async def _send(self, message: dict[str, Any]) -> None:
         self.sent.append(message)
+        if self.whole:
+            # As uvicorn does, also when the caller has not left.
+            self.leave()
 
     async def run(self, app: App) -> None:
         scope = {
@@ -309,6 +315,17 @@
     assert not caller.whole
 
 
+async def test_whole_answer_is_not_logged_as_cancelled() -> None:
+    async def owner(exchange: Exchange) -> None:
+        await exchange.receive()
+        await answer(exchange, Body(exchange.id, b"hi"), End(exchange.id))
+
+    sight = Sight(None, log_requests=False)
+    await Caller().run(make_entry(owner, sight=sight))
+    counts: Any = sight.summarise()["counts"]
+    assert [item["outcome"] for item in counts] == ["answered"]
+
+
 async def test_body_without_a_head_is_an_error() -> None:
     async def owner(exchange: Exchange) -> None:
         await exchange.receive()
