Drop frames after the closing frame of an exchange on the sending side

A deadline that passes between End and the end of its task makes the owner send Fail after End. The receiver treats that as a fault of the peer and would close the connection with every other exchange on it.

--- a/src/berylmast/daemons/exchange.py
+++ b/src/berylmast/daemons/exchange.py
@@ -55,6 +55,7 @@
         self.id = exchange_id
         self.lost = False
         self.peer_closed = False
+        self._closed = False
         self._opened = opened
         self._reset = anyio.Event()
         self._write = write
@@ -67,14 +68,19 @@
     async def send(self, frame: Frame) -> None:
         """Queue a frame; a body frame first waits for credit.
 
-        Raises ExchangeLost if the connection has ended.
+        After the closing frame of this side, others are dropped: a deadline may pass
+        between the end of an answer and that of its task. Raises ExchangeLost if the
+        connection has ended.
         """
+        if self._closed and not isinstance(frame, Reset):
+            return
         if isinstance(frame, Body):
             while self._credit < len(frame.data) and not self.lost:
                 await self._credit_added.wait()
             self._credit -= len(frame.data)
         if self.lost:
             raise ExchangeLost
+        self._closed = self._closed or isinstance(frame, CLOSING_FRAMES)
         self._write(frame)
 
     async def send_body(self, data: bytes) -> None:
