--- a/src/berylmast/daemons/exchange.py
+++ b/src/berylmast/daemons/exchange.py
@@ -62,6 +62,7 @@
         self.was_reset = False
         # Called instead of queueing a heartbeat, which then wakes no task.
         self.on_beat: Callable[[int], None] | None = None
+        self._closed = False
         self._opened = opened
         self._cancelled_scope: anyio.CancelScope | None = None
         self._only_reset = False
@@ -79,8 +80,12 @@
     async def send(self, frame: Frame) -> None:
         """Queue a frame; a body frame first waits for credit.
 
-        Raises ExchangeLost if the connection has ended.
+        After the closing frame of this side, others are dropped: a deadline may pass
+        between the end of an answer and that of its task. Raises ExchangeLost if the
+        connection has ended.
         """
+        if self._closed and not isinstance(frame, Reset):
+            return
         if isinstance(frame, Body):
             while self._credit < len(frame.data) and not self.lost:
                 self._credit_added = self._credit_added or anyio.Event()
@@ -88,6 +93,7 @@
             self._credit -= len(frame.data)
         if self.lost:
             raise ExchangeLost
+        self._closed = self._closed or isinstance(frame, CLOSING_FRAMES)
         self._write(frame)
 
     def send_beat(self, version: int) -> None:
