Split the daemon's wiring; reset a local exchange that is left early

Reading it as a newcomer showed two faults: a caller that left a request to the local backend server did not cancel a non-idempotent one, since no Reset was sent on the path without a socket, and the document's connections key had no effect. Change: wiring.py makes the parts, local_exchange.py holds the path without a socket and sends Reset when it is left early; a document with more slots than connections is refused, so that the limit on slots also bounds the connections.

--- /dev/null
+++ b/src/berylmast/local_exchange.py
@@ -0,0 +1,57 @@
+"""Exchanges with the owner in the same process, without a socket."""
+
+from collections.abc import AsyncIterator, Callable
+from contextlib import AbstractAsyncContextManager, asynccontextmanager
+
+import anyio
+
+from .backends import Owner
+from .daemons import Exchange, ExchangeLost, PeerPool, connect_exchanges
+from .daemons.frames import OpeningFrame, Reset
+from .errors import ErrorKind
+from .model import Endpoint
+
+
+def make_opener(
+    pool: PeerPool, owner: Owner | None, daemon_id: str
+) -> Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]:
+    """Return the function that opens an exchange with an endpoint's owner."""
+
+    def open_exchange(endpoint: Endpoint) -> AbstractAsyncContextManager[Exchange]:
+        if owner is not None and endpoint.backend == daemon_id:
+            return open_local(owner)
+        return pool.exchange(endpoint)
+
+    return open_exchange
+
+
+@asynccontextmanager
+async def open_local(owner: Owner) -> AsyncIterator[Exchange]:
+    """Serve the local backend server without a socket; leaving early resets it."""
+    entry_side, owner_side = connect_exchanges()
+
+    async def accept() -> None:
+        frame = await owner_side.receive()
+        assert isinstance(frame, OpeningFrame)
+        try:
+            await owner.accept(owner_side, frame)
+        except ExchangeLost:
+            pass
+        finally:
+            entry_side.lose()
+
+    lost: ExchangeLost | None = None
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(accept)
+        try:
+            yield entry_side
+        except ExchangeLost as exc:
+            # Raised here, it would reach the caller inside an ExceptionGroup.
+            lost = exc
+        finally:
+            if not entry_side.peer_closed and not owner_side.lost:
+                owner_side.deliver(Reset(owner_side.id, ErrorKind.CANCELLED))
+            owner_side.lose()
+            entry_side.discard()
+    if lost is not None:
+        raise lost
--- a/src/berylmast/operators/checks.py
+++ b/src/berylmast/operators/checks.py
@@ -51,6 +51,11 @@
 def _check_service(
     document: Document, service: ServiceModel, policies: Collection[str]
 ) -> Iterator[str]:
+    if service.slots > service.connections:
+        yield (
+            f"slots: {service.slots} slots need as many connections, "
+            f"{service.connections} are allowed"
+        )
     if service.policy not in policies:
         yield f"policy: {_describe_unknown(service.policy, policies)}"
     known = [priority.name for priority in document.priorities]
--- a/src/berylmast/operators/models.py
+++ b/src/berylmast/operators/models.py
@@ -7,6 +7,10 @@
 MAX_DOCUMENT_BYTES = 1_000_000
 """The platform holds values of up to 1 MB."""
 
+MAX_CONNECTIONS = 1_024
+"""Most connections to one backend server. Requests in flight, and so connections in
+use, never exceed the slots, which never exceed ``connections``."""
+
 
 MAX_SLOTS = 1_000_000
 """Load reports carry the slots; an integer beyond 64 bits cannot be sent."""
@@ -74,7 +78,9 @@
     slots: int = Field(
         ge=1, le=MAX_SLOTS, description="concurrent requests of one backend server"
     )
-    connections: int = Field(260, ge=1, description="connections of a backend server")
+    connections: int = Field(
+        260, ge=1, le=MAX_CONNECTIONS, description="connections of a backend server"
+    )
     max_body_bytes: int = Field(1 << 30, ge=0)
     regions: dict[str, RegionModel] = {}
     shift: ShiftModel | None = None
--- a/src/berylmast/operators/tests/test_document.py
+++ b/src/berylmast/operators/tests/test_document.py
@@ -45,6 +45,8 @@
         ({"slot": 6}, "services.orders.slot: unknown key; did you mean 'slots'?"),
         ({"slots": 0}, "services.orders.slots: input should be greater than or equal"),
         ({"slots": "six"}, "got 'six'"),
+        ({"slots": 7, "connections": 6}, "7 slots need as many connections, 6 are"),
+        ({"connections": 2000}, "services.orders.connections: input should be less"),
         ({"hosts": []}, "services.orders.hosts"),
         ({"hosts": ["Orders"]}, "'Orders' must be in lower case"),
         ({"policy": "randon"}, "policy: 'randon' is not declared; did you mean"),
--- a/src/berylmast/tests/fakes.py
+++ b/src/berylmast/tests/fakes.py
@@ -21,11 +21,11 @@
 from ..callers.body import CallerBody
 from ..callers.classify import Classified
 from ..callers.forward import Forwarder, Trace
-from ..daemon import open_local
 from ..daemons import ConnectionLost, Exchange, Identity, PeerConnection
 from ..daemons.frames import GoAway, Reset
 from ..errors import ErrorKind, Refusal
 from ..limits import AdmissionController, EntryShedder, RetryBudget
+from ..local_exchange import open_local
 from ..membership import Directory
 from ..model import (
     AttemptId,
--- a/src/berylmast/tests/test_slice_getter.py
+++ b/src/berylmast/tests/test_slice_getter.py
@@ -1,7 +1,7 @@
 """Guards against an owner that fails because its document slice is missing."""
 
-from ..daemon import make_slice_getter
 from ..membership import Directory
+from ..wiring import make_slice_getter
 from .fake_parts import make_slice
 
 
--- /dev/null
+++ b/src/berylmast_dev/tests/test_crash.py
@@ -0,0 +1,91 @@
+"""Guards against double runs and untrue outcomes when real processes die or freeze."""
+
+import os
+import signal
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any
+
+import anyio
+import pytest
+
+from ..fleet import Fleet, Member, find_ports, read_ledger, run_fleet
+from ..load import LoadClass, run_load
+
+pytestmark = pytest.mark.anyio
+
+DOCUMENT = Path(__file__).parents[3] / "examples" / "kalvola.json5"
+ORDERS = LoadClass("orders", "orders", "POST", "/orders", 60, 400)
+SECONDS = 6.0
+VICTIM = "orders-0"
+FROZEN_S = 3.0
+"""Longer than the silence limit of a peer stream."""
+
+
+@pytest.fixture
+def anyio_backend(real_clock: tuple[str, dict[str, Any]]) -> tuple[str, dict[str, Any]]:
+    return real_clock
+
+
+def send_signal(fleet: Fleet, name: str, signum: signal.Signals) -> None:
+    os.kill(fleet.processes[name].pid, signum)
+
+
+async def kill_daemon(fleet: Fleet) -> None:
+    send_signal(fleet, f"daemon-{VICTIM}", signal.SIGKILL)
+
+
+async def freeze_daemon(fleet: Fleet) -> None:
+    send_signal(fleet, f"daemon-{VICTIM}", signal.SIGSTOP)
+    await anyio.sleep(FROZEN_S)
+    send_signal(fleet, f"daemon-{VICTIM}", signal.SIGCONT)
+
+
+async def freeze_backend(fleet: Fleet) -> None:
+    send_signal(fleet, f"backend-{VICTIM}", signal.SIGSTOP)
+    await anyio.sleep(FROZEN_S)
+    send_signal(fleet, f"backend-{VICTIM}", signal.SIGCONT)
+
+
+async def kill_platform(fleet: Fleet) -> None:
+    send_signal(fleet, "platform", signal.SIGKILL)
+
+
+@pytest.mark.parametrize(
+    ("strike", "answered"),
+    [
+        (kill_daemon, 0.9),
+        (freeze_daemon, 0.9),
+        (freeze_backend, 0.9),
+        (kill_platform, 1.0),
+    ],
+    ids=lambda value: getattr(value, "__name__", None),
+)
+async def test_outcomes_are_true_when_a_process_fails_under_load(
+    strike: Callable[[Fleet], Awaitable[None]], answered: float
+) -> None:
+    first = find_ports(12)
+    members = [
+        Member(f"orders-{n}", "orders", "north", "n1", 6, 20.0, first + 4 * n)
+        for n in range(3)
+    ]
+
+    async def strike_later(fleet: Fleet) -> None:
+        await anyio.sleep(1.5)
+        await strike(fleet)
+
+    async with run_fleet(members, DOCUMENT) as fleet:
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(strike_later, fleet)
+            entries = [member.entry for member in members[1:]]
+            results = await run_load(entries, [ORDERS], SECONDS)
+        ledgers = [await read_ledger(member) for member in members]
+    result = results["orders"]
+    runs = Counter(request for ledger in ledgers for request in ledger)
+    assert [request for request, count in runs.items() if count > 1] == []
+    assert [request for request in result.not_run_ids if request in runs] == []
+    assert [request for request in result.answered_ids if request not in runs] == []
+    assert set(result.outcomes) <= {"unknown", "not-run", "failed"}
+    total = result.answered + sum(result.outcomes.values())
+    assert result.answered >= answered * total, result.outcomes
