Send statsd sums every 10 s instead of a datagram for each request

Change: StatsdReport adds up counters and durations and sends them every 10 s; durations as gauges of the interval's p50 and p99. Before and after (computed): 30 KB/s, 0.6 KB/s for 20 services with three priorities.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -22,7 +22,7 @@
 from .routing import Prober, Router
 from .settings import DaemonSettings
 from .shutdown import serve_until_signal
-from .telemetry import Sight, log_event
+from .telemetry import Sight, log_event, make_statsd_report
 from .wiring import (
     make_accept,
     make_admission,
@@ -46,7 +46,8 @@
     """Run one daemon until SIGTERM or SIGINT."""
     identity = Identity(cfg.daemon_id, make_incarnation())
     directory = Directory()
-    sight = Sight(cfg.statsd)
+    statsd = make_statsd_report(cfg.statsd)
+    sight = Sight(statsd)
     lifecycle = Lifecycle()
     admission = make_admission(cfg, identity, directory, limits)
     owner = make_owner(cfg, admission)
@@ -60,6 +61,8 @@
     meter = ControlMeter()
     member = make_member(cfg, identity, directory, client, meter)
     async with anyio.create_task_group() as tg:
+        if statsd is not None:
+            tg.start_soon(statsd.run)
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
         prober = Prober(
             pool,
--- /dev/null
+++ b/src/berylmast/telemetry/statsd_report.py
@@ -0,0 +1,76 @@
+"""Sends counters and percentiles to statsd at an interval.
+
+One datagram for each request would cost some 30 KB/s at 273 requests a second, ten
+times what a daemon may spend on control.
+"""
+
+from collections import Counter
+
+import anyio
+from hdrh.histogram import HdrHistogram
+from statsd import StatsClient
+
+from ..settings import Address
+from .histograms import HIGHEST_US, LOWEST_US, SIGNIFICANT_DIGITS
+
+STATSD_PREFIX = "berylmast"
+FLUSH_INTERVAL_S = 10.0
+
+
+class StatsdReport:
+    """Adds up what happened since the last flush."""
+
+    def __init__(self, client: StatsClient) -> None:
+        self._client = client
+        self._counts: Counter[str] = Counter()
+        self._durations: dict[str, HdrHistogram] = {}
+
+    def add(
+        self, service: str, priority: str, outcome: str, reason: str, duration_ms: float
+    ) -> None:
+        """Count one request."""
+        name = f"{_clean(service)}.{_clean(priority)}"
+        self._counts[f"{name}.{outcome}"] += 1
+        if reason:
+            self._counts[f"{name}.reason.{reason}"] += 1
+        histogram = self._durations.get(name)
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self._durations[name] = histogram
+        duration_us = int(duration_ms * 1000)
+        histogram.record_value(min(max(duration_us, LOWEST_US), HIGHEST_US))
+
+    def flush(self) -> None:
+        """Send what was added since the last flush; nothing if nothing was."""
+        counts, self._counts = self._counts, Counter()
+        durations, self._durations = self._durations, {}
+        if not counts:
+            return
+        with self._client.pipeline() as pipe:
+            for name, count in sorted(counts.items()):
+                pipe.incr(name, count)
+            for name, histogram in sorted(durations.items()):
+                for percentile in (50, 99):
+                    value_ms = histogram.get_value_at_percentile(percentile) / 1000
+                    pipe.gauge(f"{name}.duration_p{percentile}_ms", value_ms)
+
+    async def run(self) -> None:
+        """Flush at the interval until cancelled, and once more then."""
+        try:
+            while True:
+                await anyio.sleep(FLUSH_INTERVAL_S)
+                self.flush()
+        finally:
+            self.flush()
+
+
+def make_statsd_report(address: Address | None) -> StatsdReport | None:
+    """Return a report to a statsd server, None without an address."""
+    if address is None:
+        return None
+    return StatsdReport(StatsClient(address.host, address.port, STATSD_PREFIX))
+
+
+def _clean(name: str) -> str:
+    """Replace the characters that separate parts of a statsd line."""
+    return "".join(c if c.isalnum() or c in "-_" else "_" for c in name)
--- a/src/berylmast/telemetry/tests/test_telemetry.py
+++ b/src/berylmast/telemetry/tests/test_telemetry.py
@@ -8,6 +8,7 @@
 from ..histograms import HIGHEST_US, MAX_TENANTS, OTHER_TENANTS, Histograms
 from ..logs import KeyValueFormatter
 from ..sight import RequestLog, Sight
+from ..statsd_report import StatsdReport
 
 
 @pytest.mark.parametrize(
@@ -64,3 +65,42 @@
         assert part in line
     for part in ("priority=urgent", "outcome=not-run", "reason=shed", "status=503"):
         assert part in line
+
+
+class FakePipe:
+    """Collects the lines of a statsd pipeline."""
+
+    def __init__(self) -> None:
+        self.lines: dict[str, float] = {}
+
+    def __enter__(self) -> "FakePipe":
+        return self
+
+    def __exit__(self, *exc: object) -> None:
+        pass
+
+    def pipeline(self) -> "FakePipe":
+        return self
+
+    def incr(self, name: str, count: int) -> None:
+        self.lines[name] = count
+
+    def gauge(self, name: str, value: float) -> None:
+        self.lines[name] = value
+
+
+def test_statsd_gets_sums_and_not_a_datagram_for_each_request() -> None:
+    pipe = FakePipe()
+    report = StatsdReport(pipe)
+    for number in range(100):
+        report.add("court status", "urgent", "answered", "", 1.0 + number)
+    report.add("court status", "urgent", "not-run", "shed", 0.0)
+    assert pipe.lines == {}
+    report.flush()
+    name = "court_status.urgent"
+    assert pipe.lines[f"{name}.answered"] == 100
+    assert pipe.lines[f"{name}.reason.shed"] == 1
+    assert pipe.lines[f"{name}.duration_p50_ms"] == pytest.approx(50, rel=0.05)
+    pipe.lines.clear()
+    report.flush()
+    assert pipe.lines == {}
