Show priorities, outcomes and measuring bytes in the demo

Cause: the summary of make demo named classes only, and not what measuring cost. Change: a line for each service and priority with answered, not run, unknown, p50 and p99; the probes, their bytes and the calls of all entries.

--- a/src/berylmast_dev/demo.py
+++ b/src/berylmast_dev/demo.py
@@ -1,8 +1,11 @@
 """Runs a small Kalvola layout as separate processes and prints what callers saw."""
 
+import json
+from dataclasses import dataclass
 from pathlib import Path
 
 import anyio
+import httpcore
 from cyclopts import App
 
 from .fleet import PORTS_PER_MEMBER, Member, find_ports, run_fleet
@@ -11,14 +14,28 @@
 DOMAINS = [("north", "n1"), ("north", "n2"), ("south", "s1"), ("south", "s2")]
 SERVICES = {"catalogue": 20.0, "orders": 8.0, "drawings": 15.0, "fittings": 6.0}
 
+# The name of each class is its service and the priority that the document gives it.
 CLASSES = [
-    LoadClass("catalogue", "catalogue", "GET", "/pages/1", 60),
-    LoadClass("orders", "orders", "POST", "/orders", 30, 400, "dealers"),
-    LoadClass("drawings", "drawings", "PUT", "/drawings/1", 5, 200_000, "dealers"),
-    LoadClass("fittings", "fittings", "GET", "/specs/1", 30, 0, "installers"),
+    LoadClass("catalogue/browse", "catalogue", "GET", "/pages/1", 60),
+    LoadClass("orders/urgent", "orders", "POST", "/orders", 30, 400, "dealers"),
+    LoadClass("orders/normal", "orders", "GET", "/orders/1", 20, 0, "dealers"),
+    LoadClass(
+        "drawings/urgent", "drawings", "PUT", "/drawings/1", 5, 200_000, "dealers"
+    ),
+    LoadClass("drawings/normal", "drawings", "GET", "/drawings/1", 5, 0, "installers"),
+    LoadClass("fittings/normal", "fittings", "GET", "/specs/1", 30, 0, "installers"),
 ]
 
 
+@dataclass(frozen=True, slots=True)
+class Measuring:
+    """Calls of one entry, and what it spent on measuring backend servers for them."""
+
+    calls: int
+    probes: int
+    probe_bytes: int
+
+
 def make_kalvola() -> list[Member]:
     """Return four services of four backend servers, one in each failure domain."""
     members: list[Member] = []
@@ -31,14 +48,42 @@
     return members
 
 
-def print_summary(results: dict[str, LoadResult]) -> None:
-    """Print one line per class."""
-    print(f"{'class':<12}{'answered':>9}{'p50 ms':>9}{'p99 ms':>9}  other outcomes")
+HEADER = ("service", "priority", "answered", "not run", "unknown", "p50 ms", "p99 ms")
+WIDTHS = (11, 9, 9, 8, 8, 8, 8)
+
+
+def print_summary(results: dict[str, LoadResult], measuring: list[Measuring]) -> None:
+    """Print a line per service and priority, then the cost of measuring."""
+    print_row(HEADER)
     for name, result in results.items():
+        service, priority = name.split("/")
+        outcomes = dict(result.outcomes)
+        not_run, unknown = outcomes.pop("not-run", 0), outcomes.pop("unknown", 0)
         p50 = result.latencies_us.get_value_at_percentile(50) / 1000
         p99 = result.latencies_us.get_value_at_percentile(99) / 1000
-        others = " ".join(f"{k}={n}" for k, n in sorted(result.outcomes.items()))
-        print(f"{name:<12}{result.answered:>9}{p50:>9.1f}{p99:>9.1f}  {others or '-'}")
+        row = (service, priority, result.answered, not_run, unknown)
+        print_row((*row, f"{p50:.1f}", f"{p99:.1f}"))
+        if outcomes:
+            print(f"  other outcomes: {outcomes}")
+    calls = sum(item.calls for item in measuring)
+    probes = sum(item.probes for item in measuring)
+    size = sum(item.probe_bytes for item in measuring)
+    print(f"measuring: {probes} probes, {size} bytes for {calls} calls")
+
+
+def print_row(cells: tuple[object, ...]) -> None:
+    """Print one line in columns."""
+    pairs = zip(cells, WIDTHS, strict=True)
+    print(" ".join(f"{cell!s:>{width}}" for cell, width in pairs))
+
+
+async def read_measuring(member: Member) -> Measuring:
+    """Return what one entry spent on measuring."""
+    host, port = member.entry
+    async with httpcore.AsyncConnectionPool() as pool:
+        res = await pool.request("GET", f"http://{host}:{port + 2}/routing")
+    report = json.loads(res.content)
+    return Measuring(report["calls"], report["probes"], report["probe_bytes"])
 
 
 cli = App(name="demo", help=__doc__)
@@ -57,7 +102,8 @@
     async with run_fleet(members, document) as fleet:
         print(f"{len(fleet.processes)} processes run; sending traffic for {seconds} s")
         results = await run_load([m.entry for m in members], CLASSES, seconds)
-    print_summary(results)
+        measuring = [await read_measuring(member) for member in members]
+    print_summary(results, measuring)
 
 
 if __name__ == "__main__":
