--- a/src/berylmast/_serve.py
+++ b/src/berylmast/_serve.py
@@ -1,13 +1,13 @@
 """Runs an ASGI app under uvicorn as one task of this process."""
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any, cast
 
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
-from .callers.answer import make_error_headers
+from .callers.answer import format_error_body, make_error_answer
 from .callers.app import TRAILERS_KEY
 from .errors import ErrorKind, Refusal
 from .settings import Address, LimitSettings
@@ -36,9 +36,21 @@
     """
 
     max_header_bytes = 0
+    get_idle_s: Callable[[], float] | None = None
     _pending_bytes = 0
     _refused = False
 
+    @property
+    def timeout_keep_alive(self) -> float:
+        """Return the idle seconds after which a caller's connection is closed."""
+        if self.get_idle_s is not None:
+            return self.get_idle_s()
+        return self._timeout_keep_alive
+
+    @timeout_keep_alive.setter
+    def timeout_keep_alive(self, value: float) -> None:
+        self._timeout_keep_alive = value
+
     def data_received(self, data: bytes) -> None:
         """Parse bytes; refuse a head or trailers that outgrow the limit."""
         if self._refused:
@@ -97,20 +109,33 @@
 
 
 def _format_refusal(refusal: Refusal) -> bytes:
-    body = f"{refusal.kind}: {refusal.detail}\n".encode()
-    headers = [*make_error_headers(refusal, len(body)), (b"connection", b"close")]
+    body = format_error_body(refusal)
+    error = make_error_answer(refusal)
+    headers = [
+        *error.headers,
+        (b"content-length", str(len(body)).encode()),
+        (b"connection", b"close"),
+    ]
     lines = [key + b": " + value + b"\r\n" for key, value in headers]
-    return b"".join([STATUS_LINE[refusal.answer.status], *lines, b"\r\n", body])
+    return b"".join([STATUS_LINE[error.status], *lines, b"\r\n", body])
 
 
 def make_server(
-    app: Any, address: Address, limits: LimitSettings | None = None
+    app: Any,
+    address: Address,
+    limits: LimitSettings | None = None,
+    get_idle_s: Callable[[], float] | None = None,
 ) -> HttpServer:
-    """Return a server for one app; ``await server.serve()`` runs it."""
+    """Return a server for one app; ``await server.serve()`` runs it.
+
+    ``get_idle_s`` gives the idle time of callers' connections in seconds where it
+    changes while the server runs.
+    """
     limits = limits or LimitSettings()
-    protocol = type(
-        "Protocol", (BoundedProtocol,), {"max_header_bytes": limits.max_header_bytes}
-    )
+    members: dict[str, Any] = {"max_header_bytes": limits.max_header_bytes}
+    if get_idle_s is not None:
+        members["get_idle_s"] = staticmethod(get_idle_s)
+    protocol = type("Protocol", (BoundedProtocol,), members)
     return HttpServer(
         uvicorn.Config(
             app,
--- a/src/berylmast/backends/_http.py
+++ b/src/berylmast/backends/_http.py
@@ -5,9 +5,10 @@
 """
 
 import errno
+import re
 import socket
 from collections import deque
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 import httptools
@@ -19,6 +20,7 @@
 """Bytes of a response's head, or of its trailers, that are accepted."""
 
 _READ_BYTES = 64 * 1024
+_KEEP_ALIVE = re.compile(rb"timeout=(\d+)")
 
 
 class BackendCut(Exception):
@@ -26,9 +28,18 @@
 
 
 class ResponseParser:
-    """Collects one response from the bytes of a connection."""
+    """Collects one response from the bytes of a connection.
 
-    def __init__(self, *, has_body: bool) -> None:
+    Responses for which ``is_stray`` holds are skipped: a late one of an earlier request
+    may arrive where the next one is expected.
+    """
+
+    def __init__(
+        self,
+        *,
+        has_body: bool,
+        is_stray: Callable[[Headers], bool] = lambda _headers: False,
+    ) -> None:
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.trailers: list[tuple[bytes, bytes]] = []
@@ -38,7 +49,8 @@
         self.reusable = True
         self._has_body = has_body
         self._until_close = False
-        self._interim = False
+        self._skipping = False
+        self._is_stray = is_stray
         self._pending_bytes = 0
         self._field_bytes = 0
         self._fault: str | None = None
@@ -93,8 +105,8 @@
         if self.complete:
             return
         status = self._parser.get_status_code()
-        if status < 200:
-            self._interim = True
+        if status < 200 or self._is_stray(self.headers):
+            self._skipping = True
             return
         self.status = status
         self.head_done = True
@@ -111,24 +123,38 @@
         if self.complete:
             self.reusable = False
             return
+        if self._skipping:
+            self._pending_bytes = 0
+            return
         self.parts.append(data)
         self._pending_bytes = 0
 
     def on_message_complete(self) -> None:
-        """Note the end of the response, or of a head that is skipped."""
-        if self._interim:
-            self._interim = False
+        """Note the end of the response, or of one that is skipped."""
+        if self._skipping:
+            self._skipping = False
             self.headers.clear()
             self._pending_bytes = 0
             return
         self.complete = True
 
 
+def read_keep_alive_s(headers: Headers) -> float | None:
+    """Return after how many idle seconds the server closes, None if it does not say."""
+    for name, value in headers:
+        if name == b"keep-alive" and (found := _KEEP_ALIVE.search(value)):
+            return float(found[1])
+    return None
+
+
 class BackendConnection:
-    """Sends one request at a time and reads its response."""
+    """Sends one request at a time and reads its response.
+
+    ``usable_until_s`` is the time up to which an idle connection is used again.
+    """
 
     def __init__(self, sock: socket.socket) -> None:
-        self.idle_since_s = 0.0
+        self.usable_until_s = 0.0
         self._sock = sock
 
     async def send(self, data: bytes) -> None:
--- a/src/berylmast/backends/client.py
+++ b/src/berylmast/backends/client.py
@@ -16,13 +16,17 @@
     ResponseParser,
     connect_backend,
     format_head,
+    read_keep_alive_s,
 )
 
 __all__ = ["BackendAnswer", "BackendClient", "BackendCut", "BackendUnreachable"]
 
 CONNECT_TIMEOUT_S = 1.0
+KEEP_ALIVE_MARGIN = 0.3
+"""Share of the stated idle time that is not used: the server may close it meanwhile."""
+
 IDLE_LIMIT_S = 4.0
-"""Idle connections are closed after this time, oldest first.
+"""Idle connections are closed after this time where the server states none.
 
 Common servers close them after 5 s. A request that meets such a close is lost, and of a
 non-idempotent one nobody knows whether it ran.
@@ -71,11 +75,14 @@
         headers: Headers,
         body: AsyncIterator[bytes] | None,
         get_trailers: Callable[[], Headers] | None = None,
+        is_stray: Callable[[Headers], bool] = lambda _headers: False,
     ) -> AsyncIterator[BackendAnswer]:
         """Send one request and give its answer; leaving early cancels it.
 
-        ``get_trailers`` is called when the body has ended. Raises BackendUnreachable if
-        nothing was sent, BackendCut otherwise, and what ``body`` raises.
+        ``get_trailers`` is called when the body has ended; answers for which
+        ``is_stray`` holds belong to other requests and are skipped. Raises
+        BackendUnreachable if nothing was sent, BackendCut otherwise, and what ``body``
+        raises.
         """
         upload = None
         if body is not None:
@@ -89,7 +96,7 @@
             head = format_head(method, target, headers)
         except ValueError as exc:
             raise BackendUnreachable(str(exc)) from exc
-        parser = ResponseParser(has_body=method != "HEAD")
+        parser = ResponseParser(has_body=method != "HEAD", is_stray=is_stray)
         await self._acquire()
         conn: BackendConnection | None = None
         reusable = False
@@ -104,7 +111,7 @@
                     yield await _read_answer(conn, parser)
                     reusable = parser.complete and parser.reusable and sent.is_set()
         finally:
-            self._release(conn, reusable)
+            self._release(conn, reusable, read_keep_alive_s(parser.headers))
 
     async def _acquire(self) -> None:
         # acquire() yields to the event loop even when a connection is free.
@@ -139,13 +146,21 @@
             self._idle.pop().close()
 
     def _close_expired(self) -> None:
-        oldest_s = anyio.current_time() - IDLE_LIMIT_S
-        while self._idle and self._idle[0].idle_since_s < oldest_s:
+        now_s = anyio.current_time()
+        while self._idle and self._idle[0].usable_until_s < now_s:
             self._idle.popleft().close()
 
-    def _release(self, conn: BackendConnection | None, reusable: bool) -> None:
+    def _release(
+        self,
+        conn: BackendConnection | None,
+        reusable: bool,
+        keep_alive_s: float | None,
+    ) -> None:
         if conn is not None and reusable:
-            conn.idle_since_s = anyio.current_time()
+            limit_s = IDLE_LIMIT_S
+            if keep_alive_s is not None:
+                limit_s = keep_alive_s * (1 - KEEP_ALIVE_MARGIN)
+            conn.usable_until_s = anyio.current_time() + limit_s
             self._idle.append(conn)
         elif conn is not None:
             conn.close()
--- a/src/berylmast/backends/dispatch.py
+++ b/src/berylmast/backends/dispatch.py
@@ -1,15 +1,20 @@
 """Sends one admitted request to the backend server and streams its answer back."""
 
 from collections.abc import AsyncIterator, Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 import anyio
 
 from ..daemons import Exchange, ExchangeLost
 from ..daemons.frames import Body, Continue, End, Fail, Refuse, Response
 from ..errors import ErrorKind
-from ..model import Headers, LoadReport, RequestHead
+from ..model import BackendLoad, Headers, LoadReport, RequestHead
 from .client import BackendAnswer, BackendClient, BackendCut, BackendUnreachable
+from .interface import OWN_INTERFACE, BackendInterface, Verdict
+
+READ_AHEAD_BYTES = 64 * 1024
+"""Answers up to this size are whole before any of it is passed on, so that one that is
+cut short can still be asked for again."""
 
 # RFC 9110 section 6.5.1: fields that frame, route or authorise a message are not taken
 # from trailers.
@@ -36,6 +41,10 @@
     return [(k, v) for k, v in trailers if k.lower() not in _NOT_IN_TRAILERS]
 
 
+class AnswerInvalid(Exception):
+    """The backend server's answer can't be trusted."""
+
+
 class RequestCut(Exception):
     """The entry ended the request's body without an End frame."""
 
@@ -46,12 +55,15 @@
 
     ``status`` is None without a whole answer. ``answer_s`` is the time in seconds from
     the end of the request's body to the head of the answer. ``done`` is False if the
-    entry gave up first.
+    entry gave up first. ``refused`` tells that the backend server did not run it.
+    ``load`` is the load that the answer stated.
     """
 
     status: int | None = None
     answer_s: float | None = None
     done: bool = False
+    refused: bool = False
+    load: BackendLoad | None = field(default=None)
 
     @property
     def ok(self) -> bool:
@@ -65,6 +77,7 @@
     client: BackendClient,
     report: Callable[[], LoadReport],
     end: DispatchEnd,
+    interface: BackendInterface = OWN_INTERFACE,
 ) -> None:
     """Run a request until its answer is whole or the entry gives up.
 
@@ -73,7 +86,7 @@
     """
     with exchange.cancel_on_reset():
         try:
-            await _dispatch(exchange, head, client, report, end)
+            await _dispatch(exchange, head, client, report, end, interface)
             end.done = True
         except (ExchangeLost, RequestCut):
             # Nobody is left to answer; leaving the client cancels the request.
@@ -102,6 +115,7 @@
     client: BackendClient,
     report: Callable[[], LoadReport],
     end: DispatchEnd,
+    interface: BackendInterface,
 ) -> None:
     await exchange.send(Continue(exchange.id))
     sent_s = anyio.current_time()
@@ -116,11 +130,16 @@
         content = _iterate_body(exchange, trailers, mark_sent)
     try:
         async with client.send(
-            head.method, head.target, head.headers, content, lambda: trailers
+            head.method,
+            head.target,
+            head.headers,
+            content,
+            lambda: trailers,
+            lambda headers: interface.is_stray(head, headers),
         ) as answer:
             end.answer_s = anyio.current_time() - sent_s
-            await _send_answer(exchange, answer, report)
-            end.status = answer.status
+            end.load = interface.read_load(answer.headers)
+            await _judge_answer(exchange, answer, report, end, interface)
     except BackendUnreachable as exc:
         await exchange.send(
             Refuse(exchange.id, ErrorKind.BACKEND_UNREACHABLE, str(exc), report())
@@ -129,12 +148,47 @@
         await exchange.send(
             Fail(exchange.id, ErrorKind.BACKEND_CUT, str(exc), report())
         )
+    except AnswerInvalid as exc:
+        await exchange.send(
+            Fail(exchange.id, ErrorKind.ANSWER_INVALID, str(exc), report())
+        )
+
+
+async def _judge_answer(
+    exchange: Exchange,
+    answer: BackendAnswer,
+    report: Callable[[], LoadReport],
+    end: DispatchEnd,
+    interface: BackendInterface,
+) -> None:
+    match interface.judge(answer.status, answer.headers):
+        case Verdict.NOT_RUN:
+            end.refused = True
+            async for _ in answer.body:
+                pass
+            detail = f"the backend server answered {answer.status} without running it"
+            kind = ErrorKind.BACKEND_REFUSED
+            await exchange.send(Refuse(exchange.id, kind, detail, report(), 0, True))
+        case Verdict.INVALID:
+            raise AnswerInvalid(f"an answer of status {answer.status} has no proof")
+        case Verdict.VALID:
+            await _send_answer(exchange, answer, report)
+            end.status = answer.status
 
 
 async def _send_answer(
     exchange: Exchange, answer: BackendAnswer, report: Callable[[], LoadReport]
 ) -> None:
+    ahead: list[bytes] = []
+    size = 0
+    async for chunk in answer.body:
+        ahead.append(chunk)
+        size += len(chunk)
+        if size >= READ_AHEAD_BYTES:
+            break
     await exchange.send(Response(exchange.id, answer.status, answer.headers, report()))
+    for chunk in ahead:
+        await exchange.send_body(chunk)
     async for chunk in answer.body:
         await exchange.send_body(chunk)
     load = report()
--- a/src/berylmast/backends/owner.py
+++ b/src/berylmast/backends/owner.py
@@ -1,5 +1,6 @@
 """Runs the requests that entries send to the local backend server."""
 
+import math
 from collections.abc import Callable
 from dataclasses import replace
 
@@ -23,11 +24,17 @@
 )
 from ..errors import ErrorKind, Refusal
 from ..limits import AdmissionController, Permit
-from ..model import AttemptResult, AttemptState, LoadReport, RequestHead
+from ..model import (
+    AttemptResult,
+    AttemptState,
+    BackendLoad,
+    LoadReport,
+    RequestHead,
+)
 from ..telemetry import log_event
 from .client import BackendClient
 from .dispatch import DispatchEnd, dispatch_request
-from .headers import make_backend_head
+from .interface import OWN_INTERFACE, BackendInterface
 from .keys import KeyLedger
 from .ledger import AttemptLedger, Ending
 from .recorder import AttemptExchange
@@ -42,7 +49,8 @@
     """The only sender of work to the local backend server.
 
     While ``run`` runs, non-idempotent requests outlive the connection they came on, so
-    that a query over a new one can return their answer.
+    that a query over a new one can return their answer. ``get_backend`` gives the id of
+    the backend server that runs now; ``on_load`` gets the load that an answer states.
     """
 
     def __init__(
@@ -51,11 +59,17 @@
         ledger: AttemptLedger,
         client: BackendClient,
         keys: KeyLedger | None = None,
+        interface: BackendInterface = OWN_INTERFACE,
+        get_backend: Callable[[], str] = lambda: "",
+        on_load: Callable[[BackendLoad], None] = lambda _load: None,
     ) -> None:
         self._admission = admission
         self._ledger = ledger
         self._client = client
         self._keys = keys or KeyLedger()
+        self._interface = interface
+        self._get_backend = get_backend
+        self._on_load = on_load
         self._tg: TaskGroup | None = None
 
     async def run(
@@ -177,7 +191,13 @@
         if admitted.is_err():
             refusal = admitted.unwrap_err()
             await recorder.send(
-                Refuse(exchange.id, refusal.kind, refusal.detail, self._report())
+                Refuse(
+                    exchange.id,
+                    refusal.kind,
+                    refusal.detail,
+                    self._report(),
+                    math.ceil(refusal.wait_s * 1000),
+                )
             )
             return
         started_s = anyio.current_time()
@@ -200,18 +220,21 @@
                 return
             mark_dispatched()
             try:
-                await self._dispatch(
-                    recorder, make_backend_head(head, remaining_ms), end
+                backend_head = self._interface.make_head(
+                    head, remaining_ms, self._get_backend()
                 )
+                await self._dispatch(recorder, backend_head, end)
             finally:
                 result = AttemptResult(
                     ok=end.ok,
-                    refused=False,
+                    refused=end.refused,
                     latency_s=anyio.current_time() - started_s,
                     answer_s=end.answer_s,
                     cut_short=not end.done,
                 )
         finally:
+            if end.load is not None:
+                self._on_load(end.load)
             admitted.unwrap().release(result)
 
     async def _wait_admission(
@@ -229,7 +252,9 @@
         scope = anyio.move_on_after(head.deadline_ms / 1000)
         try:
             with scope:
-                await dispatch_request(recorder, head, self._client, self._report, end)
+                await dispatch_request(
+                    recorder, head, self._client, self._report, end, self._interface
+                )
         except* ExchangeLost:
             # Nobody is left to be told; the ledger records the attempt as abandoned.
             pass
--- /dev/null
+++ b/src/berylmast/backends/reporting.py
@@ -0,0 +1,154 @@
+"""Takes the reports of the local backend server and draws the consequences."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err, Ok, Result
+
+from ..limits.slots import SlotAdmission
+from ..model import Endpoint, EndpointState
+from ..telemetry import log_event
+from .announced import AnnouncedBackend, BackendReport, Departure
+
+ACCEPT_SHARE = 0.4
+"""Share of the allowed time in which a leaving backend server still gets requests: what
+is on its way there when the other daemons hear of it is served, not turned away."""
+
+STORE_WAIT_S = 0.5
+"""A departure is acknowledged once it is stored, or after this time: its sender counts
+an answer that takes a second as lost."""
+
+SEQ_PER_REPORT = 100
+"""Changes of a record between two reports, so that those of a restarted daemon, which
+begin with the next report, come after those of its last run."""
+
+
+@dataclass(frozen=True, slots=True)
+class Place:
+    """Where this daemon stands and is reached by the others."""
+
+    host: str
+    port: int
+    region: str
+    failure_domain: str
+
+
+class BackendReporting:
+    """Keeps admission and this daemon's endpoint record true to the reports.
+
+    ``publish`` gets each new record; ``wait_stored`` waits until the last is stored.
+    """
+
+    def __init__(
+        self,
+        announced: AnnouncedBackend,
+        admission: SlotAdmission,
+        place: Place,
+        backend_address: str,
+        leave_s: float,
+        is_known: Callable[[str], bool],
+        publish: Callable[[Endpoint], None],
+        wait_stored: Callable[[float], Awaitable[bool]],
+        tg: TaskGroup,
+    ) -> None:
+        self._announced = announced
+        self._admission = admission
+        self._place = place
+        self._address = backend_address
+        self._leave_s = leave_s
+        self._is_known = is_known
+        self._publish = publish
+        self._wait_stored = wait_stored
+        self._tg = tg
+        self._record: Endpoint | None = None
+        self._stopping = False
+
+    async def take_report(self, report: BackendReport) -> Result[None, str]:
+        """Take one report; Err if it names no backend server to use."""
+        if report.address != self._address:
+            return Err(f"reports for {report.address}, not {self._address}")
+        if not self._is_known(report.service):
+            return Err(f"unknown service {report.service!r}")
+        if not self._announced.take_report(report):
+            log_event("report_outdated", backend=report.backend, order=report.order)
+            return Ok(None)
+        if self._update():
+            await self._wait_stored(STORE_WAIT_S)
+        return Ok(None)
+
+    async def take_departure(self, departure: Departure) -> Result[None, str]:
+        """Take the message that a backend server leaves for good."""
+        if self._announced.take_departure(departure) and self._update():
+            await self._wait_stored(STORE_WAIT_S)
+        return Ok(None)
+
+    def stop(self) -> None:
+        """Announce that this daemon is on its way out."""
+        self._stopping = True
+        self._update()
+
+    def _update(self) -> bool:
+        """Publish the record if it has changed; True if the backend server leaves."""
+        report = self._announced.current
+        if report is None:
+            return False
+        state = self._find_state()
+        old = self._record
+        if old is not None and _is_same(old, report, state):
+            return False
+        seq = report.sequence * SEQ_PER_REPORT
+        if old is not None and old.incarnation == report.born_ms:
+            seq = max(seq, old.seq + 1)
+        record = Endpoint(
+            backend=report.backend,
+            service=report.service,
+            host=self._place.host,
+            port=self._place.port,
+            region=self._place.region,
+            failure_domain=self._place.failure_domain,
+            incarnation=report.born_ms,
+            seq=seq,
+            state=state,
+        )
+        self._record = record
+        log_event(
+            "backend_state",
+            backend=record.backend,
+            service=record.service,
+            state=state,
+            born_ms=report.born_ms,
+            sequence=report.sequence,
+            slots=report.slots,
+        )
+        self._admission.rename(report.backend, report.born_ms)
+        self._publish(record)
+        if state is EndpointState.READY:
+            self._admission.draining = False
+            return False
+        if not self._stopping:
+            self._tg.start_soon(self._close_admission, record)
+        return True
+
+    def _find_state(self) -> EndpointState:
+        if self._announced.left:
+            return EndpointState.GONE
+        if self._stopping or self._announced.serving is None:
+            return EndpointState.DRAINING
+        return EndpointState.READY
+
+    async def _close_admission(self, record: Endpoint) -> None:
+        await anyio.sleep(self._leave_s * ACCEPT_SHARE)
+        current = self._record
+        if current is not None and current.backend == record.backend:
+            self._admission.draining = current.state is not EndpointState.READY
+
+
+def _is_same(old: Endpoint, report: BackendReport, state: EndpointState) -> bool:
+    return (old.backend, old.service, old.incarnation, old.state) == (
+        report.backend,
+        report.service,
+        report.born_ms,
+        state,
+    )
--- a/src/berylmast/callers/answer.py
+++ b/src/berylmast/callers/answer.py
@@ -1,5 +1,7 @@
 """Answers to a caller over ASGI."""
 
+from collections.abc import Callable
+from dataclasses import dataclass
 from typing import Any
 
 from ..errors import Refusal
@@ -13,29 +15,49 @@
 _NOT_MODIFIED = 304
 
 
+@dataclass(frozen=True, slots=True)
+class ErrorAnswer:
+    """Status and headers of an error answer, without the length of its body."""
+
+    status: int
+    headers: Headers
+
+
+MakeErrorAnswer = Callable[[Refusal], ErrorAnswer]
+
+
 class AnswerMismatch(Exception):
     """The parts of an answer are doubled or out of order."""
 
 
-def make_error_headers(refusal: Refusal, body_bytes: int) -> list[tuple[bytes, bytes]]:
-    """Return the headers of an error answer that state its kind and outcome."""
+def make_error_answer(refusal: Refusal) -> ErrorAnswer:
+    """Return the error answer of the project's own interface."""
     answer = refusal.answer
     headers = [
         (b"content-type", b"text/plain; charset=utf-8"),
-        (b"content-length", str(body_bytes).encode()),
         (OUTCOME_HEADER, answer.outcome.encode()),
         (ERROR_HEADER, refusal.kind.encode()),
     ]
     if answer.retry_after_s is not None:
         headers.append((b"retry-after", str(answer.retry_after_s).encode()))
-    return headers
+    return ErrorAnswer(answer.status, headers)
+
+
+def format_error_body(refusal: Refusal) -> bytes:
+    """Return the body of an error answer: its kind and what was wrong."""
+    return f"{refusal.kind}: {refusal.detail}\n".encode()
 
 
 class CallerAnswer:
     """Sends one answer; knows whether its head is out and whether it is whole."""
 
     def __init__(
-        self, send: Any, request_id: str, *, close_on_error: bool = False
+        self,
+        send: Any,
+        request_id: str,
+        make_error: MakeErrorAnswer = make_error_answer,
+        *,
+        close_on_error: bool = False,
     ) -> None:
         self.started = False
         self.finished = False
@@ -43,6 +65,7 @@
         self.body_bytes = 0
         self._send = send
         self._request_id = request_id
+        self._make_error = make_error
         self._close_on_error = close_on_error
 
     async def start(self, status: int, headers: Headers) -> None:
@@ -88,10 +111,14 @@
         """Send a whole error answer that states the outcome."""
         self.started = True
         self.finished = True
-        self.status = refusal.answer.status
-        body = f"{refusal.kind}: {refusal.detail}\n".encode()
-        headers = make_error_headers(refusal, len(body))
-        headers.append((b"x-request-id", self._request_id.encode("latin-1")))
+        error = self._make_error(refusal)
+        self.status = error.status
+        body = format_error_body(refusal)
+        headers = [
+            *error.headers,
+            (b"content-length", str(len(body)).encode()),
+            (b"x-request-id", self._request_id.encode("latin-1")),
+        ]
         if self._close_on_error:
             headers.append((b"connection", b"close"))
         await self._send(
--- a/src/berylmast/callers/app.py
+++ b/src/berylmast/callers/app.py
@@ -7,18 +7,11 @@
 from result import Err, Result
 
 from ..errors import ErrorKind, Refusal
-from ..membership import Directory
 from ..settings import LimitSettings
 from ..telemetry import RequestLog, Sight, log_event
-from .answer import CallerAnswer
+from .answer import CallerAnswer, MakeErrorAnswer, make_error_answer
 from .body import CallerBody
-from .classify import (
-    Classified,
-    classify_request,
-    read_host,
-    read_request_id,
-    read_wait_s,
-)
+from .classify import Classified, Classify, read_request_id
 from .context import AnswerSink
 from .forward import Forwarder, Trace, forward_request
 
@@ -36,7 +29,11 @@
 
 
 def make_app(
-    directory: Directory, limits: LimitSettings, forwarder: Forwarder, sight: Sight
+    classify: Classify,
+    limits: LimitSettings,
+    forwarder: Forwarder,
+    sight: Sight,
+    make_error: MakeErrorAnswer = make_error_answer,
 ) -> App:
     """Return the ASGI app of the entry."""
     running = 0
@@ -48,19 +45,17 @@
         if running >= limits.max_requests:
             detail = f"{running} requests of callers are running"
             refusal = Refusal(ErrorKind.TOO_MANY_REQUESTS, detail)
-            await _refuse(scope, send, refusal, sight)
+            await _refuse(scope, send, refusal, sight, make_error)
             return
         running += 1
         try:
-            await directory.wait_service(read_host(scope), read_wait_s(scope))
-            classified = classify_request(
-                scope, directory, limits, forwarder.next_attempt
-            )
+            classified = await classify(scope)
             if classified.is_err():
-                await _refuse(scope, send, classified.unwrap_err(), sight)
+                refusal = classified.unwrap_err()
+                await _refuse(scope, send, refusal, sight, make_error)
             else:
                 req = classified.unwrap()
-                await _serve(scope, receive, send, req, forwarder, sight)
+                await _serve(scope, receive, send, req, forwarder, sight, make_error)
         finally:
             running -= 1
 
@@ -68,11 +63,20 @@
 
 
 async def _refuse(
-    scope: dict[str, Any], send: Any, refusal: Refusal, sight: Sight
+    scope: dict[str, Any],
+    send: Any,
+    refusal: Refusal,
+    sight: Sight,
+    make_error: MakeErrorAnswer,
 ) -> None:
     """Refuse a request that was not classified; log and count it all the same."""
     headers = dict(scope["headers"])
     request_id = read_request_id(headers)
+    # A caller that waits for 100 Continue leaves its body out: the next bytes on the
+    # connection would be taken for that body.
+    close = b"expect" in headers
+    answer = CallerAnswer(send, request_id, make_error, close_on_error=close)
+    await answer.send_error(refusal)
     sight.record_request(
         RequestLog(
             request=request_id,
@@ -83,15 +87,10 @@
             attempts=0,
             outcome=refusal.answer.outcome,
             reason=refusal.kind,
-            status=refusal.answer.status,
+            status=answer.status,
             duration_ms=0.0,
         )
     )
-    # A caller that waits for 100 Continue leaves its body out: the next bytes on the
-    # connection would be taken for that body.
-    close = b"expect" in headers
-    answer = CallerAnswer(send, request_id, close_on_error=close)
-    await answer.send_error(refusal)
 
 
 async def _serve(
@@ -101,10 +100,14 @@
     req: Classified,
     forwarder: Forwarder,
     sight: Sight,
+    make_error: MakeErrorAnswer,
 ) -> None:
     started_s = anyio.current_time()
     answer = CallerAnswer(
-        send, req.head.request_id, close_on_error=req.expects_continue
+        send,
+        req.head.request_id,
+        make_error,
+        close_on_error=req.expects_continue,
     )
     body = CallerBody(
         receive,
@@ -116,11 +119,12 @@
     trace = Trace()
     result = await forward_watched(forwarder, req, body, answer, trace)
     refusal = result.unwrap_err() if result.is_err() else None
-    _record(sight, req, answer, trace, refusal, started_s)
-    if refusal is not None:
-        if answer.started:
-            raise AnswerCut(refusal.detail)
+    cut = refusal is not None and answer.started
+    if refusal is not None and not cut:
         await answer.send_error(refusal)
+    _record(sight, req, answer, trace, refusal, started_s)
+    if refusal is not None and cut:
+        raise AnswerCut(refusal.detail)
 
 
 async def forward_watched(
@@ -187,7 +191,7 @@
             attempts=trace.attempts,
             outcome="answered" if refusal is None else refusal.answer.outcome,
             reason="" if refusal is None else refusal.kind,
-            status=answer.status if refusal is None else refusal.answer.status,
+            status=answer.status,
             duration_ms=(anyio.current_time() - started_s) * 1000,
         )
     )
--- a/src/berylmast/callers/attempt.py
+++ b/src/berylmast/callers/attempt.py
@@ -42,8 +42,11 @@
     result: Result[None, Refusal] = Err(Refusal(ErrorKind.CANCELLED, "cancelled"))
     try:
         result = await _send_and_settle(forwarder, endpoint, req, body, answer, trace)
-        if result.is_err() and result.unwrap_err().not_run:
+        refusal = result.unwrap_err() if result.is_err() else None
+        if refusal is not None and refusal.not_run:
             trace.may_have_run = before
+        if refusal is None or is_arrival(refusal):
+            trace.sent += 1
     finally:
         error = result.unwrap_err() if result.is_err() else None
         latency_s = anyio.current_time() - started_s
@@ -125,6 +128,17 @@
     return result
 
 
+def is_arrival(refusal: Refusal) -> bool:
+    """Tell whether a backend server may have seen the request of an attempt."""
+    return not refusal.not_run or refusal.kind is ErrorKind.BACKEND_REFUSED
+
+
+def make_refusal(frame: Refuse) -> Refusal:
+    """Return the refusal that an owner sent, with its estimate of the wait."""
+    wait_s = frame.retry_after_ms / 1000 if frame.retry_after_ms else None
+    return Refusal(frame.kind, frame.detail, wait_s)
+
+
 def _send_nothing() -> None:
     """Start no body: the request has none."""
 
@@ -169,7 +183,7 @@
                 return Ok(None)
             case Refuse():
                 router.record_load(frame.load)
-                return Err(Refusal(frame.kind, frame.detail))
+                return Err(make_refusal(frame))
             case Fail():
                 router.record_load(frame.load)
                 return Err(refuse_after_dispatch(frame.kind, frame.detail))
--- a/src/berylmast/callers/classify.py
+++ b/src/berylmast/callers/classify.py
@@ -1,6 +1,6 @@
 """From an HTTP request to a classified request head."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass
 from typing import Any
 from uuid import uuid4
@@ -32,6 +32,9 @@
 _MAX_DIGITS = 18
 """A longer Content-Length would not fit 64 bits."""
 
+DEFAULT_ATTEMPTS = 3
+"""Backend servers that one request may be sent to where its route does not say."""
+
 PROTECTED = frozenset({b"host", b"content-length"})
 """Headers that a ``Connection`` option does not remove."""
 
@@ -41,12 +44,18 @@
     """A request head and the slice that classified it.
 
     ``body_bytes`` is None for a chunked body, whose length is not known.
+    ``max_attempts`` is the number of backend servers that the request may be sent to.
     """
 
     head: RequestHead
     service: ServiceSlice
     body_bytes: int | None
     expects_continue: bool = False
+    max_attempts: int = DEFAULT_ATTEMPTS
+
+
+Classify = Callable[[dict[str, Any]], Awaitable[Result[Classified, Refusal]]]
+"""Gives the classified request of an ASGI scope, or why it is refused."""
 
 
 def drop_hop_by_hop(headers: Headers) -> list[tuple[bytes, bytes]]:
@@ -63,6 +72,30 @@
     return [(k, v) for k, v in lowered if k not in dropped]
 
 
+def make_classifier(
+    directory: Directory, limits: LimitSettings, next_attempt: Callable[[], AttemptId]
+) -> Classify:
+    """Return the classification of the project's own interface."""
+
+    async def classify(scope: dict[str, Any]) -> Result[Classified, Refusal]:
+        await directory.wait_service(read_host(scope), read_wait_s(scope))
+        return classify_request(scope, directory, limits, next_attempt)
+
+    return classify
+
+
+def check_headers(
+    headers: Headers, max_headers: int, max_bytes: int
+) -> Result[None, Refusal]:
+    """Refuse headers beyond a number or a size in bytes."""
+    if len(headers) > max_headers:
+        return _refuse(ErrorKind.TOO_MANY_HEADERS, f"{len(headers)} headers")
+    size = sum(len(key) + len(value) for key, value in headers)
+    if size > max_bytes:
+        return _refuse(ErrorKind.HEADERS_TOO_LARGE, f"{size} bytes of headers")
+    return Ok(None)
+
+
 def classify_request(
     scope: dict[str, Any],
     directory: Directory,
@@ -71,12 +104,10 @@
 ) -> Result[Classified, Refusal]:
     """Check a request against the limits and find its service and route."""
     headers: list[tuple[bytes, bytes]] = scope["headers"]
-    if len(headers) > limits.max_headers:
-        return _refuse(ErrorKind.TOO_MANY_HEADERS, f"{len(headers)} headers")
-    size = sum(len(key) + len(value) for key, value in headers)
-    if size > limits.max_header_bytes:
-        return _refuse(ErrorKind.HEADERS_TOO_LARGE, f"{size} bytes of headers")
-    framing = _read_framing(headers)
+    checked = check_headers(headers, limits.max_headers, limits.max_header_bytes)
+    if checked.is_err():
+        return Err(checked.unwrap_err())
+    framing = read_framing(headers)
     if framing.is_err():
         return Err(framing.unwrap_err())
     length = framing.unwrap()
@@ -108,7 +139,7 @@
         deadline_ms=deadline.unwrap(),
         retry=RETRY_HEADER in values,
         method=method,
-        target=_make_target(scope),
+        target=make_target(scope),
         headers=drop_hop_by_hop(headers),
         has_body=length != 0,
     )
@@ -116,7 +147,7 @@
     return Ok(Classified(head, service, length, expects and head.has_body))
 
 
-def _read_framing(headers: Headers) -> Result[int | None, Refusal]:
+def read_framing(headers: Headers) -> Result[int | None, Refusal]:
     """Return the length of the body in bytes, None if chunked (RFC 9112 section 6)."""
     lengths = [value for key, value in headers if key == b"content-length"]
     codings = [value for key, value in headers if key == b"transfer-encoding"]
@@ -174,7 +205,8 @@
     return Ok(min(int(text), route.deadline_ms))
 
 
-def _make_target(scope: dict[str, Any]) -> str:
+def make_target(scope: dict[str, Any]) -> str:
+    """Return the path and query of a request as they were sent."""
     path: str = scope["raw_path"].decode("latin-1")
     query: str = scope["query_string"].decode("latin-1")
     return f"{path}?{query}" if query else path
--- a/src/berylmast/callers/context.py
+++ b/src/berylmast/callers/context.py
@@ -6,7 +6,8 @@
 from typing import Protocol
 
 from ..daemons import Exchange
-from ..limits import EntryShedder, RetryBudget
+from ..limits import RetryBudget
+from ..limits.shedder import Shedder
 from ..model import AttemptId, Endpoint, Headers
 from ..routing import Router
 
@@ -44,7 +45,7 @@
 
     router: Router
     retries: RetryBudget
-    shedder: EntryShedder
+    shedder: Shedder
     open_exchange: OpenExchange
     next_attempt: Callable[[], AttemptId]
     endpoints: Callable[[str], Sequence[Endpoint]]
@@ -54,11 +55,13 @@
 class Trace:
     """What happened to one request.
 
-    ``may_have_run`` holds while some attempt was sent and is not proved not to have
+    ``attempts`` counts the owners that were asked, ``sent`` the backend servers that
+    may have seen the request. ``may_have_run`` holds while some attempt was sent and is not proved not to have
     run; ``answered`` once the whole answer is with the caller.
     """
 
     backend: str = ""
     attempts: int = 0
+    sent: int = 0
     may_have_run: bool = False
     answered: bool = False
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -11,10 +11,12 @@
 from .classify import Classified
 from .context import AnswerSink, Forwarder, OpenExchange, Trace
 from .keyed import run_keyed
+from .search import Search
 
 __all__ = ["Forwarder", "OpenExchange", "Trace", "forward_request"]
 
-MAX_ATTEMPTS = 3
+MAX_ASKED = 5
+"""Owners asked for one request; refusals before dispatch cost no backend server."""
 
 
 async def forward_request(
@@ -80,40 +82,41 @@
     forwarder.retries.record_first_try(
         service, priority, req.service.budgets.retry_ratio
     )
-    tried: set[str] = set()
+    started_s = anyio.current_time()
+    search = Search(forwarder.router, req, body.length or 0)
     verdict: Refusal | None = None
-    while trace.attempts < MAX_ATTEMPTS:
-        choice = forwarder.router.choose(
-            req.service,
-            exclude=tried,
-            body_bytes=body.length or 0,
-            idempotent=req.head.idempotent,
-        )
+    while trace.attempts < MAX_ASKED and trace.sent < req.max_attempts:
+        choice = search.choose()
         if choice.is_err():
             return Err(verdict or choice.unwrap_err())
-        if tried and not forwarder.retries.try_spend(service, priority):
+        if search.costs_retry and not forwarder.retries.try_spend(service, priority):
             break
-        endpoint = choice.unwrap()
-        tried.add(endpoint.backend)
-        remaining_ms = int((deadline_s - anyio.current_time()) * 1000)
+        placement = choice.unwrap()
+        now_s = anyio.current_time()
+        remaining_ms = int((deadline_s - now_s) * 1000)
         if remaining_ms <= 0:
             return Err(verdict or _make_deadline_refusal(trace))
         trace.attempts += 1
-        trace.backend = endpoint.backend
+        trace.backend = placement.endpoint.backend
         head = replace(
             req.head,
             # Taken when it is sent: the owner's ledger relies on recent counters.
             attempt=forwarder.next_attempt(),
             deadline_ms=remaining_ms,
-            retry=req.head.retry or trace.attempts > 1,
+            target_ms=max(0, req.head.target_ms - int((now_s - started_s) * 1000)),
+            retry=req.head.retry or trace.sent > 0,
+            may_spill=placement.may_spill,
         )
         attempt = replace(req, head=head)
-        result = await run_attempt(forwarder, endpoint, attempt, body, answer, trace)
+        result = await run_attempt(
+            forwarder, placement.endpoint, attempt, body, answer, trace
+        )
         if result.is_ok():
             return result
         refusal = result.unwrap_err()
         if verdict is None or verdict.not_run:
             verdict = refusal
+        search.record(placement.endpoint, refusal)
         if answer.started or not _may_retry(req, refusal, body):
             break
     return Err(verdict or Refusal(ErrorKind.NO_BACKEND, "no attempt was possible"))
--- /dev/null
+++ b/src/berylmast/callers/routed.py
@@ -0,0 +1,99 @@
+"""Classification by host and path prefix, as the configuration's routes say."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any
+
+from result import Err, Ok, Result
+
+from ..errors import ErrorKind, Refusal
+from ..membership.held import HeldDocument
+from ..model import AttemptId, Headers, RequestHead
+from ..routes import HostRoute
+from .classify import (
+    Classified,
+    Classify,
+    check_headers,
+    drop_hop_by_hop,
+    make_target,
+    read_framing,
+    read_host,
+)
+
+MAX_HEADERS = 200
+
+
+@dataclass(frozen=True, slots=True)
+class CallerHeaders:
+    """Readings of a caller's headers, given by an adapter.
+
+    ``read_deadline_ms`` returns None if the caller sets no deadline. ``mark_origin``
+    returns the headers with the service of the instance where the request began.
+    """
+
+    read_request_id: Callable[[Headers], str]
+    read_deadline_ms: Callable[[Headers], int | None]
+    mark_origin: Callable[[Headers, str], list[tuple[bytes, bytes]]]
+
+
+def make_routed_classifier(
+    held: HeldDocument,
+    headers: CallerHeaders,
+    choose_service: Callable[[HostRoute], str],
+    next_attempt: Callable[[], AttemptId],
+    get_origin: Callable[[], str],
+) -> Classify:
+    """Return the classification by the routes of the configuration in force."""
+
+    async def classify(scope: dict[str, Any]) -> Result[Classified, Refusal]:
+        cfg = held.current
+        if cfg is None:
+            kind = ErrorKind.NO_CONFIGURATION
+            return Err(Refusal(kind, "no configuration is known yet"))
+        found: list[tuple[bytes, bytes]] = scope["headers"]
+        checked = check_headers(found, MAX_HEADERS, cfg.limits.max_header_bytes)
+        if checked.is_err():
+            return Err(checked.unwrap_err())
+        framing = read_framing(found)
+        if framing.is_err():
+            return Err(framing.unwrap_err())
+        length = framing.unwrap()
+        if length is not None and length > cfg.limits.max_body_bytes:
+            return Err(Refusal(ErrorKind.BODY_TOO_LARGE, f"body of {length} bytes"))
+        target = make_target(scope)
+        host = read_host(scope)
+        route = cfg.find_route(host, target.partition("?")[0])
+        if route is None:
+            detail = f"no route for {host!r} {target!r} in version {cfg.version}"
+            return Err(Refusal(ErrorKind.UNKNOWN_SERVICE, detail))
+        service = cfg.services[choose_service(route)]
+        has_body = length != 0
+        head = RequestHead(
+            request_id=headers.read_request_id(found),
+            attempt=next_attempt(),
+            service=service.service,
+            priority=str(route.rank),
+            tenant="",
+            idempotent=route.idempotent,
+            idempotency_key=None,
+            deadline_ms=_limit_deadline(headers.read_deadline_ms(found), route),
+            retry=False,
+            method=scope["method"],
+            target=target,
+            headers=headers.mark_origin(drop_hop_by_hop(found), get_origin()),
+            has_body=has_body,
+            rank=route.rank,
+            target_ms=route.target_ms,
+        )
+        expects = dict(found).get(b"expect", b"").lower() == b"100-continue"
+        return Ok(
+            Classified(head, service, length, expects and has_body, route.max_attempts)
+        )
+
+    return classify
+
+
+def _limit_deadline(wanted_ms: int | None, route: HostRoute) -> int:
+    if wanted_ms is None:
+        return route.timeout_ms
+    return min(wanted_ms, route.timeout_ms)
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -8,6 +8,7 @@
 
 from ._serve import make_server
 from .callers import make_app
+from .callers.classify import make_classifier
 from .callers.forward import Forwarder
 from .callers.leaving import close_connections
 from .daemons import Identity, PeerListener, PeerPool
@@ -76,7 +77,9 @@
             router=router,
             retries=RetryBudget(),
             shedder=limits.shedder(Random()),
-            open_exchange=make_opener(pool, owner, cfg.daemon_id),
+            open_exchange=make_opener(
+                pool, owner, lambda endpoint: endpoint.backend == cfg.daemon_id
+            ),
             next_attempt=make_attempts(identity),
             endpoints=directory.endpoints,
         )
@@ -89,7 +92,8 @@
             lifecycle.add_stop_listener(member.hand_over)
             start_health(tg, cfg, lifecycle)
         tg.start_soon(member.run)
-        app = make_app(directory, cfg.limits, forwarder, sight)
+        classify = make_classifier(directory, cfg.limits, forwarder.next_attempt)
+        app = make_app(classify, cfg.limits, forwarder, sight)
         callers = make_server(
             close_connections(app, lambda: lifecycle.stopping),
             cfg.callers,
--- a/src/berylmast/daemons/connection.py
+++ b/src/berylmast/daemons/connection.py
@@ -20,7 +20,9 @@
     OpeningFrame,
     Ping,
     Pong,
+    Record,
     Reset,
+    Tell,
 )
 from .identity import ConnectionLost, Identity
 
@@ -36,6 +38,9 @@
 Accept = Callable[[Exchange, OpeningFrame], Awaitable[None]]
 """Serves one exchange that the peer opened."""
 
+OnTold = Callable[[tuple[Record, ...]], None]
+"""Takes endpoint records that a peer passes on."""
+
 
 class PeerConnection:
     """Carries the exchanges of two daemons over one byte stream.
@@ -51,6 +56,7 @@
         *,
         accept: Accept | None = None,
         on_goaway: Callable[[str], None] | None = None,
+        on_told: OnTold | None = None,
     ) -> None:
         self.peer: Identity | None = None
         self.closed = False
@@ -63,6 +69,7 @@
         self._identity = identity
         self._accept = accept
         self._on_goaway = on_goaway
+        self._on_told = on_told
         self._reader = FrameReader()
         self._lanes = SendLanes()
         self._queued: anyio.Event | None = None
@@ -206,6 +213,9 @@
             case GoAway():
                 if self._on_goaway is not None and self.peer is not None:
                     self._on_goaway(self.peer.daemon)
+            case Tell():
+                if self._on_told is not None:
+                    self._on_told(frame.records)
             case _:
                 self._dispatch_to_exchange(frame, tg)
 
--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -94,12 +94,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Refuse:
-    """The owner did not dispatch the request and never will under this attempt id."""
+    """The request did not run and never will under this attempt id.
+
+    ``dispatched`` tells that the backend server saw it and refused it.
+    ``retry_after_ms`` is the expected wait for a free slot, 0 if it is not known.
+    """
 
     exchange: int
     kind: ErrorKind
     detail: str
     load: LoadReport
+    retry_after_ms: int = 0
+    dispatched: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -330,6 +336,36 @@
     size: int
 
 
+@dataclass(frozen=True, slots=True)
+class Compare:
+    """Opens an exchange: what does the peer hold that the sender does not?
+
+    ``digest`` stands for all endpoint records of the sender, ``version`` is that of its
+    configuration.
+    """
+
+    exchange: int
+    version: int
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class Compared:
+    """Answer to ``Compare``: the same of the peer; what differs follows."""
+
+    exchange: int
+    version: int
+    digest: str
+
+
+@dataclass(frozen=True, slots=True)
+class Tell:
+    """Endpoint records that have just changed; not answered."""
+
+    exchange: int
+    records: tuple[Record, ...]
+
+
 Frame = (
     Hello
     | Request
@@ -363,10 +399,15 @@
     | Fetch
     | DocumentHead
     | Unsubscribe
+    | Compare
+    | Compared
+    | Tell
 )
 
-OpeningFrame = Request | Probe | Query | KeyBegin | KeyFinish | Announce | Sync
-OPENING_FRAMES = (Request, Probe, Query, KeyBegin, KeyFinish, Announce, Sync)
+OpeningFrame = (
+    Request | Probe | Query | KeyBegin | KeyFinish | Announce | Sync | Compare
+)
+OPENING_FRAMES = (Request, Probe, Query, KeyBegin, KeyFinish, Announce, Sync, Compare)
 
 CONTROL_OPENING_FRAMES = (Announce, Sync)
 """A connection opened with one of these carries control traffic only."""
--- a/src/berylmast/daemons/listener.py
+++ b/src/berylmast/daemons/listener.py
@@ -4,7 +4,7 @@
 from anyio.abc import SocketStream, TaskStatus
 
 from ..settings import Address
-from .connection import Accept, Identity, PeerConnection
+from .connection import Accept, Identity, OnTold, PeerConnection
 from .frames import GoAway
 
 
@@ -12,11 +12,16 @@
     """Serves every connection that other daemons open to this one."""
 
     def __init__(
-        self, address: Address, identity: Identity, accept: Accept | None
+        self,
+        address: Address,
+        identity: Identity,
+        accept: Accept | None,
+        on_told: OnTold | None = None,
     ) -> None:
         self._address = address
         self._identity = identity
         self._accept = accept
+        self._on_told = on_told
         self._connections: set[PeerConnection] = set()
         self._ended_control_bytes = (0, 0)
 
@@ -31,7 +36,9 @@
         await listener.serve(self._serve_stream)
 
     async def _serve_stream(self, stream: SocketStream) -> None:
-        conn = PeerConnection(stream, self._identity, accept=self._accept)
+        conn = PeerConnection(
+            stream, self._identity, accept=self._accept, on_told=self._on_told
+        )
         self._connections.add(conn)
         try:
             await conn.run()
--- a/src/berylmast/errors.py
+++ b/src/berylmast/errors.py
@@ -46,6 +46,10 @@
     ATTEMPT_REVOKED = "attempt-revoked"
     CANCELLED = "cancelled"
     INTERNAL = "internal"
+    NO_CONFIGURATION = "no-configuration"
+    BUSY = "busy"
+    BACKEND_REFUSED = "backend-refused"
+    ANSWER_INVALID = "answer-invalid"
 
 
 @dataclass(frozen=True, slots=True)
@@ -91,21 +95,37 @@
     ErrorKind.ATTEMPT_REVOKED: Answer(503, _NOT_RUN, 1),
     ErrorKind.CANCELLED: Answer(499, _UNKNOWN),
     ErrorKind.INTERNAL: Answer(500, _UNKNOWN),
+    ErrorKind.NO_CONFIGURATION: Answer(503, _NOT_RUN, 1),
+    ErrorKind.BUSY: Answer(503, _NOT_RUN, 1),
+    ErrorKind.BACKEND_REFUSED: Answer(503, _NOT_RUN, 1),
+    ErrorKind.ANSWER_INVALID: Answer(502, _UNKNOWN),
 }
 
 
 @dataclass(frozen=True, slots=True)
 class Refusal:
-    """An error as a value: its kind and what was wrong, in one sentence."""
+    """An error as a value: its kind and what was wrong, in one sentence.
+
+    ``retry_after_s`` is the time in seconds after which a request that did not run has
+    better prospects; None leaves it to the table.
+    """
 
     kind: ErrorKind
     detail: str
+    retry_after_s: float | None = None
 
     @property
     def answer(self) -> Answer:
         """Return the table entry of this kind."""
         return ANSWERS[self.kind]
 
+    @property
+    def wait_s(self) -> float:
+        """Return the seconds after which to come back."""
+        if self.retry_after_s is not None:
+            return self.retry_after_s
+        return float(self.answer.retry_after_s or 0)
+
     @property
     def not_run(self) -> bool:
         """Tell whether the request provably did not run."""
--- /dev/null
+++ b/src/berylmast/limits/backlog.py
@@ -0,0 +1,69 @@
+"""The order in which waiting requests get slots, and which of them have no hope.
+
+Answers two load patterns. Bursts of one kind of request, of one to three times the
+capacity for some seconds: what can still be on time goes first, by urgency, so that a
+backlog of late requests does not make every later one late too. Service times that
+change several-fold within a tenth of a second: a request whose turn would come after
+its deadline is refused when that is known, not when the deadline has passed.
+"""
+
+from collections.abc import Collection
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, eq=False)
+class Waiting:
+    """A request that waits for a slot.
+
+    Times are in seconds of the runtime's clock. ``work_s`` is the expected service
+    time. The answer is on time up to ``target_s`` and useless after ``deadline_s``.
+    """
+
+    rank: int
+    work_s: float
+    target_s: float
+    deadline_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Turn:
+    """When a waiting request is expected to get its slot, in seconds from now."""
+
+    item: Waiting
+    wait_s: float
+
+
+def get_order(item: Waiting, now_s: float) -> tuple[bool, int, float]:
+    """Return the sort key: on time before late, then by urgency, then by target."""
+    late = now_s + item.work_s > item.target_s
+    return (late, item.rank, item.target_s)
+
+
+def find_next(waiting: Collection[Waiting], now_s: float) -> Waiting | None:
+    """Return the request that gets the next slot."""
+    return min(waiting, key=lambda item: get_order(item, now_s), default=None)
+
+
+def plan_turns(
+    waiting: Collection[Waiting], now_s: float, slots: int, free_in_s: float
+) -> list[Turn]:
+    """Return the expected turns, the next first.
+
+    ``free_in_s`` is the expected time until the next slot becomes free.
+    """
+    ordered = sorted(waiting, key=lambda item: get_order(item, now_s))
+    turns = []
+    wait_s = free_in_s
+    for item in ordered:
+        turns.append(Turn(item, wait_s))
+        wait_s += item.work_s / slots
+    return turns
+
+
+def find_hopeless(turns: Collection[Turn], now_s: float) -> list[Turn]:
+    """Return the turns that would end after the deadline of their request."""
+    return [
+        turn
+        for turn in turns
+        if now_s + turn.wait_s + turn.item.work_s > turn.item.deadline_s
+    ]
--- a/src/berylmast/limits/retry_budget.py
+++ b/src/berylmast/limits/retry_budget.py
@@ -1,6 +1,8 @@
 """A budget of retries as a ratio of first tries."""
 
-_BURST = 10.0
+from collections.abc import Callable
+
+BURST = 10.0
 
 
 class RetryBudget:
@@ -8,20 +10,27 @@
 
     Without it, retries would multiply the load on an overloaded fleet. Each priority of
     a service has its own budget: refusals of a flood of browsing must not use up the
-    retries of orders.
+    retries of orders. ``get_burst`` gives the most retries in a row, which may depend
+    on the number of daemons that share a limit; ``ratio`` replaces that of the service.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, get_burst: Callable[[], float] = lambda: BURST, ratio: float | None = None
+    ) -> None:
+        self._get_burst = get_burst
+        self._ratio = ratio
         self._tokens: dict[tuple[str, str], float] = {}
 
     def record_first_try(self, service: str, priority: str, ratio: float) -> None:
         """Earn a share of a retry."""
-        tokens = self._tokens.get((service, priority), _BURST)
-        self._tokens[service, priority] = min(tokens + ratio, _BURST)
+        burst = self._get_burst()
+        tokens = self._tokens.get((service, priority), burst)
+        earned = ratio if self._ratio is None else self._ratio
+        self._tokens[service, priority] = min(tokens + earned, burst)
 
     def try_spend(self, service: str, priority: str) -> bool:
         """Take one retry from the budget; False if it is used up."""
-        tokens = self._tokens.get((service, priority), _BURST)
+        tokens = self._tokens.get((service, priority), self._get_burst())
         if tokens < 1:
             return False
         self._tokens[service, priority] = tokens - 1
--- a/src/berylmast/limits/shedder.py
+++ b/src/berylmast/limits/shedder.py
@@ -8,6 +8,7 @@
 
 from collections import OrderedDict
 from random import Random
+from typing import Protocol
 from zlib import crc32
 
 import anyio
@@ -71,6 +72,31 @@
         self._newest = newest
 
 
+class Shedder(Protocol):
+    """Decides at the entry which requests are not worth forwarding."""
+
+    def admit(self, service: str, priority: str, tenant: str) -> bool:
+        """Return False if the request is to be refused."""
+
+    def record(
+        self, service: str, priority: str, tenant: str, kind: ErrorKind | None
+    ) -> None:
+        """Count the end of a forwarded request."""
+
+
+class NoShedder:
+    """Forwards everything: each owner refuses by what it knows exactly."""
+
+    def admit(self, service: str, priority: str, tenant: str) -> bool:
+        """Return True."""
+        return True
+
+    def record(
+        self, service: str, priority: str, tenant: str, kind: ErrorKind | None
+    ) -> None:
+        """Do nothing."""
+
+
 class EntryShedder:
     """Decides which requests are refused before they are forwarded."""
 
--- /dev/null
+++ b/src/berylmast/limits/slots.py
@@ -0,0 +1,226 @@
+"""Admission to a backend server whose slots are known from its own reports."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from random import Random
+
+import anyio
+from result import Err, Ok, Result
+
+from ..errors import ErrorKind, Refusal
+from ..model import AttemptResult, BackendLoad, LoadReport, RequestHead, ServiceSlice
+from .admission import Permit
+from .backlog import Waiting, find_hopeless, find_next, plan_turns
+from .estimate import MovingEstimate
+
+FIRST_WORK_S = 0.1
+"""Expected service time before any request of a kind has ended, in seconds."""
+
+SPILL_SLOWDOWN = 2.0
+"""Slowdown from which a busy neighbour makes another backend server the better one."""
+
+SLOWDOWN_AGE_S = 0.2
+"""Neighbours change within tenths of a second; older statements say nothing."""
+
+MIN_RETRY_AFTER_S = 0.05
+MAX_KINDS = 64
+_OTHER_KINDS = ""
+_SPREAD = (0.75, 1.5)
+
+
+@dataclass(slots=True, eq=False)
+class _Entry(Waiting):
+    granted: bool = False
+    refusal: Refusal | None = None
+    settled: anyio.Event = field(default_factory=anyio.Event)
+
+
+class SlotAdmission:
+    """Decides which requests run now, wait or are refused.
+
+    ``get_slice`` returns the slice of the service with the slots of the backend server
+    that runs now, None while there is none.
+    """
+
+    def __init__(
+        self,
+        backend: str,
+        incarnation: int,
+        get_slice: Callable[[], ServiceSlice | None],
+        rng: Random | None = None,
+    ) -> None:
+        self.draining = False
+        self._backend = backend
+        self._incarnation = incarnation
+        self._get_slice = get_slice
+        self._rng = rng or Random()
+        self._waiting: list[_Entry] = []
+        self._in_flight = 0
+        self._seq = 0
+        self._work: dict[str, MovingEstimate] = {}
+        self._latency_ms = MovingEstimate()
+        self._error_rate = MovingEstimate(start_from_first=False)
+        self._slowdown = 1.0
+        self._slowdown_s = -SLOWDOWN_AGE_S
+
+    def rename(self, backend: str, incarnation: int) -> None:
+        """Report under the name of the backend server that runs now."""
+        if (backend, incarnation) == (self._backend, self._incarnation):
+            return
+        self._backend, self._incarnation = backend, incarnation
+        self._seq = 0
+        self._error_rate = MovingEstimate(start_from_first=False)
+
+    def record_load(self, load: BackendLoad) -> None:
+        """Keep the slowdown that the backend server states."""
+        self._slowdown = load.slowdown
+        self._slowdown_s = anyio.current_time()
+
+    async def acquire(self, head: RequestHead) -> Result[Permit, Refusal]:
+        """Wait for a slot, or refuse what would end after its deadline.
+
+        Leaving by cancellation gives the place in the queue back.
+        """
+        service = self._get_slice()
+        if self.draining:
+            return _refuse(ErrorKind.DRAINING, "the backend server is leaving")
+        if service is None:
+            return _refuse(ErrorKind.NO_BACKEND, "no backend server has reported")
+        if service.service != head.service:
+            detail = f"the backend server belongs to {service.service}"
+            return _refuse(ErrorKind.NO_BACKEND, detail)
+        now_s = anyio.current_time()
+        kind = _find_kind(head)
+        item = self._make_entry(head, kind, now_s)
+        if head.may_spill and self._is_busy(service.slots, now_s):
+            return _refuse(ErrorKind.BUSY, "another backend server may be free")
+        self._waiting.append(item)
+        self._advance(service.slots, now_s)
+        try:
+            await self._wait(item)
+        except anyio.get_cancelled_exc_class():
+            if item.granted:
+                self._make_permit(kind).release(None)
+            raise
+        finally:
+            self._remove(item)
+        if item.refusal is not None:
+            return Err(item.refusal)
+        return Ok(self._make_permit(kind))
+
+    def report(self) -> LoadReport:
+        """Return the load of the backend server now."""
+        self._seq += 1
+        service = self._get_slice()
+        return LoadReport(
+            backend=self._backend,
+            incarnation=self._incarnation,
+            seq=self._seq,
+            in_flight=self._in_flight,
+            queued=len(self._waiting),
+            limit=0 if service is None else service.slots,
+            latency_ms=self._latency_ms.value,
+            error_rate=self._error_rate.value,
+            draining=self.draining or service is None,
+            slowdown=self._get_slowdown(anyio.current_time()),
+        )
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests at the backend server."""
+        return self._in_flight
+
+    def _make_entry(self, head: RequestHead, kind: str, now_s: float) -> _Entry:
+        deadline_s = now_s + head.deadline_ms / 1000
+        target_s = now_s + head.target_ms / 1000 if head.target_ms else deadline_s
+        return _Entry(head.rank, self._estimate_work_s(kind), target_s, deadline_s)
+
+    def _is_busy(self, slots: int, now_s: float) -> bool:
+        if self._in_flight >= slots or self._waiting:
+            return True
+        return self._get_slowdown(now_s) >= SPILL_SLOWDOWN
+
+    def _get_slowdown(self, now_s: float) -> float:
+        fresh = now_s - self._slowdown_s <= SLOWDOWN_AGE_S
+        return self._slowdown if fresh else 1.0
+
+    def _advance(self, slots: int, now_s: float) -> None:
+        """Start what has a free slot, then refuse what has no hope."""
+        while self._in_flight < slots:
+            item = find_next(self._waiting, now_s)
+            if item is None:
+                return
+            assert isinstance(item, _Entry)
+            self._waiting.remove(item)
+            self._in_flight += 1
+            item.granted = True
+            item.settled.set()
+        mean_s = self._latency_ms.value / 1000 or FIRST_WORK_S
+        turns = plan_turns(self._waiting, now_s, slots, mean_s / slots)
+        backlog_s = turns[-1].wait_s if turns else 0.0
+        for turn in find_hopeless(turns, now_s):
+            assert isinstance(turn.item, _Entry)
+            detail = f"{turn.wait_s:.3f} s to wait and {turn.item.work_s:.3f} s to run"
+            self._refuse_entry(turn.item, detail, backlog_s)
+
+    async def _wait(self, item: _Entry) -> None:
+        """Wait until the request is granted or refused.
+
+        Estimates may be too low: what has not begun when only its expected service time
+        is left is refused then.
+        """
+        if item.settled.is_set():
+            return
+        latest_s = item.deadline_s - item.work_s - anyio.current_time()
+        with anyio.move_on_after(max(0.0, latest_s)):
+            await item.settled.wait()
+        if not item.settled.is_set():
+            self._refuse_entry(item, "no slot became free in time", item.work_s)
+
+    def _refuse_entry(self, item: _Entry, detail: str, wait_s: float) -> None:
+        retry_after_s = max(MIN_RETRY_AFTER_S, wait_s * self._rng.uniform(*_SPREAD))
+        item.refusal = Refusal(ErrorKind.OVERLOADED, detail, retry_after_s)
+        item.settled.set()
+        self._remove(item)
+
+    def _remove(self, item: _Entry) -> None:
+        if item in self._waiting:
+            self._waiting.remove(item)
+
+    def _make_permit(self, kind: str) -> Permit:
+        def release(result: AttemptResult | None) -> None:
+            self._in_flight -= 1
+            if result is not None:
+                self._record(kind, result)
+            service = self._get_slice()
+            if service is not None:
+                self._advance(service.slots, anyio.current_time())
+
+        return Permit(release)
+
+    def _estimate_work_s(self, kind: str) -> float:
+        known = self._work.get(kind)
+        if known is not None:
+            return known.value
+        return self._latency_ms.value / 1000 or FIRST_WORK_S
+
+    def _record(self, kind: str, result: AttemptResult) -> None:
+        if result.cut_short:
+            return
+        self._error_rate.add(float(not result.ok))
+        if not result.ok:
+            return
+        if kind not in self._work and len(self._work) >= MAX_KINDS:
+            kind = _OTHER_KINDS
+        self._work.setdefault(kind, MovingEstimate()).add(result.latency_s)
+        self._latency_ms.add(result.latency_s * 1000)
+
+
+def _find_kind(head: RequestHead) -> str:
+    """Return what service times are compared by."""
+    path = head.target.partition("?")[0]
+    return f"{head.rank} {head.method} {path[1:].partition('/')[0]}"
+
+
+def _refuse(kind: ErrorKind, detail: str) -> Err[Refusal]:
+    return Err(Refusal(kind, detail))
--- a/src/berylmast/local_exchange.py
+++ b/src/berylmast/local_exchange.py
@@ -13,12 +13,12 @@
 
 
 def make_opener(
-    pool: PeerPool, owner: Owner | None, daemon_id: str
+    pool: PeerPool, owner: Owner | None, is_local: Callable[[Endpoint], bool]
 ) -> Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]:
     """Return the function that opens an exchange with an endpoint's owner."""
 
     def open_exchange(endpoint: Endpoint) -> AbstractAsyncContextManager[Exchange]:
-        if owner is not None and endpoint.backend == daemon_id:
+        if owner is not None and is_local(endpoint):
             return open_local(owner)
         return pool.exchange(endpoint)
 
--- /dev/null
+++ b/src/berylmast/membership/anchoring.py
@@ -0,0 +1,172 @@
+"""Keeps this daemon in step with the store, and without it when it is away.
+
+The store is asked for little: the configuration is watched, the records of the fleet
+are read when this daemon joins, and its own record is written when it changes. All
+else is passed on between the daemons.
+"""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+from random import Random
+
+import anyio
+
+from ..model import Endpoint, EndpointState
+from ..platform.objects import Conflict, PlatformUnavailable, VersionTooOld
+from ..telemetry import log_event
+from .held import HeldDocument
+from .roster import Roster
+from .store import Store
+
+WATCH_S = 30.0
+SETTLE_S = 0.15
+"""After a change further ones are waited for: many changes cost one call."""
+
+FIRST_BACKOFF_S = 0.2
+MAX_BACKOFF_S = 1.5
+"""Keeps the way back after an outage of the store below two seconds."""
+
+
+class StoreLink:
+    """Whether the store answers this daemon; logs each change."""
+
+    def __init__(self) -> None:
+        self.up: bool | None = None
+
+    def note(self, up: bool, reason: str = "") -> None:
+        """Record the outcome of a call."""
+        if up == self.up:
+            return
+        self.up = up
+        log_event("store_regained" if up else "store_lost", reason=reason)
+
+
+class Anchor:
+    """This daemon's tasks that call the store."""
+
+    def __init__(
+        self,
+        store: Store,
+        roster: Roster,
+        document: HeldDocument,
+        rng: Random,
+    ) -> None:
+        self.link = StoreLink()
+        self.listed = anyio.Event()
+        self._store = store
+        self._roster = roster
+        self._document = document
+        self._rng = rng
+        self._own: Endpoint | None = None
+        self._own_changed = anyio.Event()
+        self._revisions: dict[str, int] = {}
+        self._obsolete: list[Endpoint] = []
+        self._stored = anyio.Event()
+
+    async def run(self) -> None:
+        """Follow the configuration and keep the own record stored until cancelled."""
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._follow_document)
+            tg.start_soon(self._keep_record)
+
+    def set_own(self, record: Endpoint) -> None:
+        """Store this record instead of the last one."""
+        if self._own is not None and self._own.backend != record.backend:
+            self._obsolete.append(self._own)
+        self._own = record
+        self._stored = anyio.Event()
+        self._own_changed.set()
+
+    async def wait_stored(self, timeout_s: float) -> bool:
+        """Wait until the own record is stored; False if it takes too long."""
+        with anyio.move_on_after(timeout_s):
+            await self._stored.wait()
+            return True
+        return False
+
+    async def _follow_document(self) -> None:
+        revision: int | None = None
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            try:
+                if revision is None:
+                    found = await self._store.read_document()
+                else:
+                    found = await self._store.wait_document(revision, WATCH_S)
+            except VersionTooOld:
+                revision = None
+                continue
+            except PlatformUnavailable as exc:
+                self.link.note(False, str(exc))
+                await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+                backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
+                continue
+            self.link.note(True)
+            backoff_s = FIRST_BACKOFF_S
+            revision = found.revision
+            if found.spec is not None:
+                self._document.adopt(found.spec, "store")
+                await anyio.sleep(SETTLE_S)
+
+    async def _keep_record(self) -> None:
+        await self._until_done(self._list_records)
+        while True:
+            await self._own_changed.wait()
+            self._own_changed = anyio.Event()
+            first = not self._revisions
+            record = self._own
+            assert record is not None
+            await self._until_done(lambda r=record: self._write(r))  # type: ignore[misc]
+            if record is self._own:
+                self._stored.set()
+            for old in self._obsolete:
+                await self._until_done(lambda r=old: self._remove(r))  # type: ignore[misc]
+            self._obsolete.clear()
+            if first:
+                # One that joined at the same time is seen by the later of the two.
+                await self._until_done(self._list_records)
+
+    async def _until_done(self, call: Callable[[], Awaitable[None]]) -> None:
+        backoff_s = FIRST_BACKOFF_S
+        while True:
+            try:
+                await call()
+            except PlatformUnavailable as exc:
+                self.link.note(False, str(exc))
+                await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+                backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
+                continue
+            self.link.note(True)
+            return
+
+    async def _list_records(self) -> None:
+        found = await self._store.list_records()
+        self._roster.merge(record.endpoint for record in found)
+        self.listed.set()
+
+    async def _write(self, record: Endpoint) -> None:
+        """Store a record unless a newer one of the same backend server is stored."""
+        while True:
+            revision = self._revisions.get(record.backend, 0)
+            try:
+                new = await self._store.put_record(record, revision)
+            except Conflict:
+                stored = await self._store.read_record(record.backend)
+                self._revisions[record.backend] = stored.revision if stored else 0
+                if stored is None or stored.endpoint.order < record.order:
+                    continue
+                self._roster.merge([stored.endpoint])
+                return
+            self._revisions[record.backend] = new
+            return
+
+    async def _remove(self, record: Endpoint) -> None:
+        """Delete the record of a backend server that has ended."""
+        stored = await self._store.read_record(record.backend)
+        if stored is None or stored.endpoint.incarnation > record.incarnation:
+            return
+        try:
+            await self._store.delete_record(record.backend, stored.revision)
+        except Conflict:
+            log_event("record_kept", backend=record.backend, reason="it was changed")
+        self._roster.merge([replace(record, state=EndpointState.GONE)])
--- /dev/null
+++ b/src/berylmast/membership/held.py
@@ -0,0 +1,65 @@
+"""The newest configuration that this daemon has accepted."""
+
+import json
+from collections.abc import Callable
+
+from result import Result
+
+from ..routes import Configuration
+from ..telemetry import log_event
+from .directory import Directory
+
+Parse = Callable[[object], Result[Configuration, str]]
+
+
+class HeldDocument:
+    """Holds the configuration in force; an older version never replaces it.
+
+    One that can't be used leaves the last good one in force.
+    """
+
+    def __init__(self, parse: Parse, directory: Directory) -> None:
+        self.current: Configuration | None = None
+        self.text = b""
+        self._parse = parse
+        self._directory = directory
+        self._listeners: list[Callable[[Configuration], None]] = []
+
+    @property
+    def version(self) -> int:
+        """Return the version in force, 0 if there is none."""
+        return 0 if self.current is None else self.current.version
+
+    def add_listener(self, listener: Callable[[Configuration], None]) -> None:
+        """Call a function with each configuration that comes into force."""
+        self._listeners.append(listener)
+
+    def adopt_text(self, text: bytes, source: str) -> bool:
+        """Adopt a configuration as JSON text; False if it is not newer or unusable."""
+        try:
+            spec = json.loads(text)
+        except ValueError as exc:
+            log_event("document_rejected", source=source, reason=repr(exc))
+            return False
+        return self.adopt(spec, source)
+
+    def adopt(self, spec: object, source: str) -> bool:
+        """Adopt a decoded configuration; False if it is not newer or unusable."""
+        parsed = self._parse(spec)
+        if parsed.is_err():
+            log_event("document_rejected", source=source, reason=parsed.unwrap_err())
+            return False
+        new = parsed.unwrap()
+        if new.version <= self.version:
+            return False
+        dropped = set(self._directory.services()) - set(new.services)
+        self.current = new
+        self.text = json.dumps(spec).encode()
+        for service in new.services.values():
+            self._directory.put_slice(service)
+        for name in dropped:
+            self._directory.drop_service(name, new.version)
+        log_event("document_in_force", version=new.version, source=source)
+        for listener in self._listeners:
+            listener(new)
+        return True
--- a/src/berylmast/membership/records.py
+++ b/src/berylmast/membership/records.py
@@ -106,6 +106,10 @@
     def __len__(self) -> int:
         return len(self._records) - len(self._gone)
 
+    def all(self) -> list[Endpoint]:
+        """Return all records, those of gone backend servers too."""
+        return list(self._records.values())
+
     def of_service(self, service: str) -> list[Endpoint]:
         """Return all records of a service, those of gone backend servers too."""
         return list(self._services.get(service, {}).values())
--- /dev/null
+++ b/src/berylmast/membership/roster.py
@@ -0,0 +1,92 @@
+"""The endpoint records of the whole fleet, as this daemon knows them."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from hashlib import blake2b
+
+from ..model import Endpoint, EndpointState
+from .directory import Directory
+from .records import RecordTable
+
+PeerAddress = tuple[str, int]
+
+
+class Roster:
+    """Keeps the newest record of every backend server and fills the directory.
+
+    A record replaces those of earlier backend servers of the same daemon: an address
+    belongs to one machine at a time.
+    """
+
+    def __init__(self, directory: Directory) -> None:
+        self._directory = directory
+        self._table = RecordTable()
+        self._digest: str | None = None
+        self._listeners: list[Callable[[list[Endpoint]], None]] = []
+
+    def add_listener(self, listener: Callable[[list[Endpoint]], None]) -> None:
+        """Call a function with the records that each merge has changed."""
+        self._listeners.append(listener)
+
+    def get(self, backend: str) -> Endpoint | None:
+        """Return the newest record of a backend server."""
+        return self._table.get(backend)
+
+    def records(self) -> list[Endpoint]:
+        """Return all records, those of backend servers that are gone too."""
+        return self._table.all()
+
+    def merge(self, records: Iterable[Endpoint]) -> list[Endpoint]:
+        """Adopt the records that replace known ones, and return those."""
+        changed = self._table.merge(records)
+        for record in list(changed):
+            changed += self._table.merge(self._find_replaced(record))
+        if not changed:
+            return []
+        self._digest = None
+        for record in changed:
+            self._directory.put_endpoint(record)
+        for listener in self._listeners:
+            listener(changed)
+        return changed
+
+    def mark_gone(self, backend: str, order: tuple[int, int]) -> list[Endpoint]:
+        """Take a backend server out unless it has reported something newer."""
+        return self.merge(self._table.make_gone(backend, order))
+
+    def find_newer(self, records: Iterable[Endpoint]) -> list[Endpoint]:
+        """Return the records here that replace or are missing among the given ones."""
+        given = RecordTable()
+        given.merge(records)
+        return given.merge(self.records())
+
+    def peers(self, own: PeerAddress) -> list[Endpoint]:
+        """Return one record for each other daemon that has not left."""
+        found: dict[PeerAddress, Endpoint] = {}
+        for record in self.records():
+            address = (record.host, record.port)
+            if record.state is not EndpointState.GONE and address != own:
+                found[address] = record
+        return list(found.values())
+
+    @property
+    def digest(self) -> str:
+        """Return a digest that is equal where two rosters hold the same records."""
+        if self._digest is None:
+            state = blake2b(digest_size=8)
+            for record in sorted(self.records(), key=lambda r: r.backend):
+                state.update(f"{record.backend} {record.order} {record.state}".encode())
+            self._digest = state.hexdigest()
+        return self._digest
+
+    def _find_replaced(self, new: Endpoint) -> list[Endpoint]:
+        if new.state is EndpointState.GONE:
+            return []
+        return [
+            replace(old, state=EndpointState.GONE)
+            for old in self.records()
+            if (old.host, old.port) == (new.host, new.port)
+            and old.backend != new.backend
+            and old.incarnation <= new.incarnation
+            and old.state is not EndpointState.GONE
+        ]
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -29,7 +29,10 @@
     """A classified request without its body, as the entry sends it to an owner.
 
     ``deadline_ms`` is the time that remains, in milliseconds, when the frame is sent;
-    clocks of two machines are never compared.
+    clocks of two machines are never compared. ``target_ms`` is what remains of the time
+    in which an answer is on time, 0 if there is no such time. ``rank`` is the urgency,
+    0 first. With ``may_spill`` an owner whose backend server is busy refuses at once,
+    because another one may be free.
     """
 
     request_id: str
@@ -45,6 +48,9 @@
     target: str
     headers: Headers
     has_body: bool
+    rank: int = 0
+    target_ms: int = 0
+    may_spill: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,7 +58,8 @@
     """The load of one backend server as its owner sees it.
 
     ``latency_ms`` is a moving estimate of the service time, ``error_rate`` a moving
-    ratio from 0 to 1. Reports of one incarnation are ordered by ``seq``.
+    ratio from 0 to 1. ``slowdown`` is how long work takes at this moment, 1.0 being
+    usual. Reports of one incarnation are ordered by ``seq``.
     """
 
     backend: str
@@ -64,6 +71,20 @@
     latency_ms: float
     error_rate: float
     draining: bool = False
+    slowdown: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class BackendLoad:
+    """The load that a backend server states of itself.
+
+    ``slowdown`` is how long work takes at this moment, 1.0 being usual.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowdown: float
 
 
 class EndpointState(StrEnum):
@@ -150,7 +171,8 @@
 
     ``priorities`` are ordered, the most urgent first. ``region_weights`` are in force
     where there is no ``shift``; an empty mapping leaves the choice to locality.
-    Without ``ejection``, backend servers that answer errors stay in the choice.
+    Without ``ejection``, backend servers that answer errors stay in the choice. With
+    ``spills``, a busy owner passes a request on instead of letting it wait.
     """
 
     service: str
@@ -168,6 +190,8 @@
     shift: tuple[ShiftStep, ...] = ()
     shift_current: int = 0
     ejection: bool = True
+    health_path: str = ""
+    spills: bool = False
 
     def weights_at(self, now_s: float) -> Mapping[str, float]:
         """Return the region weights in force at a Unix time in seconds.
--- /dev/null
+++ b/src/berylmast/platform/anchor.py
@@ -0,0 +1,65 @@
+"""The product's port to the store, on the platform's objects."""
+
+from ..membership.store import StoredDocument, StoredRecord
+from ..model import Endpoint
+from ..telemetry import log_event
+from . import configuration, records
+from .objects import StoredObject
+from .store import StoreClient
+
+
+class PlatformStore:
+    """Keeps endpoint records in a kind of our own and reads the operator's object."""
+
+    def __init__(self, client: StoreClient) -> None:
+        self._client = client
+
+    @property
+    def calls(self) -> int:
+        """Return the number of calls made so far."""
+        return self._client.calls
+
+    async def read_document(self) -> StoredDocument:
+        """Read the configuration."""
+        listing = await self._client.list(configuration.KIND)
+        found = [i for i in listing.items if i.name == configuration.NAME]
+        return StoredDocument(listing.version, found[0].spec if found else None)
+
+    async def wait_document(self, revision: int, wait_s: float) -> StoredDocument:
+        """Wait for a change of the configuration."""
+        changes = await self._client.wait_changes(configuration.KIND, revision, wait_s)
+        specs = [
+            change.object.spec
+            for change in changes.changes
+            if change.object.name == configuration.NAME and not change.deleted
+        ]
+        return StoredDocument(changes.revision, specs[-1] if specs else None)
+
+    async def list_records(self) -> list[StoredRecord]:
+        """Read all endpoint records that can be read."""
+        listing = await self._client.list(records.KIND)
+        found = [_parse(item) for item in listing.items]
+        return [record for record in found if record is not None]
+
+    async def read_record(self, backend: str) -> StoredRecord | None:
+        """Read one endpoint record."""
+        item = await self._client.get(records.KIND, backend)
+        return None if item is None else _parse(item)
+
+    async def put_record(self, endpoint: Endpoint, revision: int) -> int:
+        """Write a record that must be at a revision, 0 for none."""
+        spec = records.format_record(endpoint)
+        stored = await self._client.put(records.KIND, endpoint.backend, spec, revision)
+        return stored.revision
+
+    async def delete_record(self, backend: str, revision: int) -> None:
+        """Delete a record that must be at a revision."""
+        await self._client.delete(records.KIND, backend, revision)
+
+
+def _parse(item: StoredObject) -> StoredRecord | None:
+    parsed = records.parse_record(item.spec)
+    if parsed.is_err():
+        log_event("record_unreadable", name=item.name, reason=parsed.unwrap_err())
+        return None
+    return StoredRecord(parsed.unwrap(), item.revision)
--- /dev/null
+++ b/src/berylmast/platform/configuration.py
@@ -0,0 +1,150 @@
+"""The operator's configuration object, translated into the product's types."""
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
+from result import Err, Ok, Result
+
+from ..model import ServiceSlice
+from ..routes import CallerLimits, Configuration, HostRoute, RoutePart
+from ..routing.policies import LEAST_DELAY
+from ..settings import Seconds
+
+KIND = "config"
+NAME = "main"
+
+_IDEMPOTENT = "idempotent"
+"""Every other kind, ``upload`` and unknown ones included, must not run twice."""
+
+_DEFAULT_SLOTS = 1
+"""Until the backend server has reported its slots."""
+
+
+class _Wire(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _Split(_Wire):
+    service: str
+    weight: float = Field(ge=0)
+
+
+class _Route(_Wire):
+    name: str
+    path_prefix: str = Field(alias="pathPrefix", pattern="^/(.*/)?$")
+    kind: str
+    timeout: Seconds = Field(gt=0)
+    target_latency: Seconds = Field(alias="targetLatency", gt=0)
+    priority: int = 0
+    max_attempts: int = Field(1, alias="maxAttempts", ge=1)
+    service: str | None = None
+    traffic_split: tuple[_Split, ...] = Field((), alias="trafficSplit")
+
+    @model_validator(mode="after")
+    def _check_destination(self) -> "_Route":
+        weights = sum(part.weight for part in self.traffic_split)
+        if self.service is None and not weights:
+            raise ValueError("neither a service nor a split with weights")
+        return self
+
+
+class _Host(_Wire):
+    host: str = Field(min_length=1)
+    # The paths with their routes, not paths alone.
+    routes: tuple[_Route, ...] = Field((), alias="routePaths")
+
+
+class _Service(_Wire):
+    name: str = Field(min_length=1)
+    health_path: str = Field("/healthz", alias="healthPath")
+    max_conns: int = Field(64, alias="maxConns", ge=1)
+
+
+class _Limits(_Wire):
+    max_header_bytes: int = Field(alias="maxHeaderBytes", gt=0)
+    max_body_bytes: int = Field(alias="maxBodyBytes", gt=0)
+    header_timeout: Seconds = Field(alias="headerTimeout", gt=0)
+    idle_timeout: Seconds = Field(alias="idleTimeout", gt=0)
+
+
+class _Document(_Wire):
+    version: int = Field(ge=1)
+    services: tuple[_Service, ...]
+    limits: _Limits
+    virtual_hosts: tuple[_Host, ...] = Field(alias="virtualHosts")
+
+
+def parse_configuration(spec: object) -> Result[Configuration, str]:
+    """Return the configuration of an object's ``spec``, or why it can't be used."""
+    try:
+        document = _Document.model_validate(spec)
+    except ValidationError as exc:
+        fault = exc.errors(include_url=False, include_input=False)[0]
+        place = ".".join(str(part) for part in fault["loc"])
+        return Err(f"{place}: {fault['msg']}")
+    known = {service.name for service in document.services}
+    for host in document.virtual_hosts:
+        for route in host.routes:
+            unknown = [p.service for p in _read_parts(route) if p.service not in known]
+            if unknown:
+                return Err(f"route {route.name} names unknown service {unknown[0]}")
+    return Ok(_translate(document))
+
+
+def _translate(document: _Document) -> Configuration:
+    routes: dict[str, list[HostRoute]] = {}
+    for host in document.virtual_hosts:
+        routes.setdefault(host.host.lower(), []).extend(map(_make_route, host.routes))
+    limits = document.limits
+    return Configuration(
+        version=document.version,
+        routes={
+            host: tuple(sorted(found, key=lambda r: len(r.path_prefix), reverse=True))
+            for host, found in routes.items()
+        },
+        services={s.name: _make_slice(s, document) for s in document.services},
+        limits=CallerLimits(
+            max_header_bytes=limits.max_header_bytes,
+            max_body_bytes=limits.max_body_bytes,
+            header_timeout_s=limits.header_timeout,
+            idle_timeout_s=limits.idle_timeout,
+        ),
+    )
+
+
+def _read_parts(route: _Route) -> tuple[RoutePart, ...]:
+    if route.traffic_split:
+        return tuple(
+            RoutePart(part.service, part.weight)
+            for part in route.traffic_split
+            if part.weight > 0
+        )
+    assert route.service is not None
+    return (RoutePart(route.service, 1.0),)
+
+
+def _make_route(route: _Route) -> HostRoute:
+    return HostRoute(
+        name=route.name,
+        path_prefix=route.path_prefix,
+        parts=_read_parts(route),
+        idempotent=route.kind == _IDEMPOTENT,
+        rank=route.priority,
+        timeout_ms=round(route.timeout * 1000),
+        target_ms=round(route.target_latency * 1000),
+        max_attempts=route.max_attempts,
+    )
+
+
+def _make_slice(service: _Service, document: _Document) -> ServiceSlice:
+    return ServiceSlice(
+        service=service.name,
+        version=document.version,
+        hosts=frozenset(),
+        routes=(),
+        priorities=(),
+        policy=LEAST_DELAY,
+        slots=_DEFAULT_SLOTS,
+        connections=service.max_conns,
+        max_body_bytes=document.limits.max_body_bytes,
+        health_path=service.health_path,
+        spills=True,
+    )
--- a/src/berylmast/platform/objects.py
+++ b/src/berylmast/platform/objects.py
@@ -99,3 +99,36 @@
         self, kind: str, version: int, name: str | None = None
     ) -> AsyncIterator[WatchEvent]:
         """Yield the changes after a version; raises VersionTooOld if it is gone."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """One object of the store at the revision of its last change."""
+
+    name: str
+    revision: int
+    spec: Any
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectChange:
+    """An object after a change, or as it was before it was deleted."""
+
+    object: StoredObject
+    deleted: bool
+
+
+@dataclass(frozen=True, slots=True)
+class StoredListing:
+    """All objects of a kind at one revision of the store, where a watch may start."""
+
+    version: int
+    items: tuple[StoredObject, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Changes of a kind; a watch may go on from ``revision``."""
+
+    revision: int
+    changes: tuple[ObjectChange, ...]
--- /dev/null
+++ b/src/berylmast/platform/reports.py
@@ -0,0 +1,140 @@
+"""What the local backend server says of itself, and the calls that carry it."""
+
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qs
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from result import Err, Ok, Result
+
+from ..backends.announced import BackendReport, Departure
+from ..settings import Seconds
+
+PATH = "/v1/rpc"
+HEARTBEAT = "instances.heartbeat"
+DEREGISTER = "instances.deregister"
+
+MAX_BODY_BYTES = 64 * 1024
+
+_STATES = {"ready": False, "draining": True}
+
+App = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
+
+
+class _Wire(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True, strict=True)
+
+
+class _Info(_Wire):
+    service: str = Field(min_length=1)
+    # Of the backend server's software, not of its record.
+    version: str = ""
+    zone: str = ""
+    slots: int = Field(ge=1)
+
+
+class _Status(_Wire):
+    state: str
+    # Counts the calls of one start of the backend server.
+    sequence: int = Field(ge=0)
+    cold_left: Seconds = Field(0.0, alias="coldLeft")
+
+
+class _Heartbeat(_Wire):
+    address: str = Field(min_length=1)
+    info: _Info
+    status: _Status
+    # Unix milliseconds of this start; absent where a deployment has no such field.
+    born: int = Field(0, ge=0)
+
+
+class _Leaving(_Wire):
+    born: int = Field(0, ge=0)
+
+
+def parse_heartbeat(backend: str, body: bytes) -> Result[BackendReport, str]:
+    """Return the report of one heartbeat, or why it can't be used."""
+    if not backend:
+        return Err("no id")
+    try:
+        beat = _Heartbeat.model_validate(json.loads(body))
+    except (ValidationError, ValueError) as exc:
+        return Err(f"unreadable: {str(exc).splitlines()[0]}")
+    draining = _STATES.get(beat.status.state)
+    if draining is None:
+        return Err(f"unknown state {beat.status.state!r}")
+    return Ok(
+        BackendReport(
+            backend=backend,
+            service=beat.info.service,
+            address=beat.address,
+            slots=beat.info.slots,
+            draining=draining,
+            born_ms=beat.born,
+            sequence=beat.status.sequence,
+            cold_left_s=beat.status.cold_left,
+        )
+    )
+
+
+def parse_departure(backend: str, body: bytes) -> Result[Departure, str]:
+    """Return who leaves; a call without a body names the id only."""
+    if not backend:
+        return Err("no id")
+    try:
+        leaving = _Leaving.model_validate(json.loads(body) if body.strip() else {})
+    except (ValidationError, ValueError) as exc:
+        return Err(f"unreadable: {str(exc).splitlines()[0]}")
+    return Ok(Departure(backend, leaving.born))
+
+
+def make_report_app(
+    on_report: Callable[[BackendReport], Awaitable[Result[None, str]]],
+    on_departure: Callable[[Departure], Awaitable[Result[None, str]]],
+    on_unusable: Callable[[str, str], None],
+) -> App:
+    """Return the ASGI app that the local backend server calls.
+
+    A call is acknowledged with 200 once its handler has returned Ok; what can't be
+    read or is refused gets 400. ``on_unusable`` is told the id and the reason.
+    """
+
+    async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
+        query = parse_qs(scope["query_string"].decode("latin-1"))
+        call, backend = query.get("call", [""])[0], query.get("of", [""])[0]
+        body = await _read_body(receive)
+        if scope["path"] != PATH or call not in (HEARTBEAT, DEREGISTER):
+            await _answer(send, 404)
+            return
+        result: Result[None, str]
+        if call == HEARTBEAT:
+            report = parse_heartbeat(backend, body)
+            result = await on_report(report.unwrap()) if report.is_ok() else report  # type: ignore[assignment]
+        else:
+            departure = parse_departure(backend, body)
+            result = (
+                await on_departure(departure.unwrap())
+                if departure.is_ok()
+                else departure  # type: ignore[assignment]
+            )
+        if result.is_err():
+            on_unusable(backend, result.unwrap_err())
+        await _answer(send, 200 if result.is_ok() else 400)
+
+    return app
+
+
+async def _read_body(receive: Any) -> bytes:
+    parts = bytearray()
+    while True:
+        message = await receive()
+        parts += message.get("body", b"")
+        if not message.get("more_body", False) or len(parts) > MAX_BODY_BYTES:
+            return bytes(parts)
+
+
+async def _answer(send: Any, status: int) -> None:
+    headers = [(b"content-type", b"application/json"), (b"content-length", b"2")]
+    await send({"type": "http.response.start", "status": status, "headers": headers})
+    await send({"type": "http.response.body", "body": b"{}"})
--- /dev/null
+++ b/src/berylmast/platform/requests.py
@@ -0,0 +1,151 @@
+"""Headers of requests and answers on the platform, read and written."""
+
+from dataclasses import replace
+from enum import StrEnum
+from typing import Any
+
+from ..backends.interface import BackendInterface, Verdict
+from ..callers.answer import ErrorAnswer
+from ..errors import ErrorKind, Outcome, Refusal
+from ..model import BackendLoad, Headers, RequestHead
+
+ATTEMPT_ID = b"x-attempt-id"
+DEADLINE_MS = b"x-deadline-ms"
+SEAL = b"x-response-seal"
+NOT_EXECUTED = b"x-not-executed"
+# The id of the backend server that is meant; any other answers 421.
+TARGET = b"x-target-instance"
+# The service on the machine where the request began.
+CALLER_SERVICE = b"x-caller-service"
+# Running, waiting, slots and, at times, the slowdown in percent.
+LOAD = b"x-server-load"
+
+_SET_HERE = frozenset({DEADLINE_MS, TARGET, CALLER_SERVICE})
+_MISDIRECTED = 421
+_USUAL_PERCENT = 100.0
+
+
+class _Status:
+    UNAVAILABLE = 503
+    BAD_GATEWAY = 502
+    TIMEOUT = 504
+
+
+_STATUSES = {
+    ErrorKind.BAD_REQUEST: 400,
+    ErrorKind.BODY_CUT: 400,
+    ErrorKind.BODY_TOO_LARGE: 413,
+    ErrorKind.BODY_TOO_LARGE_UNKNOWN: 413,
+    ErrorKind.HEADERS_TOO_LARGE: 431,
+    ErrorKind.TOO_MANY_HEADERS: 431,
+    ErrorKind.UNKNOWN_SERVICE: 404,
+    ErrorKind.DEADLINE_UNKNOWN: _Status.TIMEOUT,
+}
+"""Statuses of the kinds that are no plain refusal or failure.
+
+429, 503, 408 and 421 promise that the request did not run and never will.
+"""
+
+
+class HeaderField(StrEnum):
+    """Headers of error answers that are the project's own."""
+
+    ERROR = "berylmast-error"
+    OUTCOME = "berylmast-outcome"
+
+
+def read_attempt_id(headers: Headers) -> str:
+    """Return the caller's id of this request, empty if it sent none."""
+    return _find(headers, ATTEMPT_ID).decode("latin-1")
+
+
+def read_deadline_ms(headers: Headers) -> int | None:
+    """Return how long the caller waits, in milliseconds; None if it does not say."""
+    text = _find(headers, DEADLINE_MS).decode("latin-1").strip()
+    try:
+        return max(0, int(float(text)))
+    except ValueError:
+        return None
+
+
+def set_origin(headers: Headers, service: str) -> list[tuple[bytes, bytes]]:
+    """Return the headers with the service where the request began."""
+    kept = [(key, value) for key, value in headers if key not in _SET_HERE]
+    return [*kept, (CALLER_SERVICE, service.encode("latin-1"))]
+
+
+def make_error_answer(refusal: Refusal) -> ErrorAnswer:
+    """Return status and headers of an error answer.
+
+    A refusal that did not run is a 503 with the time after which to come back.
+    """
+    status = _STATUSES.get(refusal.kind)
+    if status is None:
+        status = _Status.UNAVAILABLE if refusal.not_run else _Status.BAD_GATEWAY
+    headers = [
+        (b"content-type", b"text/plain; charset=utf-8"),
+        (HeaderField.OUTCOME.encode(), refusal.answer.outcome.encode()),
+        (HeaderField.ERROR.encode(), refusal.kind.encode()),
+    ]
+    if status == _Status.UNAVAILABLE:
+        headers.append((b"retry-after", f"{refusal.wait_s:.3f}".encode()))
+    assert status != _Status.UNAVAILABLE or refusal.answer.outcome is Outcome.NOT_RUN
+    return ErrorAnswer(status, tuple(headers))
+
+
+def make_backend_head(
+    head: RequestHead, remaining_ms: int, backend: str
+) -> RequestHead:
+    """Return the head as the backend server of that id receives it."""
+    headers = [(k, v) for k, v in head.headers if k not in (DEADLINE_MS, TARGET)]
+    headers.append((DEADLINE_MS, str(remaining_ms).encode()))
+    headers.append((TARGET, backend.encode("latin-1")))
+    return replace(head, deadline_ms=remaining_ms, headers=headers)
+
+
+def judge_answer(status: int, headers: Headers) -> Verdict:
+    """Tell what a backend server's answer says about its request."""
+    names = {key for key, _ in headers}
+    if NOT_EXECUTED in names or status == _MISDIRECTED:
+        return Verdict.NOT_RUN
+    if SEAL not in names or b"content-encoding" in names:
+        return Verdict.INVALID
+    return Verdict.VALID
+
+
+def is_stray(head: RequestHead, headers: Headers) -> bool:
+    """Tell whether an answer names another request than the one that waits."""
+    found = _find(headers, ATTEMPT_ID)
+    return bool(found) and found != _find(head.headers, ATTEMPT_ID)
+
+
+def read_load(headers: Headers) -> BackendLoad | None:
+    """Return the load that an answer carries, None if it carries none."""
+    parts = _find(headers, LOAD).decode("latin-1").split(",")
+    try:
+        running, waiting, slots = (int(part) for part in parts[:3])
+        percent = float(parts[3]) if len(parts) > 3 else _USUAL_PERCENT
+    except ValueError:
+        return None
+    return BackendLoad(running, waiting, slots, percent / _USUAL_PERCENT)
+
+
+PLATFORM_INTERFACE = BackendInterface(
+    make_head=make_backend_head,
+    judge=judge_answer,
+    is_stray=is_stray,
+    read_load=read_load,
+)
+
+
+def _find(headers: Headers, name: bytes) -> bytes:
+    for key, value in headers:
+        if key == name:
+            return value
+    return b""
+
+
+def read_host(scope: dict[str, Any]) -> str:
+    """Return the host that a request names, without its port, in lower case."""
+    value = _find(scope["headers"], b"host").decode("latin-1")
+    return value.partition(":")[0].lower()
--- /dev/null
+++ b/src/berylmast/platform/store.py
@@ -0,0 +1,216 @@
+"""Client of the platform's object store over HTTP."""
+
+import json
+import socket
+from typing import Any, TypeVar
+from urllib.parse import quote, urlencode
+
+import httpcore
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from ..settings import Address
+from .objects import (
+    Changes,
+    Conflict,
+    ObjectChange,
+    PlatformUnavailable,
+    StoredListing,
+    StoredObject,
+    VersionTooOld,
+)
+
+CALL_TIMEOUT_S = 1.5
+WATCH_MARGIN_S = 1.0
+"""A watch that has not ended this long after its own time is taken as silent."""
+
+IDLE_CONNECTION_S = 10.0
+MAX_CONNECTIONS = 4
+
+# A silent connection is noticed within three seconds, also under a waiting watch.
+_KEEP_ALIVE = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3_000),
+)
+_UNSENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
+_FAILURES = (
+    httpcore.NetworkError,
+    httpcore.TimeoutException,
+    httpcore.ProtocolError,
+    ValueError,
+)
+
+
+class _Wire(BaseModel):
+    model_config = ConfigDict(extra="ignore", frozen=True)
+
+
+class _Metadata(_Wire):
+    name: str
+    revision: int = 0
+    deleting: bool = False
+
+
+class _Object(_Wire):
+    metadata: _Metadata
+    # The content of an object of one of our kinds or the operator's; any JSON value.
+    spec: Any = None
+
+
+class _Listing(_Wire):
+    items: tuple[_Object, ...]
+    # Revision of the store, where a watch may start.
+    at: int
+    has_more: bool = Field(False, alias="hasMore")
+
+
+class _Event(_Wire):
+    deleted: bool = False
+    object: _Object
+
+
+class _Changes(_Wire):
+    events: tuple[_Event, ...] = ()
+    at: int
+
+
+_Model = TypeVar("_Model", bound=BaseModel)
+
+
+class StoreClient:
+    """Calls the object store; every call counts against the fleet's rates."""
+
+    def __init__(self, address: Address) -> None:
+        self.calls = 0
+        self._base = f"http://{address}/v1/objects"
+        self._pool = httpcore.AsyncConnectionPool(
+            max_connections=MAX_CONNECTIONS,
+            keepalive_expiry=IDLE_CONNECTION_S,
+            socket_options=_KEEP_ALIVE,
+        )
+
+    async def aclose(self) -> None:
+        """Close all connections."""
+        await self._pool.aclose()
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Read one object, None if it does not exist."""
+        status, data = await self._call("GET", _make_path(kind, name))
+        if status == 404:
+            return None
+        return _parse_object(status, data)
+
+    async def list(self, kind: str) -> StoredListing:
+        """Read all objects of a kind."""
+        items: list[StoredObject] = []
+        after = ""
+        while True:
+            query = f"?{urlencode({'after': after})}" if after else ""
+            status, data = await self._call("GET", _make_path(kind) + query)
+            if status != 200:
+                raise PlatformUnavailable(f"the store answered {status}")
+            page = _parse(_Listing, data)
+            items.extend(_translate(item) for item in page.items)
+            if not page.has_more or not page.items:
+                return StoredListing(page.at, tuple(items))
+            after = page.items[-1].metadata.name
+
+    async def put(
+        self, kind: str, name: str, spec: object, revision: int | None
+    ) -> StoredObject:
+        """Write one object; ``revision`` is the one it must have now, 0 for none.
+
+        None writes whatever the revision is. Raises Conflict if another is stored.
+        """
+        if revision == 0:
+            body = {"metadata": {"name": name}, "spec": spec}
+            status, data = await self._call("POST", _make_path(kind), body)
+        else:
+            metadata: dict[str, Any] = {"name": name}
+            if revision is not None:
+                metadata["revision"] = revision
+            body = {"metadata": metadata, "spec": spec}
+            status, data = await self._call("PUT", _make_path(kind, name), body)
+        if status == 404 and revision is None:
+            return await self.put(kind, name, spec, 0)
+        if status in (404, 409):
+            raise Conflict(f"{kind}/{name} is not at revision {revision}")
+        return _parse_object(status, data)
+
+    async def delete(self, kind: str, name: str, revision: int | None) -> None:
+        """Delete one object; one that does not exist is no error.
+
+        Raises Conflict if another revision is stored.
+        """
+        query = "" if revision is None else f"?{urlencode({'revision': revision})}"
+        status, _ = await self._call("DELETE", _make_path(kind, name) + query)
+        if status == 409:
+            raise Conflict(f"{kind}/{name} is not at revision {revision}")
+        if status not in (200, 202, 204, 404):
+            raise PlatformUnavailable(f"the store answered {status}")
+
+    async def wait_changes(self, kind: str, revision: int, wait_s: float) -> Changes:
+        """Return the changes of a kind after a revision, at most ``wait_s`` later.
+
+        Raises VersionTooOld if the store has dropped that part of its history.
+        """
+        query = urlencode({"watch": revision, "waitMs": round(wait_s * 1000)})
+        path = f"{_make_path(kind)}?{query}"
+        status, data = await self._call("GET", path, read_s=wait_s + WATCH_MARGIN_S)
+        if status == 410:
+            raise VersionTooOld(f"{kind} at revision {revision}")
+        if status != 200:
+            raise PlatformUnavailable(f"the store answered {status}")
+        page = _parse(_Changes, data)
+        changes = tuple(
+            ObjectChange(_translate(event.object), event.deleted)
+            for event in page.events
+        )
+        return Changes(page.at, changes)
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: object | None = None,
+        read_s: float = CALL_TIMEOUT_S,
+    ) -> tuple[int, Any]:
+        self.calls += 1
+        timeouts = dict.fromkeys(("connect", "write", "pool"), CALL_TIMEOUT_S)
+        content = None if body is None else json.dumps(body).encode()
+        try:
+            res = await self._pool.request(
+                method,
+                self._base + path,
+                headers={"content-type": "application/json"},
+                content=content,
+                extensions={"timeout": {**timeouts, "read": read_s}},
+            )
+            return res.status, json.loads(res.content) if res.content else None
+        except _FAILURES as exc:
+            sent = not isinstance(exc, _UNSENT)
+            raise PlatformUnavailable(f"{method} {path}: {exc!r}", sent=sent) from exc
+
+
+def _make_path(kind: str, name: str | None = None) -> str:
+    path = "/" + quote(kind, safe="")
+    return path if name is None else f"{path}/{quote(name, safe='')}"
+
+
+def _parse(model: type[_Model], data: Any) -> _Model:
+    try:
+        return model.model_validate(data)
+    except ValidationError as exc:
+        raise PlatformUnavailable(f"unreadable answer of the store: {exc}") from exc
+
+
+def _parse_object(status: int, data: Any) -> StoredObject:
+    if status not in (200, 201):
+        raise PlatformUnavailable(f"the store answered {status}")
+    return _translate(_parse(_Object, data))
+
+
+def _translate(item: _Object) -> StoredObject:
+    return StoredObject(item.metadata.name, item.metadata.revision, item.spec)
--- /dev/null
+++ b/src/berylmast/routes.py
@@ -0,0 +1,64 @@
+"""The configuration in force, as the path of a request reads it."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from .model import ServiceSlice
+
+
+@dataclass(frozen=True, slots=True)
+class RoutePart:
+    """A service that gets a share of a route's requests in proportion to ``weight``."""
+
+    service: str
+    weight: float
+
+
+@dataclass(frozen=True, slots=True)
+class HostRoute:
+    """How the requests of one host and path prefix are treated.
+
+    ``rank`` orders routes by urgency, 0 first. ``timeout_ms`` is the longest time that
+    a caller is kept waiting, ``target_ms`` the time within which an answer is on time;
+    both are in milliseconds. ``max_attempts`` is the number of backend servers that one
+    request may be sent to.
+    """
+
+    name: str
+    path_prefix: str
+    parts: tuple[RoutePart, ...]
+    idempotent: bool
+    rank: int
+    timeout_ms: int
+    target_ms: int
+    max_attempts: int
+
+
+@dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send; sizes are in bytes, times in seconds."""
+
+    max_header_bytes: int
+    max_body_bytes: int
+    header_timeout_s: float
+    idle_timeout_s: float
+
+
+@dataclass(frozen=True, slots=True)
+class Configuration:
+    """One version of the configuration.
+
+    ``routes`` holds the routes of each host, those with the longest prefix first.
+    """
+
+    version: int
+    routes: Mapping[str, tuple[HostRoute, ...]]
+    services: Mapping[str, ServiceSlice]
+    limits: CallerLimits
+
+    def find_route(self, host: str, path: str) -> HostRoute | None:
+        """Return the route with the longest prefix that begins the path."""
+        for route in self.routes.get(host, ()):
+            if path.startswith(route.path_prefix):
+                return route
+        return None
--- a/src/berylmast/routing/load_table.py
+++ b/src/berylmast/routing/load_table.py
@@ -222,4 +222,5 @@
         limit=limit,
         error_rate=error_rate,
         last_chosen=load.last_chosen,
+        slowdown=report.slowdown if report is not None else 1.0,
     )
--- a/src/berylmast/routing/policies.py
+++ b/src/berylmast/routing/policies.py
@@ -41,6 +41,7 @@
     error_rate: float = 0.0
     last_chosen: int = 0
     hot: bool = False
+    slowdown: float = 1.0
 
     @property
     def cost(self) -> float:
@@ -49,6 +50,25 @@
         return self.latency_ms * queueing * (1 + ERROR_COST * self.error_rate)
 
 
+LEAST_DELAY = "least_delay"
+"""Name of the policy that compares backend servers of all regions by expected delay."""
+
+UNKNOWN_SLOWDOWN = 1.5
+"""Assumed where no fresh report says how long work takes at the moment."""
+
+SLOWDOWN_HALF_LIFE_S = 0.1
+"""Neighbours on the machine of a backend server change within tenths of a second."""
+
+
+def estimate_delay_ms(candidate: Candidate, distance_ms: float) -> float:
+    """Return the expected time to an answer in milliseconds, with its way there."""
+    trust = math.exp2(-candidate.age_s / SLOWDOWN_HALF_LIFE_S)
+    slowdown = trust * candidate.slowdown + (1 - trust) * UNKNOWN_SLOWDOWN
+    waiting = max(0.0, candidate.in_flight + 1 - candidate.limit) / candidate.limit
+    work_ms = candidate.latency_ms * (slowdown + waiting)
+    return work_ms * (1 + ERROR_COST * candidate.error_rate) + distance_ms
+
+
 Policy = Callable[[Sequence[Candidate], Random], Candidate]
 """Chooses one of at least one candidate."""
 
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -11,6 +11,7 @@
 from ..errors import ErrorKind, Refusal
 from ..membership import Directory
 from ..model import AttemptResult, Endpoint, LoadReport, ServiceSlice
+from .distance import Distance, estimate_distance_ms
 from .ejection import Ejections
 from .explain import Explanation, Known, explain_choice
 from .link_budget import LinkBudget
@@ -21,9 +22,16 @@
     prefer_domain,
     sample_endpoints,
 )
-from .policies import POLICIES, Candidate, mark_hot
+from .policies import (
+    LEAST_DELAY,
+    POLICIES,
+    Candidate,
+    estimate_delay_ms,
+    mark_hot,
+)
 from .probes import STALE_REPORT_S, ProbeBudget
 from .ramp import Ramp
+from .unreachable import Unreachable
 
 RECENT_CALL_S = 5.0
 """Only endpoints of services called this recently are probed."""
@@ -43,6 +51,7 @@
         failure_domain: str,
         rng: Random,
         unix_time: Callable[[], float] = time.time,
+        address: tuple[str, int] | None = None,
     ) -> None:
         self.probe_budget = ProbeBudget()
         self.link_budget = LinkBudget()
@@ -50,11 +59,13 @@
         self._region = region
         self._failure_domain = failure_domain
         self._rng = rng
+        self._daemon_address = address
         # The steps of a shift begin at dates; all else uses the runtime's clock.
         self._unix_time = unix_time
         self._loads = LoadTable()
         self._ejections = Ejections()
         self._ramp = Ramp()
+        self._unreachable = Unreachable()
         self._called: dict[str, float] = {}
         self._chosen: dict[str, Endpoint] = {}
         self._pruned_s = 0.0
@@ -75,6 +86,8 @@
         """
         now_s = anyio.current_time()
         self._note_call(service, now_s, first=not exclude)
+        if service.policy == LEAST_DELAY:
+            return self._choose_by_delay(service, exclude, idempotent, now_s)
         groups = group_by_region(self._find_ready(service.service, now_s))
         kind, detail = ErrorKind.NO_BACKEND, f"no backend server of {service.service}"
         last_resort: Endpoint | None = None
@@ -94,6 +107,16 @@
             return self._accept(last_resort)
         return Err(Refusal(kind, detail))
 
+    def has_other_near(self, service: str, exclude: Collection[str]) -> bool:
+        """Tell whether another backend server of the own region takes new work."""
+        now_s = anyio.current_time()
+        return any(
+            e.region == self._region
+            and e.backend not in exclude
+            and not self._unreachable.is_marked(e.backend, now_s)
+            for e in self._find_ready(service, now_s)
+        )
+
     def record_start(self, backend: str, body_bytes: int = 0) -> None:
         """Count a request that this entry sends to a backend server."""
         self._loads.record_start(backend, anyio.current_time())
@@ -105,6 +128,7 @@
         """Count the end of a request counted by ``record_start``."""
         now_s = anyio.current_time()
         self._loads.record_result(backend, result, now_s)
+        self._unreachable.record(backend, result, now_s)
         endpoint = self._chosen.get(backend)
         if endpoint is not None and endpoint.region != self._region:
             self.link_budget.settle(
@@ -264,6 +288,40 @@
         preferred = prefer_domain(candidates, self._failure_domain)
         return POLICIES[service.policy](preferred, self._rng).endpoint
 
+    def _choose_by_delay(
+        self,
+        service: ServiceSlice,
+        exclude: Collection[str],
+        idempotent: bool,
+        now_s: float,
+    ) -> Result[Endpoint, Refusal]:
+        """Choose the lowest expected delay among the endpoints of all regions."""
+        ready = self._find_ready(service.service, now_s)
+        left = [e for e in ready if e.backend not in exclude]
+        reachable = [
+            e for e in left if not self._unreachable.is_marked(e.backend, now_s)
+        ]
+        left = reachable or left
+        if not left:
+            kind = ErrorKind.NO_BACKEND
+            return Err(Refusal(kind, f"no backend server of {service.service}"))
+        ejected = self._ejections.find_ejected({e.backend for e in ready})
+        if ejected:
+            by_name = {e.backend: e for e in left if e.backend in ejected}
+            trial = self._ejections.start_due_trial(by_name, idempotent, now_s)
+            if trial is not None:
+                return self._accept(by_name[trial])
+        usable = [e for e in left if e.backend not in ejected] or left
+        sample = sample_endpoints(usable, self._failure_domain, self._rng)
+        candidates = self._limit_new(self._loads.make_candidates(sample, now_s), now_s)
+        best = min(candidates, key=self._estimate_cost)
+        return self._accept(best.endpoint)
+
+    def _estimate_cost(self, candidate: Candidate) -> tuple[float, float]:
+        place = Distance(self._region, self._failure_domain, self._daemon_address)
+        distance_ms = estimate_distance_ms(place, candidate.endpoint)
+        return (estimate_delay_ms(candidate, distance_ms), self._rng.random())
+
     def _limit_new(
         self, candidates: Sequence[Candidate], now_s: float
     ) -> Sequence[Candidate]:
--- a/src/berylmast/settings/__init__.py
+++ b/src/berylmast/settings/__init__.py
@@ -6,15 +6,22 @@
     DaemonSettings,
     DrainSettings,
     HealthSettings,
+    Interface,
     LimitSettings,
+    RetrySettings,
 )
+from ._units import Seconds, parse_seconds
 
 __all__ = [
     "Address",
     "DaemonSettings",
     "DrainSettings",
     "HealthSettings",
+    "Interface",
     "LimitSettings",
+    "RetrySettings",
+    "Seconds",
     "SettingsError",
     "load_settings",
+    "parse_seconds",
 ]
--- a/src/berylmast/settings/_models.py
+++ b/src/berylmast/settings/_models.py
@@ -1,6 +1,10 @@
 """Validated models of the daemon's settings file."""
 
-from pydantic import BaseModel, ConfigDict, Field
+from enum import StrEnum
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from ._units import Seconds
 
 
 class _Strict(BaseModel):
@@ -8,11 +12,19 @@
 
 
 class Address(_Strict):
-    """An IP number and a TCP or UDP port."""
+    """An IP number and a TCP or UDP port, also written as ``HOST:PORT``."""
 
     host: str = Field(description="IP number")
     port: int = Field(ge=0, le=65535, description="TCP or UDP port")
 
+    @model_validator(mode="before")
+    @classmethod
+    def _split_text(cls, value: object) -> object:
+        if not isinstance(value, str):
+            return value
+        host, _, port = value.rpartition(":")
+        return {"host": host, "port": port}
+
     def __str__(self) -> str:
         return f"{self.host}:{self.port}"
 
@@ -42,14 +54,34 @@
 class DrainSettings(_Strict):
     """How long an orderly exit may take."""
 
-    grace_s: float = Field(
+    grace_s: Seconds = Field(
         3.0, ge=0, description="seconds in which callers are still accepted"
     )
-    timeout_s: float = Field(
+    timeout_s: Seconds = Field(
         60.0, gt=0, description="seconds until requests under way are cut"
     )
 
 
+class RetrySettings(_Strict):
+    """The fleet's budget of requests that are sent to a further backend server.
+
+    In each window a service gets at most ``ratio`` times its requests plus ``slack``.
+    """
+
+    ratio: float = Field(0.2, ge=0, description="retries per request of the fleet")
+    slack: float = Field(
+        64, ge=0, description="retries of the fleet in a window beyond the ratio"
+    )
+    window_s: Seconds = Field(10.0, gt=0, description="length of the window, seconds")
+
+
+class Interface(StrEnum):
+    """What is spoken with callers, backend servers and the store."""
+
+    OWN = "own"
+    PLATFORM = "platform"
+
+
 class DaemonSettings(_Strict):
     """Everything that one daemon must know about its own place."""
 
@@ -68,6 +100,21 @@
     statsd: Address | None = Field(
         None, description="statsd server, UDP; none if absent"
     )
+    interface: Interface = Field(
+        Interface.OWN,
+        description="own: the project's interface; platform: that of the platform",
+    )
+    announcements: Address | None = Field(
+        None,
+        description="where the local backend server reports its state, HTTP; without "
+        "it the settings name the backend server",
+    )
+    leave_s: Seconds = Field(
+        2.0,
+        gt=0,
+        description="seconds in which a leaving backend server may still get requests",
+    )
+    retries: RetrySettings = RetrySettings()
     limits: LimitSettings = LimitSettings()
     health: HealthSettings | None = Field(
         None,
