Keep the tests of the product in step with the typed classification

Cause: make_app takes a classification function instead of a directory, and a backend client takes a filter of stray answers.

Change: the test doubles follow; the number of owners asked is bounded by the route's attempts as before where busy owners do not pass requests on.

--- a/src/berylmast/_serve.py
+++ b/src/berylmast/_serve.py
@@ -40,7 +40,7 @@
     _pending_bytes = 0
     _refused = False
 
-    @property
+    @property  # type: ignore[override]
     def timeout_keep_alive(self) -> float:
         """Return the idle seconds after which a caller's connection is closed."""
         if self.get_idle_s is not None:
--- a/src/berylmast/backends/owner.py
+++ b/src/berylmast/backends/owner.py
@@ -23,7 +23,7 @@
     Request,
 )
 from ..errors import ErrorKind, Refusal
-from ..limits import AdmissionController, Permit
+from ..limits import Admission, Permit
 from ..model import (
     AttemptResult,
     AttemptState,
@@ -55,7 +55,7 @@
 
     def __init__(
         self,
-        admission: AdmissionController,
+        admission: Admission,
         ledger: AttemptLedger,
         client: BackendClient,
         keys: KeyLedger | None = None,
--- a/src/berylmast/backends/tests/test_dispatch.py
+++ b/src/berylmast/backends/tests/test_dispatch.py
@@ -55,6 +55,7 @@
         headers: Headers,
         body: AsyncIterator[bytes] | None,
         get_trailers: Callable[[], Headers],
+        is_stray: Callable[[Headers], bool] = lambda _headers: False,
     ) -> AsyncIterator[BackendAnswer]:
         try:
             if self.parts and isinstance(self.parts[0], BackendUnreachable):
--- a/src/berylmast/backends/tests/test_owner_limits.py
+++ b/src/berylmast/backends/tests/test_owner_limits.py
@@ -35,6 +35,7 @@
         headers: Headers,
         body: AsyncIterator[bytes] | None,
         get_trailers: Callable[[], Headers] | None = None,
+        is_stray: Callable[[Headers], bool] = lambda _headers: False,
     ) -> AsyncIterator[BackendAnswer]:
         """Answer without a body."""
 
--- a/src/berylmast/callers/context.py
+++ b/src/berylmast/callers/context.py
@@ -56,8 +56,8 @@
     """What happened to one request.
 
     ``attempts`` counts the owners that were asked, ``sent`` the backend servers that
-    may have seen the request. ``may_have_run`` holds while some attempt was sent and is not proved not to have
-    run; ``answered`` once the whole answer is with the caller.
+    may have seen the request. ``may_have_run`` holds while some attempt was sent and
+    is not proved not to have run; ``answered`` once the caller has the whole answer.
     """
 
     backend: str = ""
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -15,9 +15,6 @@
 
 __all__ = ["Forwarder", "OpenExchange", "Trace", "forward_request"]
 
-MAX_ASKED = 5
-"""Owners asked for one request; refusals before dispatch cost no backend server."""
-
 
 async def forward_request(
     forwarder: Forwarder,
@@ -85,7 +82,7 @@
     started_s = anyio.current_time()
     search = Search(forwarder.router, req, body.length or 0)
     verdict: Refusal | None = None
-    while trace.attempts < MAX_ASKED and trace.sent < req.max_attempts:
+    while trace.attempts < search.most_asked and trace.sent < req.max_attempts:
         choice = search.choose()
         if choice.is_err():
             return Err(verdict or choice.unwrap_err())
--- a/src/berylmast/callers/search.py
+++ b/src/berylmast/callers/search.py
@@ -10,6 +10,9 @@
 from .attempt import is_arrival
 from .classify import Classified
 
+MAX_ASKED = 5
+"""Owners asked for one request where busy ones pass it on."""
+
 MAX_SPILLS = 2
 """Busy backend servers that pass a request on before it waits at one of them."""
 
@@ -25,12 +28,14 @@
 class Search:
     """The backend servers tried for one request, and what that leaves.
 
-    ``costs_retry`` tells that the next attempt repeats one that a backend server may
-    have seen, and so draws on the retry budget.
+    ``costs_retry`` tells that the next attempt draws on the retry budget: it repeats
+    one that a backend server may have seen, or no busy owner of the service passes on.
+    ``most_asked`` is the number of owners that may be asked.
     """
 
     def __init__(self, router: Router, req: Classified, body_bytes: int) -> None:
         self.costs_retry = False
+        self.most_asked = MAX_ASKED if req.service.spills else req.max_attempts
         self._router = router
         self._req = req
         self._body_bytes = body_bytes
@@ -62,7 +67,7 @@
 
     def record(self, endpoint: Endpoint, refusal: Refusal) -> None:
         """Note how an attempt failed."""
-        if is_arrival(refusal):
+        if is_arrival(refusal) or not self._req.service.spills:
             self.costs_retry = True
         if refusal.kind is ErrorKind.BUSY:
             self._busy.add(endpoint.backend)
--- a/src/berylmast/callers/tests/entry.py
+++ b/src/berylmast/callers/tests/entry.py
@@ -18,6 +18,7 @@
 from ...settings import LimitSettings
 from ...telemetry import Sight
 from ..app import App, make_app
+from ..classify import make_classifier
 from ..forward import Forwarder
 
 LOAD = LoadReport("b1", 1, 1, 0, 0, 4, 1.0, 0.0)
@@ -72,7 +73,8 @@
     )
     limits = LimitSettings(max_requests=max_requests)
     sight = sight or Sight(None)
-    return make_app(directory, limits, forwarder, sight)
+    classify = make_classifier(directory, limits, forwarder.next_attempt)
+    return make_app(classify, limits, forwarder, sight)
 
 
 @dataclass
--- a/src/berylmast/limits/__init__.py
+++ b/src/berylmast/limits/__init__.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .admission import AdmissionController, Permit
+from .admission import Admission, AdmissionController, Permit
 from .retry_budget import RetryBudget
 from .shedder import EntryShedder
 
@@ -19,6 +19,7 @@
 
 __all__ = [
     "DEFAULT_LIMITS",
+    "Admission",
     "AdmissionController",
     "EntryShedder",
     "Limits",
--- a/src/berylmast/limits/admission.py
+++ b/src/berylmast/limits/admission.py
@@ -1,6 +1,7 @@
 """Admission of requests to the local backend server."""
 
 from collections.abc import Callable
+from typing import Protocol
 
 import anyio
 from result import Err, Ok, Result
@@ -30,6 +31,21 @@
             release(result)
 
 
+class Admission(Protocol):
+    """Decides which requests run now, wait or are refused.
+
+    ``draining`` refuses all new ones.
+    """
+
+    draining: bool
+
+    async def acquire(self, head: RequestHead) -> Result[Permit, Refusal]:
+        """Wait for a slot, or refuse."""
+
+    def report(self) -> LoadReport:
+        """Return the load of the backend server now."""
+
+
 class AdmissionController:
     """Decides which requests run now, wait or are refused.
 
--- a/src/berylmast/membership/store.py
+++ b/src/berylmast/membership/store.py
@@ -31,7 +31,9 @@
     All raise PlatformUnavailable if the outcome is unknown or nothing was done.
     """
 
-    calls: int
+    @property
+    def calls(self) -> int:
+        """Return the number of calls made so far."""
 
     async def read_document(self) -> StoredDocument:
         """Read the configuration."""
--- a/src/berylmast/operators/daemon_admin.py
+++ b/src/berylmast/operators/daemon_admin.py
@@ -3,7 +3,7 @@
 from dataclasses import asdict
 
 from ..lifecycle import LeaveReason, Lifecycle
-from ..limits import AdmissionController
+from ..limits import Admission
 from ..telemetry import Sight
 from .admin import App, Query, Report, make_admin_app
 
@@ -11,7 +11,7 @@
 def make_daemon_admin(
     sight: Sight,
     lifecycle: Lifecycle,
-    admission: AdmissionController | None,
+    admission: Admission | None,
     report_routing: Report,
     report_membership: Report,
     explain: Query,
--- a/src/berylmast/tests/fake_parts.py
+++ b/src/berylmast/tests/fake_parts.py
@@ -111,6 +111,7 @@
         headers: Headers,
         body: AsyncIterator[bytes] | None,
         get_trailers: Callable[[], Headers] | None = None,
+        is_stray: Callable[[Headers], bool] = lambda _headers: False,
     ) -> AsyncIterator[BackendAnswer]:
         """Run a request as a backend server would that answers after its work."""
         if self.cut_at is Step.CONNECT:
--- a/src/berylmast/tests/golden_log.py
+++ b/src/berylmast/tests/golden_log.py
@@ -115,6 +115,7 @@
         headers: Headers,
         body: AsyncIterator[bytes] | None,
         get_trailers: Callable[[], Headers] | None = None,
+        is_stray: Callable[[Headers], bool] = lambda _headers: False,
     ) -> AsyncIterator[BackendAnswer]:
         """Run a request as the fake does."""
         server = f"{self.name}-server"
--- a/src/berylmast/tests/golden_requests.py
+++ b/src/berylmast/tests/golden_requests.py
@@ -8,6 +8,7 @@
 import anyio
 
 from ..callers.app import TRAILERS_KEY, make_app
+from ..callers.classify import make_classifier
 from ..callers.tests.test_once import break_at
 from ..daemons import frames
 from ..daemons.frames import Frame
@@ -56,7 +57,10 @@
     **headers: str,
 ) -> None:
     """Make a call over ASGI and record it."""
-    app = make_app(entry.fleet.directory, LimitSettings(), entry.forwarder, Sight(None))
+    classify = make_classifier(
+        entry.fleet.directory, LimitSettings(), entry.forwarder.next_attempt
+    )
+    app = make_app(classify, LimitSettings(), entry.forwarder, Sight(None))
     caller, name = "caller", entry.identity.daemon
     fields = [(b"host", b"orders.test"), (b"x-request-id", request_id.encode())]
     fields += [(k.replace("_", "-").encode(), v.encode()) for k, v in headers.items()]
