--- a/features/document_faults.feature
+++ b/features/document_faults.feature
@@ -46,10 +46,10 @@
       | write answer lost     | during commit |
       | write answer lost     | after commit  |
       | write answer lost     | during spread |
-      | lease lapsed          | before commit |
-      | lease lapsed          | during commit |
-      | lease lapsed          | after commit  |
-      | lease lapsed          | during spread |
+      | daemon paused         | before commit |
+      | daemon paused         | during commit |
+      | daemon paused         | after commit  |
+      | daemon paused         | during spread |
       | operators racing      | before commit |
       | operators racing      | during commit |
       | operators racing      | after commit  |
@@ -70,5 +70,5 @@
       | cut, data late        | during commit |
       | cut, data late        | after commit  |
       | cut, data late        | during spread |
-      | stale registrar       | before commit |
-      | stale registrar       | during commit |
+      | stale peer            | before commit |
+      | stale peer            | during commit |
--- a/features/matrix/cell.py
+++ b/features/matrix/cell.py
@@ -11,7 +11,7 @@
 
 from .checks import Verdict, check_all
 from .faults import FAULTS
-from .world import World, run_world
+from .world import STRUCK, World, run_world
 
 REQUEST_STEPS: dict[str, type[Frame]] = {
     "before dispatch": Request,
@@ -122,7 +122,7 @@
     def begin() -> None:
         if not struck.is_set():
             struck.set()
-            target = world.find_registrar()
+            target = STRUCK
             FAULTS[fault].begin(world, target)
             strike(target)
 
--- a/features/matrix/document.py
+++ b/features/matrix/document.py
@@ -2,7 +2,6 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, cast
 
 import anyio
 from result import Result
@@ -14,8 +13,8 @@
     Revision,
     apply_revision,
 )
-from berylmast.platform import PlatformClient, PlatformObject
-from berylmast.platform.tests.fake import FakePlatform
+from berylmast.platform import StoredObject
+from berylmast.platform.tests.fake import FakeStore
 from berylmast_dev.objects import ObjectTable
 
 ENVIRONMENT = "test"
@@ -40,7 +39,7 @@
     return f'{{"priorities": {PRIORITIES}, "services": {{{services}}}}}'
 
 
-class OperatorPlatform(FakePlatform):
+class OperatorPlatform(FakeStore):
     """The platform as one operator's command reaches it."""
 
     def __init__(self, table: ObjectTable) -> None:
@@ -48,12 +47,12 @@
         self.on_put: Callable[[], None] | None = None
 
     async def put(
-        self, kind: str, name: str, spec: dict[str, Any], version: int | None
-    ) -> PlatformObject:
+        self, kind: str, name: str, spec: object, revision: int | None
+    ) -> StoredObject:
         """Tell that a write is under way, then write."""
         if self.on_put is not None:
             self.on_put()
-        return await super().put(kind, name, spec, version)
+        return await super().put(kind, name, spec, revision)
 
 
 @dataclass
@@ -81,9 +80,8 @@
         mark = self._mark
         if base is None:
             base = self.stored_version
-        client = cast(PlatformClient, self.platform)
         text = make_document(mark)
-        result = await apply_revision(client, ENVIRONMENT, text, base)
+        result = await apply_revision(self.platform, ENVIRONMENT, text, base)
         self.reports.append(Applied(mark, base, result, anyio.current_time()))
         return result.is_ok()
 
@@ -95,6 +93,6 @@
 
     def list_accepted(self) -> list[tuple[int, str]]:
         """Return each version and text that the store took, in order."""
-        events = self._table.changes(DOCUMENT_KIND, 0, ENVIRONMENT)
-        specs = [event["object"]["spec"] for event in events]
+        changes = self._table.changes(DOCUMENT_KIND, 0)
+        specs = [change.object["spec"] for change in changes]
         return [(spec["version"], spec["text"]) for spec in specs]
--- a/features/matrix/faults.py
+++ b/features/matrix/faults.py
@@ -7,7 +7,7 @@
 
 from berylmast.model import EndpointState
 
-from .world import OWNERS, Drain, World
+from .world import OWNERS, STRUCK, Drain, World
 
 SLOWDOWN = 10
 FLOOD_S = 1.5
@@ -51,7 +51,7 @@
     running = [run.request_id for run in ledger if not run.completed]
     world.drains.append(Drain(target, anyio.current_time(), running))
     world.requests.admissions[target].draining = True
-    world.members.daemons[target].member.announce_state(EndpointState.DRAINING)
+    world.members.daemons[target].announce_state(EndpointState.DRAINING)
     world.requests.announce_leaving(target)
 
 
@@ -61,7 +61,7 @@
     world.requests.admissions[target].draining = False
     daemon = world.members.daemons.get(target)
     if daemon is not None:
-        daemon.member.announce_state(EndpointState.READY)
+        daemon.announce_state(EndpointState.READY)
 
 
 def _fail_fast(world: World, target: str) -> None:
@@ -115,9 +115,8 @@
 
 
 def _pause(world: World, target: str) -> None:
-    """Isolate the registrar of r1: as others see it, a paused process does nothing."""
-    name = world.find_registrar()
-    world.paused = name
+    """Isolate an owner's daemon: as others see it, a paused process does nothing."""
+    name = world.paused = STRUCK
     world.members.cut |= _pairs(world, name)
     world.members.daemons[name].platform.down = True
     if name in OWNERS:
@@ -132,22 +131,25 @@
     world.requests.unreachable.discard(name)
 
 
-def _isolate_registrar(world: World, target: str) -> None:
-    """Keep the registrar of r1 from changes, then leave the others only that one."""
-    stale, other = world.find_registrar(), "d1"
+def _isolate_peer(world: World, target: str) -> None:
+    """Keep a daemon from all changes; then it is the only peer of another one."""
+    stale, other = STRUCK, "d1"
     world.paused = stale
     world.members.daemons[stale].platform.down = True
-    world.members.cut.add(frozenset({stale, other}))
+    world.members.cut |= _pairs(world, stale)
 
     async def leave_stale() -> None:
         await anyio.sleep(SPREAD_S)
+        world.members.daemons[other].platform.down = True
         world.members.cut |= _pairs(world, other)
+        world.members.cut.discard(frozenset({stale, other}))
 
     world.tg.start_soon(leave_stale)
 
 
-def _join_registrars(world: World, target: str) -> None:
-    world.members.daemons[world.paused].platform.down = False
+def _join_peers(world: World, target: str) -> None:
+    for name in (world.paused, "d1"):
+        world.members.daemons[name].platform.down = False
     world.members.cut.clear()
 
 
@@ -196,8 +198,8 @@
     "store down": Fault(_set_down(True), _set_down(False), 12.0),
     "store slow": Fault(_set_delay(SLOW_STORE_S), _set_delay(0.005), 12.0),
     "write answer lost": Fault(_lose_answers),
-    "lease lapsed": Fault(_pause, _resume, 30.0, breaks=True),
-    "stale registrar": Fault(_isolate_registrar, _join_registrars, 20.0),
+    "daemon paused": Fault(_pause, _resume, 30.0, breaks=True),
+    "stale peer": Fault(_isolate_peer, _join_peers, 20.0),
     "operators racing": Fault(_race, duration_s=0.5),
     "connection silent": Fault(_silence, breaks=True),
     "connection cut": Fault(_cut, breaks=True),
--- a/features/pairs.feature
+++ b/features/pairs.feature
@@ -24,11 +24,11 @@
       | draining backend     | connection cut       | during spread    |
       | draining backend     | owner killed         | after dispatch   |
       | draining backend     | owner killed         | answer under way |
-      | store down           | lease lapsed         | after dispatch   |
-      | store down           | lease lapsed         | before commit    |
-      | store down           | lease lapsed         | during commit    |
-      | store down           | lease lapsed         | after commit     |
-      | store down           | lease lapsed         | during spread    |
+      | store down           | daemon paused        | after dispatch   |
+      | store down           | daemon paused        | before commit    |
+      | store down           | daemon paused        | during commit    |
+      | store down           | daemon paused        | after commit     |
+      | store down           | daemon paused        | during spread    |
       | write answer lost    | operators racing     | before commit    |
       | write answer lost    | operators racing     | during commit    |
       | write answer lost    | operators racing     | after commit     |
@@ -36,8 +36,8 @@
       | store down           | owner killed         | after dispatch   |
       | store down           | owner killed         | after commit     |
       | store down           | owner killed         | during spread    |
-      | lease lapsed         | draining backend     | after dispatch   |
-      | lease lapsed         | draining backend     | during spread    |
+      | daemon paused        | draining backend     | after dispatch   |
+      | daemon paused        | draining backend     | during spread    |
       | slow backend         | connection silent    | after dispatch   |
       | slow backend         | connection silent    | answer under way |
       | slow backend         | connection silent    | answer lost      |
--- a/features/request_faults.feature
+++ b/features/request_faults.feature
@@ -46,10 +46,10 @@
       | write answer lost     | after dispatch   |
       | write answer lost     | answer under way |
       | write answer lost     | answer lost      |
-      | lease lapsed          | before dispatch  |
-      | lease lapsed          | after dispatch   |
-      | lease lapsed          | answer under way |
-      | lease lapsed          | answer lost      |
+      | daemon paused         | before dispatch  |
+      | daemon paused         | after dispatch   |
+      | daemon paused         | answer under way |
+      | daemon paused         | answer lost      |
       | operators racing      | before dispatch  |
       | operators racing      | after dispatch   |
       | operators racing      | answer under way |
@@ -70,4 +70,4 @@
       | cut, data late        | after dispatch   |
       | cut, data late        | answer under way |
       | cut, data late        | answer lost      |
-      | stale registrar       | after dispatch   |
+      | stale peer            | after dispatch   |
--- a/features/twice.feature
+++ b/features/twice.feature
@@ -36,5 +36,5 @@
       | connection cut        | during spread  |
       | owner killed          | after dispatch |
       | owner killed          | during spread  |
-      | lease lapsed          | during spread  |
+      | daemon paused         | during spread  |
       | flood of least urgent | after dispatch |
--- a/src/berylmast/_serve.py
+++ b/src/berylmast/_serve.py
@@ -1,5 +1,6 @@
 """Runs an ASGI app under uvicorn as one task of this process."""
 
+import asyncio
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from typing import Any, cast
@@ -22,11 +23,33 @@
 class HttpServer(uvicorn.Server):
     """A uvicorn server that leaves signals to the daemon."""
 
+    def __init__(self, config: uvicorn.Config) -> None:
+        self._exit_asked = asyncio.Event()
+        super().__init__(config)
+
     @contextmanager
     def capture_signals(self) -> Iterator[None]:
         """Install no signal handlers."""
         yield
 
+    async def main_loop(self) -> None:
+        """Wait until the server is told to stop.
+
+        uvicorn's loop wakes ten times a second, which a daemon with three servers and
+        few requests would notice.
+        """
+        await self._exit_asked.wait()
+
+    @property
+    def should_exit(self) -> bool:
+        """Tell whether the server is on its way out."""
+        return self._exit_asked.is_set()
+
+    @should_exit.setter
+    def should_exit(self, value: bool) -> None:
+        if value:
+            self._exit_asked.set()
+
 
 class BoundedProtocol(HttpToolsProtocol):
     """uvicorn's protocol with a bound on heads and with trailers kept apart.
--- a/src/berylmast/adapter.py
+++ b/src/berylmast/adapter.py
@@ -1,7 +1,8 @@
-"""The typed port between the product and the protocol of a platform."""
+"""The typed port between the product and the protocol that its users speak."""
 
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
+from random import Random
 
 from result import Result
 
@@ -9,30 +10,38 @@
 from .backends.interface import BackendInterface
 from .callers.answer import MakeErrorAnswer
 from .callers.app import App
-from .callers.routed import CallerHeaders
+from .callers.classify import Classify
+from .limits import Limits
+from .membership import Directory
+from .membership.held import HeldDocument
 from .membership.store import Store
+from .model import AttemptId
 from .routes import Configuration
-from .settings import Address
+from .settings import DaemonSettings
 
-Handle = Callable[[BackendReport], Awaitable[Result[None, str]]]
-HandleDeparture = Callable[[Departure], Awaitable[Result[None, str]]]
+TakeReport = Callable[[BackendReport], Awaitable[Result[None, str]]]
+TakeDeparture = Callable[[Departure], Awaitable[Result[None, str]]]
+ReportUnusable = Callable[[str, str], None]
+"""Is told the id of a backend server and why its message can't be used."""
+
+MakeClassifier = Callable[
+    [DaemonSettings, Directory, HeldDocument, Random, Callable[[], AttemptId]], Classify
+]
 
 
 @dataclass(frozen=True, slots=True)
 class Adapter:
     """What one daemon speaks with callers, its backend server and the store.
 
-    ``make_report_app`` gives the app that the local backend server calls, from the
-    functions that take its reports, its departure, and what can't be used.
+    ``make_report_app`` gives the app that the local backend server calls.
     ``ready_path`` is where the platform asks whether callers may come.
     """
 
-    make_store: Callable[[Address], Store]
+    make_store: Callable[[DaemonSettings], Store]
     parse_configuration: Callable[[object], Result[Configuration, str]]
-    caller_headers: CallerHeaders
+    make_classifier: MakeClassifier
     make_error_answer: MakeErrorAnswer
     backend: BackendInterface
-    make_report_app: Callable[
-        [Handle, HandleDeparture, Callable[[str, str], None]], App
-    ]
+    make_report_app: Callable[[TakeReport, TakeDeparture, ReportUnusable], App]
+    limits: Limits
     ready_path: str
--- a/src/berylmast/backends/_http.py
+++ b/src/berylmast/backends/_http.py
@@ -219,7 +219,18 @@
         self._sock.close()
 
 
-async def connect_backend(address: Address) -> BackendConnection:
+def _probe_silence(sock: socket.socket, limit_s: int) -> None:
+    """Let the kernel end a connection whose other host stays silent."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, max(1, limit_s - 1))
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_s * 1000)
+
+
+async def connect_backend(
+    address: Address, silence_limit_s: int | None = None
+) -> BackendConnection:
     """Open a connection.
 
     Raises OSError if the server can't be reached.
@@ -229,6 +240,8 @@
     try:
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        if silence_limit_s is not None:
+            _probe_silence(sock, silence_limit_s)
         code = sock.connect_ex((address.host, address.port))
         if code == errno.EINPROGRESS:
             await anyio.wait_writable(sock)
--- a/src/berylmast/backends/client.py
+++ b/src/berylmast/backends/client.py
@@ -60,10 +60,17 @@
 
 
 class BackendClient:
-    """Sends requests to one backend server over a bounded set of connections."""
+    """Sends requests to one backend server over a bounded set of connections.
 
-    def __init__(self, address: Address, connections: int) -> None:
+    With ``silence_limit_s`` a connection is given up when the server's host has not
+    answered for that many seconds; it may have lost track of the connection.
+    """
+
+    def __init__(
+        self, address: Address, connections: int, silence_limit_s: int | None = None
+    ) -> None:
         self._address = address
+        self._silence_limit_s = silence_limit_s
         self._free = anyio.Semaphore(connections)
         self._idle: deque[BackendConnection] = deque()
 
@@ -136,7 +143,7 @@
             conn.close()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                return await connect_backend(self._address)
+                return await connect_backend(self._address, self._silence_limit_s)
         except (OSError, TimeoutError) as exc:
             raise BackendUnreachable(f"cannot reach {self._address}: {exc}") from exc
 
--- a/src/berylmast/backends/health.py
+++ b/src/berylmast/backends/health.py
@@ -8,9 +8,9 @@
 from enum import StrEnum
 
 import anyio
-import httpcore
 
 from ..settings import Address, HealthSettings
+from .client import BackendClient, BackendCut, BackendUnreachable
 
 
 class Health(StrEnum):
@@ -26,22 +26,20 @@
 
 def make_check(address: Address, cfg: HealthSettings) -> Check:
     """Return a check over HTTP: 2xx is ready, 503 is leaving, all else is down."""
-    timeouts = dict.fromkeys(("connect", "read", "write", "pool"), cfg.timeout_s)
-    url = f"http://{address}{cfg.path}"
+    client = BackendClient(address, connections=1)
+    headers = [(b"host", str(address).encode())]
 
     async def check() -> Health:
         try:
-            async with httpcore.AsyncConnectionPool(max_connections=1) as pool:
-                res = await pool.request("GET", url, extensions={"timeout": timeouts})
-        except (
-            httpcore.NetworkError,
-            httpcore.TimeoutException,
-            httpcore.ProtocolError,
-        ):
+            with anyio.fail_after(cfg.timeout_s):
+                async with client.send("GET", cfg.path, headers, None) as answer:
+                    async for _ in answer.body:
+                        pass
+        except (BackendUnreachable, BackendCut, TimeoutError):
             return Health.DOWN
-        if res.status == 503:
+        if answer.status == 503:
             return Health.LEAVING
-        return Health.READY if 200 <= res.status < 300 else Health.DOWN
+        return Health.READY if 200 <= answer.status < 300 else Health.DOWN
 
     return check
 
--- a/src/berylmast/backends/reporting.py
+++ b/src/berylmast/backends/reporting.py
@@ -7,7 +7,7 @@
 from anyio.abc import TaskGroup
 from result import Err, Ok, Result
 
-from ..limits.slots import SlotAdmission
+from ..limits import Admission
 from ..model import Endpoint, EndpointState
 from ..telemetry import log_event
 from .announced import AnnouncedBackend, BackendReport, Departure
@@ -44,7 +44,7 @@
     def __init__(
         self,
         announced: AnnouncedBackend,
-        admission: SlotAdmission,
+        admission: Admission,
         place: Place,
         backend_address: str,
         leave_s: float,
@@ -63,7 +63,7 @@
         self._wait_stored = wait_stored
         self._tg = tg
         self._record: Endpoint | None = None
-        self._stopping = False
+        self._leaving = False
 
     async def take_report(self, report: BackendReport) -> Result[None, str]:
         """Take one report; Err if it names no backend server to use."""
@@ -84,9 +84,15 @@
             await self._wait_stored(STORE_WAIT_S)
         return Ok(None)
 
-    def stop(self) -> None:
-        """Announce that this daemon is on its way out."""
-        self._stopping = True
+    def set_leaving(self, leaving: bool, *, at_once: bool) -> None:
+        """Announce that this instance leaves, or is ready again.
+
+        ``at_once`` refuses new requests now; otherwise they are taken until the daemon
+        ends, since the others need a moment to hear of it.
+        """
+        self._leaving = leaving
+        if at_once:
+            self._admission.draining = leaving
         self._update()
 
     def _update(self) -> bool:
@@ -127,14 +133,14 @@
         if state is EndpointState.READY:
             self._admission.draining = False
             return False
-        if not self._stopping:
+        if not self._leaving:
             self._tg.start_soon(self._close_admission, record)
         return True
 
     def _find_state(self) -> EndpointState:
         if self._announced.left:
             return EndpointState.GONE
-        if self._stopping or self._announced.serving is None:
+        if self._leaving or self._announced.serving is None:
             return EndpointState.DRAINING
         return EndpointState.READY
 
--- a/src/berylmast/bin/_documents.py
+++ b/src/berylmast/bin/_documents.py
@@ -21,8 +21,7 @@
     read_revision,
 )
 from ..operators.shifting import ShiftError, set_shift_step
-from ..operators.wire import parse_acceptable
-from ..platform import PlatformClient, PlatformUnavailable
+from ..platform import PlatformUnavailable, StoreClient
 from ..settings import Address
 from ._output import Exit, Output, Report, finish, make_error
 
@@ -41,12 +40,12 @@
 
 
 def _run(
-    platform: str, output: Output, act: Callable[[PlatformClient], Awaitable[Report]]
+    platform: str, output: Output, act: Callable[[StoreClient], Awaitable[Report]]
 ) -> None:
     """Run a command against the platform and exit with its report."""
 
     async def run() -> Report:
-        client = PlatformClient(parse_address(platform))
+        client = StoreClient(parse_address(platform))
         try:
             return await act(client)
         except PlatformUnavailable as exc:
@@ -64,7 +63,7 @@
     """Read and check a document file; exits with its faults."""
     try:
         text = path.read_text()
-        parse_acceptable(text)
+        parse_document(text)
     except (OSError, UnicodeDecodeError) as exc:
         finish(make_error(Exit.INVALID, f"cannot read {path}: {exc}"), output)
     except DocumentError as exc:
@@ -100,7 +99,7 @@
     """
     text = _read_text(document, output)
 
-    async def act(client: PlatformClient) -> Report:
+    async def act(client: StoreClient) -> Report:
         stored = await read_revision(client, environment)
         before = None if stored is None else parse_document(stored.text)
         changes = list_changes(before, parse_document(text))
@@ -122,7 +121,7 @@
     Example: berylmastctl show --environment trial --platform IP:PORT
     """
 
-    async def act(client: PlatformClient) -> Report:
+    async def act(client: StoreClient) -> Report:
         stored = await read_revision(client, environment)
         if stored is None:
             message = f"environment {environment!r} has no document"
@@ -151,7 +150,7 @@
     """
     text = _read_text(document, output)
 
-    async def act(client: PlatformClient) -> Report:
+    async def act(client: StoreClient) -> Report:
         applied = await apply_revision(client, environment, text, base)
         return _report_applied(environment, text, applied)
 
@@ -177,7 +176,7 @@
     --base 6 --platform IP:PORT
     """
 
-    async def act(client: PlatformClient) -> Report:
+    async def act(client: StoreClient) -> Report:
         stored = await read_revision(client, source)
         if stored is None:
             message = f"environment {source!r} has no document"
@@ -187,8 +186,8 @@
             return make_error(Exit.CONFLICT, message)
         if compute_digest(stored.text) != stored.digest:
             return make_error(Exit.INVALID, f"{source}: text and digest disagree")
-        parse_acceptable(stored.text)
-        other = PlatformClient(parse_address(target_platform or platform))
+        parse_document(stored.text)
+        other = StoreClient(parse_address(target_platform or platform))
         try:
             applied = await apply_revision(other, target, stored.text, base)
         finally:
@@ -212,13 +211,13 @@
     Example: berylmastctl shift orders 2 --environment production --platform IP:PORT
     """
 
-    async def act(client: PlatformClient) -> Report:
+    async def act(client: StoreClient) -> Report:
         stored = await read_revision(client, environment)
         if stored is None:
             message = f"environment {environment!r} has no document"
             return make_error(Exit.NOT_FOUND, message)
         text = set_shift_step(stored.text, service, step)
-        parse_acceptable(text)
+        parse_document(text)
         if text == stored.text:
             message = f"step {step} is in force already"
             return Report(Exit.OK, message, {"version": stored.version})
--- a/src/berylmast/bin/_status.py
+++ b/src/berylmast/bin/_status.py
@@ -9,7 +9,7 @@
 from ..model import EndpointState
 from ..operators.fleet_status import FleetStatus, read_fleet
 from ..operators.revisions import RevisionDamaged
-from ..platform import PlatformClient, PlatformUnavailable
+from ..platform import PlatformUnavailable, StoreClient
 from ..settings import Address
 from ._daemons import call_daemons
 from ._documents import parse_address
@@ -72,7 +72,7 @@
 ) -> Report:
     found = None
     if store is not None:
-        client = PlatformClient(store)
+        client = StoreClient(store)
         try:
             found = await read_fleet(client, environment)
         finally:
@@ -120,15 +120,9 @@
     if found.version:
         digest = found.digest[:SHORT_DIGEST]
         title = f"{found.environment}: version {found.version} accepted, {digest}"
-    registrars = [
-        [r.shard, r.holder, r.region, r.failure_domain, r.address, r.renewed]
-        for r in found.registrars
-    ]
-    header = ["registrar", "holder", "region", "domain", "address", "renewed"]
     endpoints = [[e.service, e.region, e.state, e.count] for e in found.endpoints]
     return [
         title,
-        format_table(header, registrars),
         format_table(["service", "region", "state", "endpoints"], endpoints),
     ]
 
--- a/src/berylmast/bin/run.py
+++ b/src/berylmast/bin/run.py
@@ -2,12 +2,13 @@
 
 import gc
 import sys
+from importlib import import_module
 from pathlib import Path
 
 import anyio
 
+from ..adapter import Adapter
 from ..daemon import run_daemon
-from ..node import run_node
 from ..settings import DaemonSettings, Interface, SettingsError, load_settings
 from ..telemetry import configure_logs
 
@@ -29,12 +30,19 @@
     """Run the daemon of checked settings until it is stopped."""
     configure_logs()
     _prepare_collector()
-    if cfg.interface is Interface.PLATFORM:
-        from ..platform.adapter import PLATFORM
+    adapter = load_adapter(cfg.interface)
+    anyio.run(run_daemon, cfg, adapter, backend_options={"use_uvloop": True})
 
-        anyio.run(run_node, cfg, PLATFORM, backend_options={"use_uvloop": True})
-    else:
-        anyio.run(run_daemon, cfg, backend_options={"use_uvloop": True})
+
+def load_adapter(interface: Interface) -> Adapter:
+    """Return the adapter of an interface.
+
+    Only that one is imported: what a daemon imports decides how soon it is back after
+    a restart.
+    """
+    if interface is Interface.PLATFORM:
+        return import_module("berylmast.platform.adapter").PLATFORM  # type: ignore[no-any-return]
+    return import_module("berylmast.own_interface").OWN  # type: ignore[no-any-return]
 
 
 def _prepare_collector() -> None:
--- a/src/berylmast/callers/classify.py
+++ b/src/berylmast/callers/classify.py
@@ -9,7 +9,6 @@
 
 from ..errors import ErrorKind, Refusal
 from ..membership import Directory
-from ..membership.directory import MAX_HOST_WAIT_S
 from ..model import AttemptId, Headers, RequestHead, Route, ServiceSlice
 from ..settings import LimitSettings
 
@@ -78,7 +77,8 @@
     """Return the classification of the project's own interface."""
 
     async def classify(scope: dict[str, Any]) -> Result[Classified, Refusal]:
-        await directory.wait_service(read_host(scope), read_wait_s(scope))
+        if not directory.document_version:
+            return _refuse(ErrorKind.NO_CONFIGURATION, "no document is known yet")
         return classify_request(scope, directory, limits, next_attempt)
 
     return classify
@@ -179,12 +179,6 @@
     return values.get(REQUEST_ID_HEADER, b"").decode("latin-1") or uuid4().hex
 
 
-def read_wait_s(scope: dict[str, Any]) -> float:
-    """Return how long a request may wait for an unknown host, by its own deadline."""
-    text: bytes = dict(scope["headers"]).get(DEADLINE_HEADER, b"")
-    return int(text) / 1000 if text.isdigit() else MAX_HOST_WAIT_S
-
-
 def find_route(service: ServiceSlice, method: str, path: str) -> Route | None:
     """Return the route with the longest matching path prefix."""
     matching = [
--- a/src/berylmast/callers/context.py
+++ b/src/berylmast/callers/context.py
@@ -6,8 +6,7 @@
 from typing import Protocol
 
 from ..daemons import Exchange
-from ..limits import RetryBudget
-from ..limits.shedder import Shedder
+from ..limits import RetryBudget, Shedder
 from ..model import AttemptId, Endpoint, Headers
 from ..routing import Router
 
--- a/src/berylmast/callers/routed.py
+++ b/src/berylmast/callers/routed.py
@@ -47,18 +47,19 @@
 
     async def classify(scope: dict[str, Any]) -> Result[Classified, Refusal]:
         cfg = held.current
-        if cfg is None:
+        if cfg is None or cfg.limits is None:
             kind = ErrorKind.NO_CONFIGURATION
             return Err(Refusal(kind, "no configuration is known yet"))
         found: list[tuple[bytes, bytes]] = scope["headers"]
-        checked = check_headers(found, MAX_HEADERS, cfg.limits.max_header_bytes)
+        limits = cfg.limits
+        checked = check_headers(found, MAX_HEADERS, limits.max_header_bytes)
         if checked.is_err():
             return Err(checked.unwrap_err())
         framing = read_framing(found)
         if framing.is_err():
             return Err(framing.unwrap_err())
         length = framing.unwrap()
-        if length is not None and length > cfg.limits.max_body_bytes:
+        if length is not None and length > limits.max_body_bytes:
             return Err(Refusal(ErrorKind.BODY_TOO_LARGE, f"body of {length} bytes"))
         target = make_target(scope)
         host = read_host(scope)
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -7,34 +7,36 @@
 import anyio
 
 from ._serve import make_server
+from .adapter import Adapter
 from .callers import make_app
-from .callers.classify import make_classifier
 from .callers.forward import Forwarder
 from .callers.leaving import close_connections
 from .daemons import Identity, PeerListener, PeerPool
 from .lifecycle import Lifecycle
-from .limits import DEFAULT_LIMITS, Limits, RetryBudget
+from .limits import Limits
 from .local_exchange import make_opener
 from .membership import Directory
-from .membership.links import ControlMeter
+from .membership.anchoring import Anchor
+from .membership.gossip import Gossip
+from .membership.held import HeldDocument
+from .membership.roster import Roster
+from .model import Endpoint
 from .operators.daemon_admin import make_daemon_admin
 from .operators.explaining import make_explain
-from .platform import PlatformClient
+from .operators.readiness import answer_readiness
 from .routing import Prober, Router
 from .settings import DaemonSettings
 from .shutdown import serve_until_signal
 from .telemetry import Sight, log_event, make_statsd_report
 from .wiring import (
+    LocalBackend,
+    Surroundings,
     make_accept,
-    make_admission,
     make_attempts,
-    make_leave_listener,
-    make_member,
     make_membership_report,
-    make_owner,
     make_request_counter,
+    make_retry_budget,
     make_stale_finder,
-    start_health,
 )
 
 
@@ -43,80 +45,105 @@
     return (int(time.time() * 1000) << 16) | int.from_bytes(os.urandom(2))
 
 
-async def run_daemon(cfg: DaemonSettings, limits: Limits = DEFAULT_LIMITS) -> None:
-    """Run one daemon until SIGTERM or SIGINT."""
+async def run_daemon(
+    cfg: DaemonSettings, adapter: Adapter, limits: Limits | None = None
+) -> None:
+    """Run one daemon until SIGTERM or SIGINT.
+
+    ``limits`` replaces the classes that the adapter limits with.
+    """
+    limits = limits or adapter.limits
+    rng = Random()
     identity = Identity(cfg.daemon_id, make_incarnation())
+    own = (cfg.peers.host, cfg.peers.port)
     directory = Directory()
+    roster = Roster(directory)
+    held = HeldDocument(adapter.parse_configuration, directory)
+    lifecycle = Lifecycle()
     statsd = make_statsd_report(cfg.statsd)
     sight = Sight(statsd)
-    lifecycle = Lifecycle()
-    admission = make_admission(cfg, identity, directory, limits)
-    owner = make_owner(cfg, admission)
+    local = LocalBackend.make(cfg, identity, adapter, limits, directory)
     router = Router(
         directory,
         region=cfg.region,
         failure_domain=cfg.failure_domain,
-        rng=Random(),
+        rng=rng,
+        address=own,
     )
-    client = PlatformClient(cfg.platform)
-    meter = ControlMeter()
-    member = make_member(cfg, identity, directory, client, meter)
+    anchor = Anchor(adapter.make_store(cfg), roster, held, rng)
     async with anyio.create_task_group() as tg:
         if statsd is not None:
             tg.start_soon(statsd.run)
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
+        gossip = Gossip(pool, roster, held, own, cfg.region, rng)
+        owner = local.owner if local else None
+        listener = PeerListener(
+            cfg.peers, identity, make_accept(owner, gossip), gossip.take_told
+        )
+
+        def publish(record: Endpoint) -> None:
+            roster.merge([record])
+            gossip.tell([record])
+            if not lifecycle.stopping:
+                anchor.set_own(record)
+
+        await tg.start(listener.run)
+        if local is not None:
+            await tg.start(local.owner.run)
+            parts = Surroundings(identity, held, lifecycle, anchor, publish, listener)
+            local.follow(tg, cfg, adapter, parts)
+        tg.start_soon(anchor.run)
+        tg.start_soon(gossip.run)
         prober = Prober(
             pool,
             router.probe_budget,
             find_stale=make_stale_finder(router, cfg.daemon_id),
             record_load=router.record_load,
-            rng=Random(),
+            rng=rng,
         )
         tg.start_soon(prober.run)
         forwarder = Forwarder(
             router=router,
-            retries=RetryBudget(),
-            shedder=limits.shedder(Random()),
+            retries=make_retry_budget(cfg, roster),
+            shedder=limits.shedder(rng),
             open_exchange=make_opener(
-                pool, owner, lambda endpoint: endpoint.backend == cfg.daemon_id
+                pool, owner, lambda endpoint: (endpoint.host, endpoint.port) == own
             ),
             next_attempt=make_attempts(identity),
             endpoints=directory.endpoints,
         )
-        accept = make_accept(owner, member) if owner else None
-        listener = PeerListener(cfg.peers, identity, accept)
-        if admission is not None and owner is not None:
-            await tg.start(owner.run)
-            await tg.start(listener.run)
-            lifecycle.add_listener(make_leave_listener(admission, listener, member))
-            lifecycle.add_stop_listener(member.hand_over)
-            start_health(tg, cfg, lifecycle)
-        tg.start_soon(member.run)
-        classify = make_classifier(directory, cfg.limits, forwarder.next_attempt)
-        app = make_app(classify, cfg.limits, forwarder, sight)
+        classify = adapter.make_classifier(
+            cfg, directory, held, rng, forwarder.next_attempt
+        )
+        app = make_app(
+            classify, cfg.limits, forwarder, sight, adapter.make_error_answer
+        )
         callers = make_server(
             close_connections(app, lambda: lifecycle.stopping),
             cfg.callers,
             cfg.limits,
+            get_idle_s=lambda: held.get_idle_s(cfg.limits.keep_alive_s),
         )
-        admin = make_server(
-            make_daemon_admin(
-                sight,
-                lifecycle,
-                admission,
-                router.summarise,
-                make_membership_report(member, meter, listener),
-                make_explain(directory, router),
-            ),
-            cfg.admin,
+        admin = make_daemon_admin(
+            sight,
+            lifecycle,
+            local.admission if local else None,
+            router.summarise,
+            make_membership_report(held, roster, anchor),
+            make_explain(directory, router),
         )
-        tg.start_soon(admin.serve)
+
+        def is_ready() -> bool:
+            return held.current is not None and not lifecycle.leaving
+
+        ready = answer_readiness(admin, adapter.ready_path, is_ready)
+        tg.start_soon(make_server(ready, cfg.admin).serve)
         log_event("started", daemon=cfg.daemon_id, callers=cfg.callers)
         await serve_until_signal(
             callers,
             lifecycle,
             cfg.drain,
-            make_request_counter(listener, admission),
+            make_request_counter(listener, local.admission if local else None),
         )
         log_event("stopped", daemon=cfg.daemon_id)
         tg.cancel_scope.cancel()
--- a/src/berylmast/daemons/codec.py
+++ b/src/berylmast/daemons/codec.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Iterator
 from dataclasses import fields, is_dataclass
+from functools import cache
 from operator import attrgetter
 from typing import Any, get_args
 
@@ -66,7 +67,12 @@
 
 
 _POSITIONS = {cls: _find_nested(cls) for cls in (*_FRAME_TYPES, *_NESTED)}
-_ADAPTERS = [TypeAdapter(cls) for cls in _FRAME_TYPES]
+
+
+@cache
+def _get_adapter(tag: int) -> TypeAdapter[Frame]:
+    # Made when first used: all at once they would delay the start by 0.05 s.
+    return TypeAdapter(_FRAME_TYPES[tag])
 
 
 def _wrap(cls: type[Any], items: list[Any]) -> ArgsKwargs:
@@ -88,7 +94,7 @@
         raise ProtocolError(f"unknown frame tag {tag!r}")
     cls = _FRAME_TYPES[tag]
     try:
-        frame: Frame = _ADAPTERS[tag].validate_python(_wrap(cls, items[1:]))
+        frame: Frame = _get_adapter(tag).validate_python(_wrap(cls, items[1:]))
     except ValidationError as exc:
         fault = exc.errors()[0]
         raise ProtocolError(
--- a/src/berylmast/daemons/connection.py
+++ b/src/berylmast/daemons/connection.py
@@ -12,7 +12,6 @@
 from .exchange import Exchange, ExchangeLost, ExchangeMisused
 from .frames import (
     CONNECTION,
-    CONTROL_OPENING_FRAMES,
     OPENING_FRAMES,
     Frame,
     GoAway,
@@ -28,7 +27,7 @@
 
 __all__ = ["Accept", "ConnectionLost", "Identity", "PeerConnection"]
 
-PROTOCOL_VERSION = 1
+PROTOCOL_VERSION = 2
 HELLO_TIMEOUT_S = 1.0
 HEARTBEAT_INTERVAL_S = 0.5
 SILENCE_LIMIT_S = 3 * HEARTBEAT_INTERVAL_S
@@ -60,9 +59,6 @@
     ) -> None:
         self.peer: Identity | None = None
         self.closed = False
-        # Control exchanges are open for hours and have a heartbeat of their own, slower
-        # than that of requests.
-        self.control = False
         self.bytes_sent = 0
         self.bytes_received = 0
         self._stream = stream
@@ -230,7 +226,6 @@
         if exchange is not None:
             exchange.deliver(frame)
         elif isinstance(frame, OPENING_FRAMES) and self._accept is not None:
-            self.control = self.control or isinstance(frame, CONTROL_OPENING_FRAMES)
             if frame.exchange <= self._last_accepted:
                 raise ProtocolError(f"exchange id {frame.exchange} is used twice")
             self._last_accepted = frame.exchange
@@ -255,8 +250,6 @@
 
     async def _send_heartbeats(self) -> None:
         while True:
-            if self.control:
-                return
             if not self._exchanges:
                 self._exchange_opened = anyio.Event()
                 await self._exchange_opened.wait()
--- a/src/berylmast/daemons/exchange.py
+++ b/src/berylmast/daemons/exchange.py
@@ -8,7 +8,6 @@
 
 from .frames import (
     OPENING_FRAMES,
-    Beat,
     Body,
     Credit,
     End,
@@ -60,8 +59,6 @@
         self.peer_incarnation: int | None = None
         self.peer_closed = False
         self.was_reset = False
-        # Called instead of queueing a heartbeat, which then wakes no task.
-        self.on_beat: Callable[[int], None] | None = None
         self._closed = False
         self._opened = opened
         self._cancelled_scope: anyio.CancelScope | None = None
@@ -96,11 +93,6 @@
         self._closed = self._closed or isinstance(frame, CLOSING_FRAMES)
         self._write(frame)
 
-    def send_beat(self, version: int) -> None:
-        """Queue a heartbeat without waiting; does nothing on a lost exchange."""
-        if not self.lost:
-            self._write(Beat(self.id, version))
-
     async def send_body(self, data: bytes) -> None:
         """Send body bytes of any length in frames of bounded size."""
         for start in range(0, len(data), MAX_BODY_FRAME_BYTES):
@@ -166,9 +158,6 @@
             self._notify_reset()
         elif self.peer_closed or (self._opened and isinstance(frame, OPENING_FRAMES)):
             raise ExchangeMisused(f"{type(frame).__name__} on exchange {self.id}")
-        if isinstance(frame, Beat) and self.on_beat is not None:
-            self.on_beat(frame.version)
-            return
         if isinstance(frame, Body):
             self._undelivered += len(frame.data)
             if self._undelivered > WINDOW_BYTES:
--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -227,74 +227,6 @@
 Record = tuple[str, str, str, int, str, str, int, int, str]
 """An endpoint record on the wire: the fields of ``model.Endpoint`` in order."""
 
-LeaseItem = tuple[str, str, str, str, str, int, bool]
-"""A registrar on the wire: the fields of ``membership.leases.Lease`` in order."""
-
-
-@dataclass(frozen=True, slots=True)
-class Announce:
-    """Opens the exchange of a daemon with its registrar; it stays open.
-
-    ``records`` holds the daemon's own record, or none without a backend server.
-    """
-
-    exchange: int
-    daemon: str
-    region: str
-    failure_domain: str
-    records: tuple[Record, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Sync:
-    """Opens the exchange of two registrars; it stays open."""
-
-    exchange: int
-    shard: str
-
-
-@dataclass(frozen=True, slots=True)
-class Subscribe:
-    """Adds services, each with the digest of the slice held, and host names."""
-
-    exchange: int
-    services: tuple[tuple[str, str], ...]
-    hosts: tuple[str, ...] = ()
-
-
-@dataclass(frozen=True, slots=True)
-class Unsubscribe:
-    """Removes services that the daemon has not called for a while."""
-
-    exchange: int
-    services: tuple[str, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Slice:
-    """The document's part for one service as JSON; empty if the service is gone."""
-
-    exchange: int
-    version: int
-    service: str
-    text: bytes
-
-
-@dataclass(frozen=True, slots=True)
-class InForce:
-    """The slices sent so far are those of this document version."""
-
-    exchange: int
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class UnknownHost:
-    """No service of the document answers to a host name."""
-
-    exchange: int
-    host: str
-
 
 @dataclass(frozen=True, slots=True)
 class Endpoints:
@@ -304,32 +236,9 @@
     records: tuple[Record, ...]
 
 
-@dataclass(frozen=True, slots=True)
-class Registrars:
-    """All registrars that the sender knows."""
-
-    exchange: int
-    leases: tuple[LeaseItem, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class Beat:
-    """Heartbeat of a control exchange; ``version`` is the sender's document version."""
-
-    exchange: int
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class Fetch:
-    """Asks another registrar for its document, which is newer than the sender's."""
-
-    exchange: int
-
-
 @dataclass(frozen=True, slots=True)
 class DocumentHead:
-    """Answer to ``Fetch``: a compressed document of ``size`` bytes in body frames."""
+    """A compressed configuration of ``size`` bytes follows in body frames."""
 
     exchange: int
     version: int
@@ -387,27 +296,12 @@
     | KeyBegin
     | KeyState
     | KeyFinish
-    | Announce
-    | Sync
-    | Subscribe
-    | Slice
-    | InForce
-    | UnknownHost
     | Endpoints
-    | Registrars
-    | Beat
-    | Fetch
     | DocumentHead
-    | Unsubscribe
     | Compare
     | Compared
     | Tell
 )
 
-OpeningFrame = (
-    Request | Probe | Query | KeyBegin | KeyFinish | Announce | Sync | Compare
-)
-OPENING_FRAMES = (Request, Probe, Query, KeyBegin, KeyFinish, Announce, Sync, Compare)
-
-CONTROL_OPENING_FRAMES = (Announce, Sync)
-"""A connection opened with one of these carries control traffic only."""
+OpeningFrame = Request | Probe | Query | KeyBegin | KeyFinish | Compare
+OPENING_FRAMES = (Request, Probe, Query, KeyBegin, KeyFinish, Compare)
--- a/src/berylmast/daemons/listener.py
+++ b/src/berylmast/daemons/listener.py
@@ -23,7 +23,6 @@
         self._accept = accept
         self._on_told = on_told
         self._connections: set[PeerConnection] = set()
-        self._ended_control_bytes = (0, 0)
 
     async def run(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
@@ -44,31 +43,11 @@
             await conn.run()
         finally:
             self._connections.discard(conn)
-            if conn.control:
-                sent, received = self._ended_control_bytes
-                self._ended_control_bytes = (
-                    sent + conn.bytes_sent,
-                    received + conn.bytes_received,
-                )
-
-    def count_control_bytes(self) -> tuple[int, int]:
-        """Return the bytes sent and received on control connections so far."""
-        control = [conn for conn in self._connections if conn.control]
-        sent, received = self._ended_control_bytes
-        return (
-            sent + sum(conn.bytes_sent for conn in control),
-            received + sum(conn.bytes_received for conn in control),
-        )
 
     @property
     def open_exchanges(self) -> int:
-        """Return the number of exchanges under way, without control exchanges.
-
-        Those of a registrar stay open for as long as it runs.
-        """
-        return sum(
-            conn.open_exchanges for conn in self._connections if not conn.control
-        )
+        """Return the number of exchanges under way."""
+        return sum(conn.open_exchanges for conn in self._connections)
 
     def announce_leaving(self) -> None:
         """Tell every connected daemon to send no new work."""
--- a/src/berylmast/limits/__init__.py
+++ b/src/berylmast/limits/__init__.py
@@ -1,28 +1,44 @@
 """Admission at the owner, shedding and retry budget at the entry."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
+from random import Random
 
+from ..model import ServiceSlice
 from .admission import Admission, AdmissionController, Permit
 from .retry_budget import RetryBudget
-from .shedder import EntryShedder
+from .shedder import EntryShedder, NoShedder, Shedder
+from .slots import SlotAdmission
 
 
 @dataclass(frozen=True, slots=True)
 class Limits:
-    """The classes that a daemon limits with; benchmarks replace them by baselines."""
+    """What a daemon limits with; benchmarks replace it by baselines.
 
-    admission: type[AdmissionController] = AdmissionController
-    shedder: type[EntryShedder] = EntryShedder
+    ``admission`` takes the daemon's id and incarnation and a getter of the slice.
+    """
+
+    admission: Callable[[str, int, Callable[[], ServiceSlice | None]], Admission] = (
+        AdmissionController
+    )
+    shedder: Callable[[Random], Shedder] = EntryShedder
 
 
 DEFAULT_LIMITS = Limits()
 
+SLOT_LIMITS = Limits(SlotAdmission, lambda _rng: NoShedder())
+"""For backend servers that report their slots: each owner knows exactly what fits."""
+
 __all__ = [
     "DEFAULT_LIMITS",
+    "SLOT_LIMITS",
     "Admission",
     "AdmissionController",
     "EntryShedder",
     "Limits",
+    "NoShedder",
     "Permit",
     "RetryBudget",
+    "Shedder",
+    "SlotAdmission",
 ]
--- a/src/berylmast/limits/admission.py
+++ b/src/berylmast/limits/admission.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from ..errors import ErrorKind, Refusal
-from ..model import AttemptResult, LoadReport, RequestHead, ServiceSlice
+from ..model import AttemptResult, BackendLoad, LoadReport, RequestHead, ServiceSlice
 from .concurrency import AdaptiveLimit
 from .estimate import MovingEstimate
 from .floors import PriorityClass
@@ -39,6 +39,16 @@
 
     draining: bool
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests at the backend server."""
+
+    def rename(self, backend: str, incarnation: int) -> None:
+        """Report under the name of the backend server that runs now."""
+
+    def record_load(self, load: BackendLoad) -> None:
+        """Take the load that the backend server states."""
+
     async def acquire(self, head: RequestHead) -> Result[Permit, Refusal]:
         """Wait for a slot, or refuse."""
 
@@ -69,6 +79,18 @@
         self._latency_ms = MovingEstimate()
         self._error_rate = MovingEstimate(start_from_first=False)
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests at the backend server."""
+        return self._in_flight
+
+    def rename(self, backend: str, incarnation: int) -> None:
+        """Report under the name of the backend server that runs now."""
+        self._backend, self._incarnation = backend, incarnation
+
+    def record_load(self, load: BackendLoad) -> None:
+        """Do nothing: this class counts requests and measures latencies itself."""
+
     async def acquire(self, head: RequestHead) -> Result[Permit, Refusal]:
         """Wait shortly for a slot.
 
--- a/src/berylmast/membership/anchoring.py
+++ b/src/berylmast/membership/anchoring.py
@@ -63,6 +63,11 @@
         self._obsolete: list[Endpoint] = []
         self._stored = anyio.Event()
 
+    @property
+    def calls(self) -> int:
+        """Return the number of calls to the store so far."""
+        return self._store.calls
+
     async def run(self) -> None:
         """Follow the configuration and keep the own record stored until cancelled."""
         async with anyio.create_task_group() as tg:
--- a/src/berylmast/membership/held.py
+++ b/src/berylmast/membership/held.py
@@ -30,6 +30,16 @@
         """Return the version in force, 0 if there is none."""
         return 0 if self.current is None else self.current.version
 
+    def knows_service(self, service: str) -> bool:
+        """Tell whether a service is configured, or no configuration is known yet."""
+        return self.current is None or service in self.current.services
+
+    def get_idle_s(self, default_s: float) -> float:
+        """Return the idle time of callers' connections in seconds."""
+        if self.current is None or self.current.limits is None:
+            return default_s
+        return self.current.limits.idle_timeout_s
+
     def add_listener(self, listener: Callable[[Configuration], None]) -> None:
         """Call a function with each configuration that comes into force."""
         self._listeners.append(listener)
@@ -55,6 +65,7 @@
         dropped = set(self._directory.services()) - set(new.services)
         self.current = new
         self.text = json.dumps(spec).encode()
+        self._directory.document_version = new.version
         for service in new.services.values():
             self._directory.put_slice(service)
         for name in dropped:
--- a/src/berylmast/membership/records.py
+++ b/src/berylmast/membership/records.py
@@ -1,9 +1,7 @@
-"""Endpoint records: their order, their wire form, and the table of a registrar."""
+"""Endpoint records: their order, their wire form, and their table."""
 
 from collections.abc import Iterable
 from dataclasses import astuple, replace
-from functools import lru_cache
-from hashlib import blake2b
 
 from ..daemons.frames import Record
 from ..model import Endpoint, EndpointState
@@ -14,9 +12,6 @@
 They keep a stale copy elsewhere from bringing a dead backend server back.
 """
 
-SUBSET_SIZE = 64
-"""Endpoints of one service that a daemon holds at most, apart from churn."""
-
 RECORDS_PER_FRAME = 500
 """Bounds an ``Endpoints`` frame to about 75 KB; a frame may have 256 KiB."""
 
@@ -24,8 +19,8 @@
 def supersedes(new: Endpoint, old: Endpoint | None) -> bool:
     """Tell whether a record replaces another one of the same backend server.
 
-    A registrar that misses a daemon sets its record to GONE without raising ``seq``:
-    this replaces the same record, and the daemon's next announcement replaces it.
+    A daemon that misses another one sets its record to GONE without raising ``seq``:
+    this replaces the same record, and the other's next announcement replaces it.
     """
     if old is None or new.order > old.order:
         return True
@@ -57,40 +52,6 @@
     return [tuple(packed[i : i + step]) for i in range(0, len(packed), step)]
 
 
-@lru_cache(maxsize=65_536)
-def weigh(subject: str, candidate: str) -> int:
-    """Return the rendezvous weight of a candidate: the highest is chosen.
-
-    Every daemon computes the same weights; a candidate that leaves moves only the
-    subjects that had chosen it.
-    """
-    digest = blake2b(f"{subject}\0{candidate}".encode(), digest_size=8).digest()
-    return int.from_bytes(digest)
-
-
-def choose_subset(
-    endpoints: list[Endpoint], daemon: str, region: str, failure_domain: str
-) -> list[Endpoint]:
-    """Return the endpoints of one service that a daemon holds.
-
-    Half are the nearest; the others are drawn from everywhere, so that the loss of a
-    failure domain leaves candidates.
-    """
-    if len(endpoints) <= SUBSET_SIZE:
-        return endpoints
-
-    def distance(endpoint: Endpoint) -> int:
-        if endpoint.failure_domain == failure_domain:
-            return 0
-        return 1 if endpoint.region == region else 2
-
-    drawn = sorted(endpoints, key=lambda e: weigh(daemon, e.backend), reverse=True)
-    near = sorted(drawn, key=distance)[: SUBSET_SIZE // 2]
-    names = {endpoint.backend for endpoint in near}
-    others = [endpoint for endpoint in drawn if endpoint.backend not in names]
-    return near + others[: SUBSET_SIZE - len(near)]
-
-
 class RecordTable:
     """The newest record of each backend server, by service."""
 
--- /dev/null
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -0,0 +1,168 @@
+"""Guards against daemons that lose each other or go back to an older state."""
+
+from dataclasses import replace
+
+import anyio
+import pytest
+
+from ...model import Endpoint, EndpointState
+from ...operators.revisions import DOCUMENT_KIND
+from ...platform import records
+from ..directory import Directory
+from ..roster import Roster
+from .fleet import ENVIRONMENT, Fleet, make_text, run_fleet
+
+pytestmark = pytest.mark.anyio
+
+JOIN_LIMIT_S = 3.0
+SPREAD_LIMIT_S = 10.0
+NAMES = ("a0", "a1", "b0", "b1")
+
+
+async def start_all(fleet: Fleet) -> None:
+    """Start four daemons in two regions and wait until all know all."""
+    fleet.apply(1, orders=6)
+    for name in NAMES:
+        fleet.start(name, "n1" if name[0] == "a" else "s1")
+    await fleet.wait_until(lambda: all_know(fleet, *NAMES), JOIN_LIMIT_S)
+    await fleet.wait_until(lambda: fleet.versions() == {1}, JOIN_LIMIT_S)
+
+
+def all_know(fleet: Fleet, *backends: str) -> bool:
+    return all(fleet.known(name) == set(backends) for name in fleet.daemons)
+
+
+async def test_daemons_that_start_at_once_know_each_other_with_few_calls() -> None:
+    """Calls to the store are paid for: joining costs two lists, a write, a watch."""
+    async with run_fleet() as fleet:
+        await start_all(fleet)
+        await anyio.sleep(20)
+        for daemon in fleet.daemons.values():
+            assert daemon.platform.calls <= 6, daemon.platform.log
+
+
+async def test_state_spreads_while_the_store_is_away() -> None:
+    async with run_fleet() as fleet:
+        await start_all(fleet)
+        fleet.set_down(True)
+        fleet.daemons["b0"].announce_state(EndpointState.DRAINING)
+        others = set(NAMES) - {"b0"}
+        took_s = await fleet.wait_until(lambda: all_know(fleet, *others), 1.0)
+        assert took_s < 0.5
+
+
+async def test_daemon_that_starts_without_the_store_learns_from_a_peer() -> None:
+    async with run_fleet() as fleet:
+        await start_all(fleet)
+        fleet.set_down(True)
+        fleet.stop("a0")
+        await anyio.sleep(1)
+        fleet.start("a0").platform.down = True
+        await fleet.wait_until(lambda: fleet.versions() == {1}, SPREAD_LIMIT_S)
+        await fleet.wait_until(lambda: all_know(fleet, *NAMES), SPREAD_LIMIT_S)
+
+
+async def test_record_is_stored_soon_after_the_store_is_back() -> None:
+    async with run_fleet() as fleet:
+        await start_all(fleet)
+        fleet.set_down(True)
+        fleet.daemons["b0"].announce_state(EndpointState.DRAINING)
+        await anyio.sleep(10)
+        fleet.set_down(False)
+
+        def is_stored() -> bool:
+            found = fleet.table.get(records.KIND, "b0")
+            return found is not None and found["spec"]["state"] == "draining"
+
+        assert await fleet.wait_until(is_stored, 5) <= 2.0
+
+
+@pytest.mark.parametrize("fault", ["cut", "silent"])
+async def test_lost_message_is_made_up_for(fault: str) -> None:
+    async with run_fleet() as fleet:
+        await start_all(fleet)
+        pairs = {frozenset({"b0", name}) for name in NAMES if name != "b0"}
+        if fault == "cut":
+            fleet.cut = set(pairs)
+        else:
+            fleet.silence("b0")
+        fleet.daemons["b0"].announce_state(EndpointState.DRAINING)
+        await anyio.sleep(2)
+        fleet.cut = set()
+        others = set(NAMES) - {"b0"}
+        await fleet.wait_until(lambda: all_know(fleet, *others), SPREAD_LIMIT_S)
+
+
+async def test_lost_answer_to_a_write_leaves_one_record() -> None:
+    async with run_fleet() as fleet:
+        fleet.apply(1, orders=6)
+        fleet.start("a0").platform.lose_puts = 1
+        daemon = fleet.daemons["a0"]
+        await fleet.wait_until(lambda: daemon.anchor.link.up is True, JOIN_LIMIT_S)
+        await anyio.sleep(2)
+        stored = fleet.table.get(records.KIND, "a0")
+        assert stored is not None
+        assert stored["spec"]["backend"] == "a0"
+        assert len([call for call in daemon.platform.log if call[0] == "put"]) == 2
+
+
+async def test_older_document_never_replaces_a_newer_one() -> None:
+    async with run_fleet() as fleet:
+        await start_all(fleet)
+        fleet.apply(2, orders=9)
+        await fleet.wait_until(lambda: fleet.versions() == {2}, JOIN_LIMIT_S)
+        fleet.apply(1, orders=6)
+        await anyio.sleep(5)
+        assert fleet.versions() == {2}
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        {"version": 3, "text": "{"},
+        {"version": 3},
+        {"version": "x", "text": make_text(orders=1)},
+        "not an object",
+        None,
+    ],
+)
+async def test_unusable_document_leaves_the_last_one_in_force(spec: object) -> None:
+    async with run_fleet() as fleet:
+        await start_all(fleet)
+        fleet.table.put(DOCUMENT_KIND, ENVIRONMENT, spec, None)
+        await anyio.sleep(3)
+        assert fleet.versions() == {1}
+        fleet.apply(4, orders=3)
+        await fleet.wait_until(lambda: fleet.versions() == {4}, JOIN_LIMIT_S)
+
+
+async def test_history_that_is_gone_is_read_again() -> None:
+    async with run_fleet() as fleet:
+        await start_all(fleet)
+        fleet.apply(2, orders=9)
+        fleet.table.compact()
+        await fleet.wait_until(lambda: fleet.versions() == {2}, JOIN_LIMIT_S)
+
+
+@pytest.mark.parametrize(
+    ("new", "kept"),
+    [
+        (("n2", 5, EndpointState.READY), {"n2"}),
+        (("n2", 5, EndpointState.GONE), {"n1"}),
+        (("n2", 1, EndpointState.READY), {"n1", "n2"}),
+    ],
+    ids=["newer", "newer-but-gone", "older"],
+)
+def test_backend_server_replaces_the_one_before_it_at_an_address(
+    new: tuple[str, int, EndpointState], kept: set[str]
+) -> None:
+    """A dead machine's record would draw requests to whoever has its address now."""
+    directory = Directory()
+    roster = Roster(directory)
+    first = Endpoint("n1", "orders", "h", 1, "r", "d", 3, 1)
+    roster.merge([first])
+    backend, incarnation, state = new
+    second = replace(first, backend=backend, incarnation=incarnation, state=state)
+    roster.merge([second])
+    found = {endpoint.backend for endpoint in directory.endpoints("orders")}
+    assert found == kept
--- /dev/null
+++ b/src/berylmast/operators/readiness.py
@@ -0,0 +1,23 @@
+"""Tells the platform whether callers may come to this daemon."""
+
+from collections.abc import Callable
+from typing import Any
+
+from .admin import App
+
+
+def answer_readiness(admin: App, path: str, is_ready: Callable[[], bool]) -> App:
+    """Return the admin app with a path that answers 200 while callers may come."""
+
+    async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
+        if scope["type"] != "http" or scope["path"] != path:
+            await admin(scope, receive, send)
+            return
+        status = 200 if is_ready() else 503
+        headers = [(b"content-length", b"0")]
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": b""})
+
+    return app
--- a/src/berylmast/operators/revisions.py
+++ b/src/berylmast/operators/revisions.py
@@ -8,13 +8,7 @@
 from pydantic import BaseModel, ConfigDict, ValidationError
 from result import Err, Ok, Result
 
-from ..platform import (
-    Conflict,
-    Platform,
-    PlatformClient,
-    PlatformObject,
-    PlatformUnavailable,
-)
+from ..platform import Conflict, ObjectStore, PlatformUnavailable, StoredObject
 
 DOCUMENT_KIND = "documents"
 CONFIRM_ATTEMPTS = 5
@@ -33,7 +27,7 @@
 class Revision:
     """One accepted version; ``digest`` is the SHA-256 of the text in hexadecimal.
 
-    ``resource_version`` is the platform's, ``version`` grows by one per acceptance.
+    ``store_revision`` is that of the object, ``version`` grows by one per acceptance.
     """
 
     environment: str
@@ -41,7 +35,7 @@
     text: str
     digest: str
     token: str
-    resource_version: int
+    store_revision: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,7 +66,7 @@
     return sha256(text.encode()).hexdigest()
 
 
-async def read_revision(client: Platform, environment: str) -> Revision | None:
+async def read_revision(client: ObjectStore, environment: str) -> Revision | None:
     """Return the accepted version of an environment, None if there is none.
 
     Raises PlatformUnavailable, RevisionDamaged.
@@ -81,7 +75,7 @@
     return None if stored is None else _parse(environment, stored)
 
 
-def _parse(environment: str, stored: PlatformObject) -> Revision:
+def _parse(environment: str, stored: StoredObject) -> Revision:
     try:
         spec = _Spec.model_validate(stored.spec)
     except ValidationError as exc:
@@ -92,12 +86,12 @@
         spec.text,
         spec.digest,
         spec.token,
-        stored.metadata.resource_version,
+        stored.revision,
     )
 
 
 async def apply_revision(
-    client: PlatformClient, environment: str, text: str, base: int
+    client: ObjectStore, environment: str, text: str, base: int
 ) -> Result[Revision, ApplyConflict | ApplyUnknown]:
     """Store a checked text as the version that follows ``base`` (0: the first).
 
@@ -117,9 +111,9 @@
         "digest": compute_digest(text),
         "token": token,
     }
-    resource_version = 0 if stored is None else stored.resource_version
+    expected = 0 if stored is None else stored.store_revision
     try:
-        written = await client.put(DOCUMENT_KIND, environment, spec, resource_version)
+        written = await client.put(DOCUMENT_KIND, environment, spec, expected)
         return Ok(_parse(environment, written))
     except (Conflict, PlatformUnavailable) as exc:
         # A conflict too may be our own write, if the client or a proxy repeated it.
@@ -127,7 +121,7 @@
 
 
 async def _confirm(
-    client: PlatformClient, environment: str, base: int, token: str, reason: str
+    client: ObjectStore, environment: str, base: int, token: str, reason: str
 ) -> Result[Revision, ApplyConflict | ApplyUnknown]:
     for _ in range(CONFIRM_ATTEMPTS):
         try:
--- /dev/null
+++ b/src/berylmast/own_interface.py
@@ -0,0 +1,72 @@
+"""The project's own interface: documents, headers and the store's own kinds."""
+
+from collections.abc import Callable
+from random import Random
+
+from pydantic import BaseModel, ConfigDict, ValidationError
+from result import Err, Ok, Result
+
+from .adapter import Adapter
+from .backends.interface import OWN_INTERFACE
+from .callers.answer import make_error_answer
+from .callers.classify import Classify, make_classifier
+from .limits import DEFAULT_LIMITS
+from .membership import Directory
+from .membership.held import HeldDocument
+from .membership.store import Store
+from .model import AttemptId
+from .operators import DocumentError, make_slice, parse_document
+from .operators.revisions import DOCUMENT_KIND
+from .platform.anchor import PlatformStore
+from .platform.reports import make_report_app
+from .platform.store import StoreClient
+from .routes import Configuration
+from .settings import DaemonSettings
+
+READY_PATH = "/ready"
+
+
+class _Revision(BaseModel):
+    model_config = ConfigDict(extra="ignore")
+    version: int
+    text: str
+
+
+def parse_revision(spec: object) -> Result[Configuration, str]:
+    """Return the configuration of an accepted document, or why it can't be used."""
+    try:
+        revision = _Revision.model_validate(spec)
+        document = parse_document(revision.text)
+    except (ValidationError, DocumentError) as exc:
+        return Err(str(exc))
+    services = {
+        service: make_slice(document, service, revision.version)
+        for service in document.services
+    }
+    return Ok(Configuration(revision.version, routes={}, services=services))
+
+
+def _make_store(cfg: DaemonSettings) -> Store:
+    return PlatformStore(StoreClient(cfg.platform), DOCUMENT_KIND, cfg.environment)
+
+
+def _make_classifier(
+    cfg: DaemonSettings,
+    directory: Directory,
+    held: HeldDocument,
+    rng: Random,
+    next_attempt: Callable[[], AttemptId],
+) -> Classify:
+    return make_classifier(directory, cfg.limits, next_attempt)
+
+
+OWN = Adapter(
+    make_store=_make_store,
+    parse_configuration=parse_revision,
+    make_classifier=_make_classifier,
+    make_error_answer=make_error_answer,
+    backend=OWN_INTERFACE,
+    make_report_app=make_report_app,
+    limits=DEFAULT_LIMITS,
+    ready_path=READY_PATH,
+)
--- a/src/berylmast/platform/__init__.py
+++ b/src/berylmast/platform/__init__.py
@@ -1,33 +1,29 @@
-"""The platform's object API: versions, conditional updates, watches."""
+"""The adapter to the platform: its names, formats and calls, and no decisions.
+
+The protocol of the users' machines is loaded from ``adapter`` by its own module name,
+so that a daemon imports only what it speaks.
+"""
 
-from .client import PlatformClient
-from .confirm import PutFailure, PutFault, put_confirmed
-from .follow import follow_objects
 from .objects import (
+    Changes,
     Conflict,
-    EventType,
     Listing,
-    Metadata,
-    Platform,
-    PlatformObject,
+    ObjectChange,
+    ObjectStore,
     PlatformUnavailable,
+    StoredObject,
     VersionTooOld,
-    WatchEvent,
 )
+from .store import StoreClient
 
 __all__ = [
+    "Changes",
     "Conflict",
-    "EventType",
     "Listing",
-    "Metadata",
-    "Platform",
-    "PlatformClient",
-    "PlatformObject",
+    "ObjectChange",
+    "ObjectStore",
     "PlatformUnavailable",
-    "PutFailure",
-    "PutFault",
+    "StoreClient",
+    "StoredObject",
     "VersionTooOld",
-    "WatchEvent",
-    "follow_objects",
-    "put_confirmed",
 ]
--- a/src/berylmast/platform/adapter.py
+++ b/src/berylmast/platform/adapter.py
@@ -1,9 +1,20 @@
 """The functions through which the product speaks the platform's protocol."""
 
+from collections.abc import Callable
+from random import Random
+
 from ..adapter import Adapter
-from ..callers.routed import CallerHeaders
+from ..callers.classify import Classify
+from ..callers.routed import CallerHeaders, make_routed_classifier
+from ..limits import SLOT_LIMITS
+from ..membership import Directory
+from ..membership.held import HeldDocument
+from ..membership.store import Store
+from ..model import AttemptId
+from ..routing.split import SplitChooser
+from ..settings import DaemonSettings
+from . import configuration
 from .anchor import PlatformStore
-from .configuration import parse_configuration
 from .reports import make_report_app
 from .requests import (
     PLATFORM_INTERFACE,
@@ -16,12 +27,35 @@
 
 READY_PATH = "/v1/ready"
 
+_HEADERS = CallerHeaders(read_attempt_id, read_deadline_ms, set_origin)
+
+
+def _make_store(cfg: DaemonSettings) -> Store:
+    client = StoreClient(cfg.platform)
+    return PlatformStore(client, configuration.KIND, configuration.NAME)
+
+
+def _make_classifier(
+    cfg: DaemonSettings,
+    directory: Directory,
+    held: HeldDocument,
+    rng: Random,
+    next_attempt: Callable[[], AttemptId],
+) -> Classify:
+    origin = cfg.service or ""
+    choose_service = SplitChooser(rng).choose
+    return make_routed_classifier(
+        held, _HEADERS, choose_service, next_attempt, lambda: origin
+    )
+
+
 PLATFORM = Adapter(
-    make_store=lambda address: PlatformStore(StoreClient(address)),
-    parse_configuration=parse_configuration,
-    caller_headers=CallerHeaders(read_attempt_id, read_deadline_ms, set_origin),
+    make_store=_make_store,
+    parse_configuration=configuration.parse_configuration,
+    make_classifier=_make_classifier,
     make_error_answer=make_error_answer,
     backend=PLATFORM_INTERFACE,
     make_report_app=make_report_app,
+    limits=SLOT_LIMITS,
     ready_path=READY_PATH,
 )
--- a/src/berylmast/platform/anchor.py
+++ b/src/berylmast/platform/anchor.py
@@ -3,16 +3,17 @@
 from ..membership.store import StoredDocument, StoredRecord
 from ..model import Endpoint
 from ..telemetry import log_event
-from . import configuration, records
-from .objects import StoredObject
-from .store import StoreClient
+from . import records
+from .objects import ObjectStore, StoredObject
 
 
 class PlatformStore:
-    """Keeps endpoint records in a kind of our own and reads the operator's object."""
+    """Keeps endpoint records in a kind of our own and reads one configuration."""
 
-    def __init__(self, client: StoreClient) -> None:
+    def __init__(self, client: ObjectStore, kind: str, name: str) -> None:
         self._client = client
+        self._kind = kind
+        self._name = name
 
     @property
     def calls(self) -> int:
@@ -21,17 +22,17 @@
 
     async def read_document(self) -> StoredDocument:
         """Read the configuration."""
-        listing = await self._client.list(configuration.KIND)
-        found = [i for i in listing.items if i.name == configuration.NAME]
-        return StoredDocument(listing.version, found[0].spec if found else None)
+        listing = await self._client.list(self._kind)
+        found = [item for item in listing.items if item.name == self._name]
+        return StoredDocument(listing.revision, found[0].spec if found else None)
 
     async def wait_document(self, revision: int, wait_s: float) -> StoredDocument:
         """Wait for a change of the configuration."""
-        changes = await self._client.wait_changes(configuration.KIND, revision, wait_s)
+        changes = await self._client.wait_changes(self._kind, revision, wait_s)
         specs = [
             change.object.spec
             for change in changes.changes
-            if change.object.name == configuration.NAME and not change.deleted
+            if change.object.name == self._name and not change.deleted
         ]
         return StoredDocument(changes.revision, specs[-1] if specs else None)
 
--- a/src/berylmast/platform/objects.py
+++ b/src/berylmast/platform/objects.py
@@ -1,12 +1,8 @@
 """Objects of the platform's store, its errors, and the interface of a client."""
 
-from collections.abc import AsyncIterator
 from dataclasses import dataclass
-from enum import StrEnum
 from typing import Any, Protocol
 
-from pydantic import BaseModel, ConfigDict, Field
-
 
 class PlatformUnavailable(Exception):
     """The platform did not answer, or not as published: the outcome is unknown.
@@ -20,85 +16,11 @@
 
 
 class Conflict(Exception):
-    """The object has another version than the one that the update was based on."""
+    """The object has another revision than the one that the update was based on."""
 
 
 class VersionTooOld(Exception):
-    """The platform no longer keeps the changes since a version: list again."""
-
-
-class Metadata(BaseModel):
-    """Name and version of an object; the version is opaque but for equality."""
-
-    model_config = ConfigDict(extra="ignore", populate_by_name=True)
-    name: str
-    resource_version: int = Field(0, alias="resourceVersion")
-
-
-class PlatformObject(BaseModel):
-    """One object of the platform's store."""
-
-    model_config = ConfigDict(extra="ignore")
-    kind: str
-    metadata: Metadata
-    spec: dict[str, Any]
-
-
-class EventType(StrEnum):
-    """What a watch reports; BOOKMARK carries a version and no change."""
-
-    ADDED = "ADDED"
-    MODIFIED = "MODIFIED"
-    DELETED = "DELETED"
-    BOOKMARK = "BOOKMARK"
-
-
-class WatchEvent(BaseModel):
-    """One event of a watch; ``object`` is None for a bookmark."""
-
-    model_config = ConfigDict(extra="ignore")
-    type: EventType
-    version: int
-    object: PlatformObject | None = None
-
-
-@dataclass(frozen=True, slots=True)
-class Listing:
-    """All objects of a kind at one version of the store, where a watch may start."""
-
-    version: int
-    items: tuple[PlatformObject, ...]
-
-
-class Platform(Protocol):
-    """The calls of the object API; all but ``watch`` return within seconds.
-
-    Every call raises PlatformUnavailable if the outcome is unknown.
-    """
-
-    calls: int
-
-    async def get(self, kind: str, name: str) -> PlatformObject | None:
-        """Read one object, None if it does not exist."""
-
-    async def list(self, kind: str, name: str | None = None) -> Listing:
-        """Read all objects of a kind, or the one of that name."""
-
-    async def put(
-        self, kind: str, name: str, spec: dict[str, Any], version: int | None
-    ) -> PlatformObject:
-        """Write one object; ``version`` is the one it must have now, 0 for none.
-
-        None writes whatever the version is. Raises Conflict if another is stored.
-        """
-
-    async def delete(self, kind: str, name: str, version: int | None) -> None:
-        """Delete one object; raises Conflict if another version is stored."""
-
-    def watch(
-        self, kind: str, version: int, name: str | None = None
-    ) -> AsyncIterator[WatchEvent]:
-        """Yield the changes after a version; raises VersionTooOld if it is gone."""
+    """The store no longer keeps the changes since a revision: list again."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -119,10 +41,10 @@
 
 
 @dataclass(frozen=True, slots=True)
-class StoredListing:
+class Listing:
     """All objects of a kind at one revision of the store, where a watch may start."""
 
-    version: int
+    revision: int
     items: tuple[StoredObject, ...]
 
 
@@ -132,3 +54,34 @@
 
     revision: int
     changes: tuple[ObjectChange, ...]
+
+
+class ObjectStore(Protocol):
+    """The calls of the object store; all but ``wait_changes`` return within seconds.
+
+    Every call raises PlatformUnavailable if the outcome is unknown.
+    """
+
+    @property
+    def calls(self) -> int:
+        """Return the number of calls made so far."""
+
+    async def get(self, kind: str, name: str) -> StoredObject | None:
+        """Read one object, None if it does not exist."""
+
+    async def list(self, kind: str) -> Listing:
+        """Read all objects of a kind."""
+
+    async def put(
+        self, kind: str, name: str, spec: object, revision: int | None
+    ) -> StoredObject:
+        """Write one object; ``revision`` is the one it must have now, 0 for none.
+
+        None writes whatever the revision is. Raises Conflict if another is stored.
+        """
+
+    async def delete(self, kind: str, name: str, revision: int | None) -> None:
+        """Delete one object; raises Conflict if another revision is stored."""
+
+    async def wait_changes(self, kind: str, revision: int, wait_s: float) -> Changes:
+        """Return the changes after a revision; raises VersionTooOld if it is gone."""
--- a/src/berylmast/platform/store.py
+++ b/src/berylmast/platform/store.py
@@ -1,46 +1,34 @@
 """Client of the platform's object store over HTTP."""
 
 import json
-import socket
+from collections.abc import AsyncIterator
 from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
-import httpcore
+import anyio
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
+from ..backends.client import BackendClient, BackendCut, BackendUnreachable
 from ..settings import Address
 from .objects import (
     Changes,
     Conflict,
+    Listing,
     ObjectChange,
     PlatformUnavailable,
-    StoredListing,
     StoredObject,
     VersionTooOld,
 )
 
+BASE_PATH = "/v1/objects"
 CALL_TIMEOUT_S = 1.5
 WATCH_MARGIN_S = 1.0
 """A watch that has not ended this long after its own time is taken as silent."""
 
-IDLE_CONNECTION_S = 10.0
-MAX_CONNECTIONS = 4
+SILENCE_LIMIT_S = 2
+"""A connection on which nothing arrives is probed, also under a waiting watch."""
 
-# A silent connection is noticed within three seconds, also under a waiting watch.
-_KEEP_ALIVE = (
-    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
-    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
-    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3_000),
-)
-_UNSENT = (httpcore.ConnectError, httpcore.ConnectTimeout, httpcore.PoolTimeout)
-_FAILURES = (
-    httpcore.NetworkError,
-    httpcore.TimeoutException,
-    httpcore.ProtocolError,
-    ValueError,
-)
+MAX_CONNECTIONS = 4
 
 
 class _Wire(BaseModel):
@@ -84,16 +72,14 @@
 
     def __init__(self, address: Address) -> None:
         self.calls = 0
-        self._base = f"http://{address}/v1/objects"
-        self._pool = httpcore.AsyncConnectionPool(
-            max_connections=MAX_CONNECTIONS,
-            keepalive_expiry=IDLE_CONNECTION_S,
-            socket_options=_KEEP_ALIVE,
+        self._host = str(address).encode()
+        self._client = BackendClient(
+            address, MAX_CONNECTIONS, silence_limit_s=SILENCE_LIMIT_S
         )
 
     async def aclose(self) -> None:
         """Close all connections."""
-        await self._pool.aclose()
+        self._client.close()
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Read one object, None if it does not exist."""
@@ -102,7 +88,7 @@
             return None
         return _parse_object(status, data)
 
-    async def list(self, kind: str) -> StoredListing:
+    async def list(self, kind: str) -> Listing:
         """Read all objects of a kind."""
         items: list[StoredObject] = []
         after = ""
@@ -114,7 +100,7 @@
             page = _parse(_Listing, data)
             items.extend(_translate(item) for item in page.items)
             if not page.has_more or not page.items:
-                return StoredListing(page.at, tuple(items))
+                return Listing(page.at, tuple(items))
             after = page.items[-1].metadata.name
 
     async def put(
@@ -178,22 +164,28 @@
         read_s: float = CALL_TIMEOUT_S,
     ) -> tuple[int, Any]:
         self.calls += 1
-        timeouts = dict.fromkeys(("connect", "write", "pool"), CALL_TIMEOUT_S)
-        content = None if body is None else json.dumps(body).encode()
+        content = b"" if body is None else json.dumps(body).encode()
+        headers = [
+            (b"host", self._host),
+            (b"content-type", b"application/json"),
+            (b"content-length", str(len(content)).encode()),
+        ]
         try:
-            res = await self._pool.request(
-                method,
-                self._base + path,
-                headers={"content-type": "application/json"},
-                content=content,
-                extensions={"timeout": {**timeouts, "read": read_s}},
-            )
-            return res.status, json.loads(res.content) if res.content else None
-        except _FAILURES as exc:
-            sent = not isinstance(exc, _UNSENT)
+            with anyio.fail_after(read_s):
+                async with self._client.send(
+                    method, BASE_PATH + path, headers, _iterate(content)
+                ) as answer:
+                    data = b"".join([part async for part in answer.body])
+            return answer.status, json.loads(data) if data else None
+        except (BackendUnreachable, BackendCut, TimeoutError, ValueError) as exc:
+            sent = not isinstance(exc, BackendUnreachable)
             raise PlatformUnavailable(f"{method} {path}: {exc!r}", sent=sent) from exc
 
 
+async def _iterate(content: bytes) -> AsyncIterator[bytes]:
+    yield content
+
+
 def _make_path(kind: str, name: str | None = None) -> str:
     path = "/" + quote(kind, safe="")
     return path if name is None else f"{path}/{quote(name, safe='')}"
--- a/src/berylmast/routes.py
+++ b/src/berylmast/routes.py
@@ -48,13 +48,14 @@
 class Configuration:
     """One version of the configuration.
 
-    ``routes`` holds the routes of each host, those with the longest prefix first.
+    ``routes`` holds the routes of each host, those with the longest prefix first;
+    without ``limits`` those of the daemon's settings hold.
     """
 
     version: int
     routes: Mapping[str, tuple[HostRoute, ...]]
     services: Mapping[str, ServiceSlice]
-    limits: CallerLimits
+    limits: CallerLimits | None = None
 
     def find_route(self, host: str, path: str) -> HostRoute | None:
         """Return the route with the longest prefix that begins the path."""
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -219,7 +219,8 @@
     def _find_probed(self, service: str) -> list[Endpoint]:
         """Return the endpoints of the regions that calls normally reach."""
         found = self._directory.service(service)
-        if found is None:
+        if found is None or found.policy == LEAST_DELAY:
+            # Busy owners pass requests on at once, which tells more than probes.
             return []
         groups = group_by_region(self._directory.endpoints(service))
         regions = self._order_regions(groups, found)
--- a/src/berylmast_dev/fcfs_daemon.py
+++ b/src/berylmast_dev/fcfs_daemon.py
@@ -8,8 +8,9 @@
 
 from berylmast.daemon import run_daemon
 from berylmast.errors import ErrorKind, Refusal
-from berylmast.limits import AdmissionController, EntryShedder, Limits, Permit
+from berylmast.limits import AdmissionController, Limits, NoShedder, Permit
 from berylmast.model import AttemptResult, LoadReport, RequestHead
+from berylmast.own_interface import OWN
 from berylmast.settings import load_settings
 from berylmast.telemetry import configure_logs
 
@@ -60,14 +61,6 @@
         )
 
 
-class NoShedder(EntryShedder):
-    """Forwards every request."""
-
-    def admit(self, service: str, priority: str, tenant: str) -> bool:
-        """Return True."""
-        return True
-
-
 cli = App(name="fcfs_daemon", help=__doc__)
 
 
@@ -75,9 +68,9 @@
 def run(settings: Path) -> None:
     """Run one daemon."""
     configure_logs()
-    limits = Limits(FirstComeAdmission, NoShedder)
+    limits = Limits(FirstComeAdmission, lambda _rng: NoShedder())
     cfg = load_settings(settings)
-    anyio.run(run_daemon, cfg, limits, backend_options={"use_uvloop": True})
+    anyio.run(run_daemon, cfg, OWN, limits, backend_options={"use_uvloop": True})
 
 
 if __name__ == "__main__":
--- a/src/berylmast_dev/fleet.py
+++ b/src/berylmast_dev/fleet.py
@@ -120,7 +120,6 @@
             "service": member.service,
             "backend": {"host": HOST, "port": member.port + 3},
             "platform": {"host": HOST, "port": self.platform_port},
-            "start_spread_s": 0.2,
         }
         if member.health:
             settings["health"] = {"interval_s": 0.5}
--- a/src/berylmast_dev/store.py
+++ b/src/berylmast_dev/store.py
@@ -1,4 +1,4 @@
-"""Stand-in for the platform's object API, with faults and a meter of calls."""
+"""Stand-in for the platform's object store, with faults and a meter of calls."""
 
 import json
 from collections import Counter
@@ -10,23 +10,28 @@
 from cyclopts import App
 
 from ._http import read_body, send_json, serve_app
-from .objects import ObjectTable
+from .objects import Change, ObjectTable
 
-DEFAULT_BOOKMARK_S = 5.0
+PREFIX = ["v1", "objects"]
+PAGE_ITEMS = 500
+MAX_WAIT_MS = 30_000
+WRITES = ("create", "put", "delete")
 
 
 @dataclass(slots=True)
 class Faults:
     """Faults in force; ``/control`` sets them from a JSON object.
 
-    ``outage`` is "refuse" (503 at once), "hang" (no answer), or "". ``slow_s`` delays
-    every call. ``lose_answers`` is the number of writes that take effect and hang.
-    ``silent_watches`` stops events and bookmarks of the watches that are open.
+    ``outage`` is "refuse" (503 at once), "limit" (429 at once), "hang" (no answer), or
+    "". ``slow_s`` delays every call. ``lose_answers`` is the number of writes that take
+    effect and hang; ``late_s`` lets these take effect only after that time.
+    ``silent_watches`` stops the answers of the watches that wait now.
     """
 
     outage: str = ""
     slow_s: float = 0.0
     lose_answers: int = 0
+    late_s: float = 0.0
     silent_watches: bool = False
 
 
@@ -41,15 +46,15 @@
         self._watch_epoch = 0
 
     async def app(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
-        """Serve the object API, ``/control`` and ``/calls`` over ASGI."""
+        """Serve the object store, ``/control`` and ``/calls`` over ASGI."""
         parts = scope["path"].strip("/").split("/")
         if parts == ["calls"]:
             await send_json(send, 200, self.report())
         elif parts == ["control"]:
             self.control(json.loads(await read_body(receive)))
             await send_json(send, 200, {})
-        elif parts[0] == "objects" and len(parts) in (2, 3):
-            await self._serve_call(scope, parts[1:], receive, send)
+        elif parts[:2] == PREFIX and len(parts) in (3, 4):
+            await self._serve_call(scope, parts[2:], receive, send)
         else:
             await send_json(send, 404, {"error": "no such path"})
 
@@ -67,7 +72,7 @@
             self.table.compact()
         for name, value in change.items():
             setattr(self.faults, name, value)
-        if self.faults.silent_watches or self.faults.outage:
+        if self.faults.silent_watches:
             # Watches opened later work: this fault concerns open connections only.
             self._watch_epoch += 1
             self.faults.silent_watches = False
@@ -84,15 +89,18 @@
         body = await read_body(receive)
         if self.faults.slow_s:
             await anyio.sleep(self.faults.slow_s)
-        if self.faults.outage == "refuse":
-            await send_json(send, 503, {"error": "unavailable"})
+        if self.faults.outage in ("refuse", "limit"):
+            status = 503 if self.faults.outage == "refuse" else 429
+            await send_json(send, status, {"error": self.faults.outage})
         elif self.faults.outage == "hang":
             await _hang(receive)
         elif verb == "watch":
             await self._serve_watch(parts[0], query, receive, send)
         else:
+            if verb in WRITES and self.faults.lose_answers > 0:
+                await anyio.sleep(self.faults.late_s)
             status, data = self._run(verb, parts, query, body)
-            if verb in ("put", "delete") and self.faults.lose_answers > 0:
+            if verb in WRITES and self.faults.lose_answers > 0:
                 self.faults.lose_answers -= 1
                 await _hang(receive)
                 return
@@ -101,84 +109,79 @@
     def _run(
         self, verb: str, parts: list[str], query: dict[str, str], body: bytes
     ) -> tuple[int, Any]:
-        if verb == "list":
-            items = self.table.select(parts[0], _read_name(query))
-            metadata = {"resourceVersion": self.table.version}
-            return 200, {"metadata": metadata, "items": items}
-        kind, name = parts
-        if verb == "get":
-            found = self.table.get(kind, name)
-            return (200, found) if found else (404, {"error": "none"})
-        if verb == "put":
-            new = json.loads(body)
-            version = new["metadata"].get("resourceVersion")
-            stored = self.table.put(kind, name, new["spec"], version)
-            return (200, stored) if stored else (409, {"error": "conflict"})
-        text = query.get("resourceVersion")
-        status = self.table.delete(kind, name, int(text) if text else None)
-        return status, {}
+        kind = parts[0]
+        match verb:
+            case "list":
+                return 200, self._list(kind, query.get("after", ""))
+            case "create":
+                new = json.loads(body)
+                name = new["metadata"]["name"]
+                created = self.table.put(kind, name, new["spec"], 0)
+                if created is None:
+                    return 409, self.table.get(kind, name)
+                return 201, created
+            case "get":
+                found = self.table.get(kind, parts[1])
+                return (200, found) if found else (404, {"error": "none"})
+            case "put":
+                return self._replace(kind, parts[1], json.loads(body))
+            case _:
+                text = query.get("revision")
+                status = self.table.delete(kind, parts[1], int(text) if text else None)
+                return status, self.table.get(kind, parts[1]) or {}
+
+    def _list(self, kind: str, after: str) -> dict[str, Any]:
+        items = [o for o in self.table.select(kind) if o["metadata"]["name"] > after]
+        return {
+            "items": items[:PAGE_ITEMS],
+            "hasMore": len(items) > PAGE_ITEMS,
+            "at": self.table.revision,
+        }
+
+    def _replace(self, kind: str, name: str, new: dict[str, Any]) -> tuple[int, Any]:
+        if self.table.get(kind, name) is None:
+            return 404, {"error": "none"}
+        revision = new["metadata"].get("revision")
+        stored = self.table.put(kind, name, new["spec"], revision)
+        return (409, self.table.get(kind, name)) if stored is None else (200, stored)
 
     async def _serve_watch(
         self, kind: str, query: dict[str, str], receive: Any, send: Any
     ) -> None:
-        version = int(query["resourceVersion"])
-        if not self.table.is_kept(version):
-            await send_json(send, 410, {"error": "version too old"})
-            return
-        head = {
-            "type": "http.response.start",
-            "status": 200,
-            "headers": [(b"content-type", b"application/json")],
-        }
-        await send(head)
+        revision = int(query["watch"])
+        wait_s = min(int(query.get("waitMs", 0)), MAX_WAIT_MS) / 1000
+        epoch = self._watch_epoch
         self.watching[kind] += 1
         try:
-            async with anyio.create_task_group() as tg:
-                tg.start_soon(self._stream, kind, query, version, send)
-                await _hang(receive)
-                tg.cancel_scope.cancel()
+            changes = await self._wait_changes(kind, revision, wait_s)
         finally:
             self.watching[kind] -= 1
-
-    async def _stream(
-        self, kind: str, query: dict[str, str], version: int, send: Any
-    ) -> None:
-        interval_s = float(query.get("bookmarkSeconds", DEFAULT_BOOKMARK_S))
-        name = _read_name(query)
-        epoch = self._watch_epoch
-        sent_s = anyio.current_time()
-        while epoch == self._watch_epoch:
-            if not self.table.is_kept(version):
-                await send_line(send, {"type": "ERROR", "object": {"code": 410}})
-                return
-            events = self.table.changes(kind, version, name)
-            version = self.table.version
-            if anyio.current_time() - sent_s >= interval_s:
-                metadata = {"resourceVersion": version}
-                events.append({"type": "BOOKMARK", "object": {"metadata": metadata}})
-            for event in events:
-                sent_s = anyio.current_time()
-                await send_line(send, event)
-            with anyio.move_on_after(sent_s + interval_s - anyio.current_time()):
+        if epoch != self._watch_epoch:
+            await _hang(receive)
+        elif changes is None:
+            await send_json(send, 410, {"error": "history is gone"})
+        else:
+            events = [{"deleted": c.deleted, "object": c.object} for c in changes]
+            await send_json(send, 200, {"events": events, "at": self.table.revision})
+
+    async def _wait_changes(
+        self, kind: str, revision: int, wait_s: float
+    ) -> list[Change] | None:
+        """Return the changes as soon as there is one; None if history is gone."""
+        with anyio.move_on_after(wait_s):
+            while self.table.is_kept(revision):
+                changes = self.table.changes(kind, revision)
+                if changes:
+                    return changes
                 await self.table.wait_change()
-        await anyio.sleep_forever()
-
-
-async def send_line(send: Any, event: dict[str, Any]) -> None:
-    """Send one event as a line of JSON."""
-    line = json.dumps(event).encode() + b"\n"
-    await send({"type": "http.response.body", "body": line, "more_body": True})
+            return None
+        return [] if self.table.is_kept(revision) else None
 
 
 def _name_verb(method: str, parts: list[str], query: dict[str, str]) -> str:
     if method == "GET" and len(parts) == 1:
         return "watch" if "watch" in query else "list"
-    return method.lower()
-
-
-def _read_name(query: dict[str, str]) -> str | None:
-    selector = query.get("fieldSelector")
-    return None if selector is None else selector.partition("=")[2]
+    return {"POST": "create"}.get(method, method.lower())
 
 
 async def _hang(receive: Any) -> None:
@@ -192,7 +195,7 @@
 
 @cli.default
 def run(*, host: str = "127.0.0.1", port: int) -> None:
-    """Serve the object API."""
+    """Serve the object store."""
     serve_app(Store().app, host, port)
 
 
