--- a/src/berylmast/backends/dispatch.py
+++ b/src/berylmast/backends/dispatch.py
@@ -12,10 +12,6 @@
 from .client import BackendAnswer, BackendClient, BackendCut, BackendUnreachable
 from .interface import OWN_INTERFACE, BackendInterface, Verdict
 
-READ_AHEAD_BYTES = 64 * 1024
-"""Answers up to this size are whole before any of it is passed on, so that one that is
-cut short can still be asked for again."""
-
 # RFC 9110 section 6.5.1: fields that frame, route or authorise a message are not taken
 # from trailers.
 _NOT_IN_TRAILERS = frozenset(
@@ -172,20 +168,30 @@
         case Verdict.INVALID:
             raise AnswerInvalid(f"an answer of status {answer.status} has no proof")
         case Verdict.VALID:
-            await _send_answer(exchange, answer, report)
+            await _send_answer(exchange, answer, report, interface.read_ahead_bytes)
             end.status = answer.status
 
 
-async def _send_answer(
-    exchange: Exchange, answer: BackendAnswer, report: Callable[[], LoadReport]
-) -> None:
+async def _read_ahead(answer: BackendAnswer, limit: int) -> list[bytes]:
+    """Return the first parts of a body: all of it if it has at most ``limit`` bytes."""
     ahead: list[bytes] = []
     size = 0
-    async for chunk in answer.body:
-        ahead.append(chunk)
-        size += len(chunk)
-        if size >= READ_AHEAD_BYTES:
-            break
+    if limit:
+        async for chunk in answer.body:
+            ahead.append(chunk)
+            size += len(chunk)
+            if size >= limit:
+                break
+    return ahead
+
+
+async def _send_answer(
+    exchange: Exchange,
+    answer: BackendAnswer,
+    report: Callable[[], LoadReport],
+    read_ahead_bytes: int,
+) -> None:
+    ahead = await _read_ahead(answer, read_ahead_bytes)
     await exchange.send(Response(exchange.id, answer.status, answer.headers, report()))
     for chunk in ahead:
         await exchange.send_body(chunk)
--- a/src/berylmast/backends/interface.py
+++ b/src/berylmast/backends/interface.py
@@ -26,12 +26,15 @@
 
     ``make_head`` gives the head as sent, from the remaining milliseconds and the id of
     the backend server. ``is_stray`` tells that an answer belongs to another request.
+    An answer of up to ``read_ahead_bytes`` is whole before any of it is passed on, so
+    that one that is cut short can still be asked for again.
     """
 
     make_head: Callable[[RequestHead, int, str], RequestHead]
     judge: Callable[[int, Headers], Verdict]
     is_stray: Callable[[RequestHead, Headers], bool]
     read_load: Callable[[Headers], BackendLoad | None]
+    read_ahead_bytes: int = 0
 
 
 OWN_INTERFACE = BackendInterface(
--- a/src/berylmast/callers/classify.py
+++ b/src/berylmast/callers/classify.py
@@ -77,7 +77,7 @@
     """Return the classification of the project's own interface."""
 
     async def classify(scope: dict[str, Any]) -> Result[Classified, Refusal]:
-        if not directory.document_version:
+        if not directory.services():
             return _refuse(ErrorKind.NO_CONFIGURATION, "no document is known yet")
         return classify_request(scope, directory, limits, next_attempt)
 
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -101,7 +101,7 @@
             attempt=forwarder.next_attempt(),
             deadline_ms=remaining_ms,
             target_ms=max(0, req.head.target_ms - int((now_s - started_s) * 1000)),
-            retry=req.head.retry or trace.sent > 0,
+            retry=req.head.retry or search.costs_retry,
             may_spill=placement.may_spill,
         )
         attempt = replace(req, head=head)
--- a/src/berylmast/membership/anchoring.py
+++ b/src/berylmast/membership/anchoring.py
@@ -27,6 +27,10 @@
 """Keeps the way back after an outage of the store below two seconds."""
 
 
+FIRST_SEARCH_S = 3.0
+MAX_SEARCH_S = 30.0
+
+
 class StoreLink:
     """Whether the store answers this daemon; logs each change."""
 
@@ -73,6 +77,7 @@
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._follow_document)
             tg.start_soon(self._keep_record)
+            tg.start_soon(self._find_first_peer)
 
     def set_own(self, record: Endpoint) -> None:
         """Store this record instead of the last one."""
@@ -115,10 +120,10 @@
 
     async def _keep_record(self) -> None:
         await self._until_done(self._list_records)
+        joined = False
         while True:
             await self._own_changed.wait()
             self._own_changed = anyio.Event()
-            first = not self._revisions
             record = self._own
             assert record is not None
             await self._until_done(lambda r=record: self._write(r))  # type: ignore[misc]
@@ -127,10 +132,27 @@
             for old in self._obsolete:
                 await self._until_done(lambda r=old: self._remove(r))  # type: ignore[misc]
             self._obsolete.clear()
-            if first:
+            if not joined:
+                joined = True
                 # One that joined at the same time is seen by the later of the two.
                 await self._until_done(self._list_records)
 
+    async def _find_first_peer(self) -> None:
+        """List again while no other daemon is known.
+
+        One without a backend server has no record, so that nobody tells it anything.
+        """
+        pause_s = FIRST_SEARCH_S
+        while not self._knows_others():
+            await anyio.sleep(pause_s * self._rng.uniform(0.75, 1.25))
+            pause_s = min(2 * pause_s, MAX_SEARCH_S)
+            if not self._knows_others():
+                await self._until_done(self._list_records)
+
+    def _knows_others(self) -> bool:
+        own = None if self._own is None else self._own.backend
+        return any(record.backend != own for record in self._roster.records())
+
     async def _until_done(self, call: Callable[[], Awaitable[None]]) -> None:
         backoff_s = FIRST_BACKOFF_S
         while True:
@@ -146,6 +168,8 @@
 
     async def _list_records(self) -> None:
         found = await self._store.list_records()
+        for record in found:
+            self._revisions[record.endpoint.backend] = record.revision
         self._roster.merge(record.endpoint for record in found)
         self.listed.set()
 
--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -21,6 +21,8 @@
 LOAD = b"x-server-load"
 
 _SET_HERE = frozenset({DEADLINE_MS, TARGET, CALLER_SERVICE})
+READ_AHEAD_BYTES = 64 * 1024
+
 _MISDIRECTED = 421
 _USUAL_PERCENT = 100.0
 
@@ -135,6 +137,7 @@
     judge=judge_answer,
     is_stray=is_stray,
     read_load=read_load,
+    read_ahead_bytes=READ_AHEAD_BYTES,
 )
 
 
--- a/src/berylmast/tests/golden_control.py
+++ b/src/berylmast/tests/golden_control.py
@@ -11,7 +11,7 @@
 
 from berylmast_dev.objects import ObjectTable
 
-from ..daemons.frames import Compare, Compared, End, Frame
+from ..daemons.frames import Body, Compare, Compared, End, Frame
 from ..membership.tests.fleet import Fleet, make_text, run_fleet
 from ..operators.revisions import apply_revision
 from ..platform.objects import Changes, Conflict, Listing, StoredObject
@@ -91,7 +91,7 @@
     """Run three daemons in two failure domains and record once they have settled."""
 
     def on_frame(source: str, target: str, frame: Frame) -> None:
-        if not isinstance(frame, Compare | Compared | End):
+        if not isinstance(frame, Compare | Compared | Body | End):
             log.add(source, target, show_frame(frame))
 
     async with run_fleet() as fleet:
--- a/src/berylmast/tests/test_errors.py
+++ b/src/berylmast/tests/test_errors.py
@@ -20,6 +20,7 @@
     ErrorKind.PEER_LOST,
     ErrorKind.BACKEND_CUT,
     ErrorKind.ANSWER_CUT,
+    ErrorKind.ANSWER_INVALID,
     ErrorKind.DUPLICATE_RUNNING,
     ErrorKind.DUPLICATE_UNKNOWN,
     ErrorKind.CANCELLED,
