Ask the local server for its load; newest first among what can be on time

Cause: servers share machines, and work takes five times as long for stretches of 150 ms. Answers tell it only when they end, so an owner gave work to a slowed server while others were free. After a power loss every request waited until it was just too late: the queue was served in the order of targets. Ejections took part of an overloaded service out because requests timed out.

Ruled out: load reports pushed between daemons (bytes between regions are paid for); a longer waiting time at the entry.

Change: LoadMeter asks the health path of the local server if no answer of the last 40 ms has told its load; a busy owner passes a request on. Waiting requests are ordered on time, urgent, short, new. Where delays are compared nobody is ejected. limits/backlog.py holds the order, free of input and output, with a replay of a burst against arrival order, refuse when full and priority only.

The time after a power loss still binds.

--- /dev/null
+++ b/src/berylmast/backends/tests/test_announced.py
@@ -0,0 +1,60 @@
+"""Guards against late, forged or repeated reports that revive or replace a server."""
+
+import pytest
+
+from ..announced import AnnouncedBackend, BackendReport, Departure
+
+
+def make_report(
+    backend: str = "i-1", born_ms: int = 10, sequence: int = 1, draining: bool = False
+) -> BackendReport:
+    return BackendReport(backend, "orders", "h:1", 6, draining, born_ms, sequence)
+
+
+@pytest.mark.parametrize(
+    ("steps", "current", "serving"),
+    [
+        ([make_report()], "i-1", True),
+        (
+            [make_report(sequence=2), make_report(sequence=1, draining=True)],
+            "i-1",
+            True,
+        ),
+        ([make_report(), make_report(sequence=2, draining=True)], "i-1", False),
+        ([make_report("i-2", 20), make_report("i-1", 10, 99)], "i-2", True),
+        ([make_report("i-1", 10, 99), make_report("i-2", 20, 1)], "i-2", True),
+        ([make_report(sequence=9), make_report(born_ms=20, sequence=1)], "i-1", True),
+        ([make_report(), Departure("i-1", 0), make_report(sequence=2)], "i-1", False),
+        ([make_report(), Departure("i-1", 5)], "i-1", True),
+        ([make_report("i-2", 20), Departure("i-1", 0)], "i-2", True),
+        ([Departure("i-1", 10), make_report(sequence=7)], None, False),
+        ([Departure("i-1", 10), make_report(born_ms=11)], "i-1", True),
+        ([make_report(), Departure("i-1", 10), make_report("i-2", 20)], "i-2", True),
+    ],
+    ids=[
+        "first",
+        "late-report",
+        "draining",
+        "late-report-of-a-dead-server",
+        "replaced",
+        "restarted-under-its-id",
+        "report-after-departure",
+        "departure-of-an-earlier-life",
+        "departure-of-another",
+        "departure-before-any-report",
+        "new-life-after-departure",
+        "successor",
+    ],
+)
+def test_newest_report_counts(
+    steps: list[BackendReport | Departure], current: str | None, serving: bool
+) -> None:
+    announced = AnnouncedBackend()
+    for step in steps:
+        if isinstance(step, Departure):
+            announced.take_departure(step)
+        else:
+            announced.take_report(step)
+    found = announced.current
+    assert (found.backend if found else None) == current
+    assert (announced.serving is not None) == serving
--- a/src/berylmast/callers/search.py
+++ b/src/berylmast/callers/search.py
@@ -10,7 +10,7 @@
 from .attempt import is_arrival
 from .classify import Classified
 
-MAX_ASKED = 5
+MAX_ASKED = 4
 """Owners asked for one request where busy ones pass it on."""
 
 MAX_SPILLS = 2
--- a/src/berylmast/limits/__init__.py
+++ b/src/berylmast/limits/__init__.py
@@ -8,18 +8,23 @@
 from .admission import Admission, AdmissionController, Permit
 from .retry_budget import RetryBudget
 from .shedder import EntryShedder, NoShedder, Shedder
-from .slots import SlotAdmission
+from .slots import Meter, SlotAdmission
+
+MakeAdmission = Callable[
+    [str, int, Callable[[], ServiceSlice | None], Meter], Admission
+]
 
 
 @dataclass(frozen=True, slots=True)
 class Limits:
     """What a daemon limits with; benchmarks replace it by baselines.
 
-    ``admission`` takes the daemon's id and incarnation and a getter of the slice.
+    ``admission`` takes the daemon's id and incarnation, a getter of the slice and the
+    meter of the backend server's load.
     """
 
-    admission: Callable[[str, int, Callable[[], ServiceSlice | None]], Admission] = (
-        AdmissionController
+    admission: MakeAdmission = lambda name, incarnation, get_slice, _meter: (
+        AdmissionController(name, incarnation, get_slice)
     )
     shedder: Callable[[Random], Shedder] = EntryShedder
 
--- a/src/berylmast/limits/admission.py
+++ b/src/berylmast/limits/admission.py
@@ -7,7 +7,7 @@
 from result import Err, Ok, Result
 
 from ..errors import ErrorKind, Refusal
-from ..model import AttemptResult, BackendLoad, LoadReport, RequestHead, ServiceSlice
+from ..model import AttemptResult, LoadReport, RequestHead, ServiceSlice
 from .concurrency import AdaptiveLimit
 from .estimate import MovingEstimate
 from .floors import PriorityClass
@@ -46,9 +46,6 @@
     def rename(self, backend: str, incarnation: int) -> None:
         """Report under the name of the backend server that runs now."""
 
-    def record_load(self, load: BackendLoad) -> None:
-        """Take the load that the backend server states."""
-
     async def acquire(self, head: RequestHead) -> Result[Permit, Refusal]:
         """Wait for a slot, or refuse."""
 
@@ -88,9 +85,6 @@
         """Report under the name of the backend server that runs now."""
         self._backend, self._incarnation = backend, incarnation
 
-    def record_load(self, load: BackendLoad) -> None:
-        """Do nothing: this class counts requests and measures latencies itself."""
-
     async def acquire(self, head: RequestHead) -> Result[Permit, Refusal]:
         """Wait shortly for a slot.
 
--- a/src/berylmast/limits/backlog.py
+++ b/src/berylmast/limits/backlog.py
@@ -1,26 +1,38 @@
 """The order in which waiting requests get slots, and which of them have no hope.
 
-Answers two load patterns. Bursts of one kind of request, of one to three times the
-capacity for some seconds: what can still be on time goes first, by urgency, so that a
-backlog of late requests does not make every later one late too. Service times that
-change several-fold within a tenth of a second: a request whose turn would come after
-its deadline is refused when that is known, not when the deadline has passed.
+Answers three load patterns. Bursts of one to three times the capacity for some
+seconds, and the return of all callers after a power loss: what can still be on time
+goes first, by urgency, and the newest of equal ones first. In the order of arrival each
+request would wait until it is just too late, also long after the burst. Nested calls
+beside long requests of the same urgency: short ones go first, since a caller's slot
+waits for each. Service times that change several-fold within a tenth of a second: a
+request whose turn would come after its deadline is refused when that is known, not when
+the deadline has passed.
 """
 
+import math
 from collections.abc import Collection
 from dataclasses import dataclass
 
+ON_TIME_SHARE = 0.8
+"""Share of the typical service time that must be left for a request to count as still
+on time; half of the requests take less than the typical time."""
+
+
+_SHORTEST_S = 0.001
+
 
 @dataclass(slots=True, eq=False)
 class Waiting:
     """A request that waits for a slot.
 
-    Times are in seconds of the runtime's clock. ``work_s`` is the expected service
-    time. The answer is on time up to ``target_s`` and useless after ``deadline_s``.
+    Times are in seconds of the runtime's clock. ``work_s`` is the typical service time.
+    The answer is on time up to ``target_s`` and useless after ``deadline_s``.
     """
 
     rank: int
     work_s: float
+    arrived_s: float
     target_s: float
     deadline_s: float
 
@@ -33,10 +45,14 @@
     wait_s: float
 
 
-def get_order(item: Waiting, now_s: float) -> tuple[bool, int, float]:
-    """Return the sort key: on time before late, then by urgency, then by target."""
-    late = now_s + item.work_s > item.target_s
-    return (late, item.rank, item.target_s)
+def get_order(item: Waiting, now_s: float) -> tuple[bool, int, int, float]:
+    """Return the sort key: on time, urgent, short and new requests first.
+
+    Service times within a factor of about two count as equal.
+    """
+    late = now_s + ON_TIME_SHARE * item.work_s > item.target_s
+    length = round(math.log2(max(item.work_s, _SHORTEST_S)))
+    return (late, item.rank, length, -item.arrived_s)
 
 
 def find_next(waiting: Collection[Waiting], now_s: float) -> Waiting | None:
--- a/src/berylmast/limits/slots.py
+++ b/src/berylmast/limits/slots.py
@@ -3,15 +3,16 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from random import Random
+from typing import Protocol
 
 import anyio
 from result import Err, Ok, Result
 
 from ..errors import ErrorKind, Refusal
-from ..model import AttemptResult, BackendLoad, LoadReport, RequestHead, ServiceSlice
+from ..model import AttemptResult, LoadReport, RequestHead, ServiceSlice
 from .admission import Permit
 from .backlog import Waiting, find_hopeless, find_next, plan_turns
-from .estimate import MovingEstimate
+from .estimate import MovingEstimate, TypicalTime
 
 FIRST_WORK_S = 0.1
 """Expected service time before any request of a kind has ended, in seconds."""
@@ -35,6 +36,27 @@
     settled: anyio.Event = field(default_factory=anyio.Event)
 
 
+class Meter(Protocol):
+    """Knows how long work takes at the backend server at this moment."""
+
+    async def refresh(self) -> None:
+        """Ask, unless the answer is known; returns within milliseconds."""
+
+    def get_slowdown(self, max_age_s: float) -> float:
+        """Return how long work takes now, 1.0 if usual or if it is not known."""
+
+
+class NoMeter:
+    """For backend servers that do not state their load."""
+
+    async def refresh(self) -> None:
+        """Do nothing."""
+
+    def get_slowdown(self, max_age_s: float) -> float:
+        """Return 1.0."""
+        return 1.0
+
+
 class SlotAdmission:
     """Decides which requests run now, wait or are refused.
 
@@ -47,6 +69,7 @@
         backend: str,
         incarnation: int,
         get_slice: Callable[[], ServiceSlice | None],
+        meter: Meter | None = None,
         rng: Random | None = None,
     ) -> None:
         self.draining = False
@@ -57,11 +80,10 @@
         self._waiting: list[_Entry] = []
         self._in_flight = 0
         self._seq = 0
-        self._work: dict[str, MovingEstimate] = {}
+        self._work: dict[str, TypicalTime] = {}
         self._latency_ms = MovingEstimate()
         self._error_rate = MovingEstimate(start_from_first=False)
-        self._slowdown = 1.0
-        self._slowdown_s = -SLOWDOWN_AGE_S
+        self._meter = meter or NoMeter()
 
     def rename(self, backend: str, incarnation: int) -> None:
         """Report under the name of the backend server that runs now."""
@@ -71,11 +93,6 @@
         self._seq = 0
         self._error_rate = MovingEstimate(start_from_first=False)
 
-    def record_load(self, load: BackendLoad) -> None:
-        """Keep the slowdown that the backend server states."""
-        self._slowdown = load.slowdown
-        self._slowdown_s = anyio.current_time()
-
     async def acquire(self, head: RequestHead) -> Result[Permit, Refusal]:
         """Wait for a slot, or refuse what would end after its deadline.
 
@@ -89,11 +106,11 @@
         if service.service != head.service:
             detail = f"the backend server belongs to {service.service}"
             return _refuse(ErrorKind.NO_BACKEND, detail)
-        now_s = anyio.current_time()
         kind = _find_kind(head)
-        item = self._make_entry(head, kind, now_s)
-        if head.may_spill and self._is_busy(service.slots, now_s):
+        item = self._make_entry(head, kind, anyio.current_time())
+        if head.may_spill and await self._is_busy(service.slots):
             return _refuse(ErrorKind.BUSY, "another backend server may be free")
+        now_s = anyio.current_time()
         self._waiting.append(item)
         self._advance(service.slots, now_s)
         try:
@@ -122,7 +139,7 @@
             latency_ms=self._latency_ms.value,
             error_rate=self._error_rate.value,
             draining=self.draining or service is None,
-            slowdown=self._get_slowdown(anyio.current_time()),
+            slowdown=self._meter.get_slowdown(SLOWDOWN_AGE_S),
         )
 
     @property
@@ -133,16 +150,15 @@
     def _make_entry(self, head: RequestHead, kind: str, now_s: float) -> _Entry:
         deadline_s = now_s + head.deadline_ms / 1000
         target_s = now_s + head.target_ms / 1000 if head.target_ms else deadline_s
-        return _Entry(head.rank, self._estimate_work_s(kind), target_s, deadline_s)
+        work_s = self._estimate_work_s(kind)
+        return _Entry(head.rank, work_s, now_s, target_s, deadline_s)
 
-    def _is_busy(self, slots: int, now_s: float) -> bool:
+    async def _is_busy(self, slots: int) -> bool:
+        """Tell whether a request is better tried elsewhere."""
         if self._in_flight >= slots or self._waiting:
             return True
-        return self._get_slowdown(now_s) >= SPILL_SLOWDOWN
-
-    def _get_slowdown(self, now_s: float) -> float:
-        fresh = now_s - self._slowdown_s <= SLOWDOWN_AGE_S
-        return self._slowdown if fresh else 1.0
+        await self._meter.refresh()
+        return self._meter.get_slowdown(SLOWDOWN_AGE_S) >= SPILL_SLOWDOWN
 
     def _advance(self, slots: int, now_s: float) -> None:
         """Start what has a free slot, then refuse what has no hope."""
@@ -201,7 +217,7 @@
     def _estimate_work_s(self, kind: str) -> float:
         known = self._work.get(kind)
         if known is not None:
-            return known.value
+            return known.value_s
         return self._latency_ms.value / 1000 or FIRST_WORK_S
 
     def _record(self, kind: str, result: AttemptResult) -> None:
@@ -212,7 +228,7 @@
             return
         if kind not in self._work and len(self._work) >= MAX_KINDS:
             kind = _OTHER_KINDS
-        self._work.setdefault(kind, MovingEstimate()).add(result.latency_s)
+        self._work.setdefault(kind, TypicalTime()).add(result.latency_s)
         self._latency_ms.add(result.latency_s * 1000)
 
 
--- /dev/null
+++ b/src/berylmast/limits/tests/test_backlog.py
@@ -0,0 +1,145 @@
+"""Guards against queues in which every request waits until it is too late."""
+
+import heapq
+from dataclasses import dataclass, field
+from random import Random
+
+import pytest
+
+from ..backlog import Waiting, find_hopeless, find_next, get_order, plan_turns
+
+TARGET_S = 0.25
+DEADLINE_S = 1.0
+WORK_S = 0.1
+
+
+def make_waiting(
+    rank: int = 0,
+    work_s: float = WORK_S,
+    arrived_s: float = 0.0,
+    target_s: float = TARGET_S,
+    deadline_s: float = DEADLINE_S,
+) -> Waiting:
+    return Waiting(
+        rank, work_s, arrived_s, arrived_s + target_s, arrived_s + deadline_s
+    )
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        (make_waiting(rank=0), make_waiting(rank=1)),
+        (make_waiting(arrived_s=0.1), make_waiting(arrived_s=0.0)),
+        (make_waiting(rank=1, arrived_s=0.2), make_waiting(rank=0, arrived_s=-0.1)),
+        (make_waiting(work_s=0.02), make_waiting(work_s=0.1, arrived_s=0.1)),
+        (make_waiting(work_s=0.1, arrived_s=0.1), make_waiting(work_s=0.12)),
+    ],
+    ids=["urgent", "new", "on-time", "short", "about-equal-length"],
+)
+def test_order_of_two(first: Waiting, second: Waiting) -> None:
+    now_s = 0.2
+    assert get_order(first, now_s) < get_order(second, now_s)
+    assert find_next([second, first], now_s) is first
+
+
+def test_nothing_waits() -> None:
+    assert find_next([], 0.0) is None
+    assert plan_turns([], 0.0, 4, 0.1) == []
+
+
+def test_only_what_would_end_after_its_deadline_is_hopeless() -> None:
+    """Guards against a request that is held until its deadline has passed."""
+    waiting = [make_waiting(arrived_s=-0.3 + 0.001 * n) for n in range(40)]
+    turns = plan_turns(waiting, 0.0, 4, 0.05)
+    hopeless = find_hopeless(turns, 0.0)
+    assert 0 < len(hopeless) < len(waiting)
+    for turn in hopeless:
+        assert turn.wait_s + WORK_S > turn.item.deadline_s
+    assert {id(t) for t in turns[-len(hopeless) :]} == {id(t) for t in hopeless}
+
+
+@dataclass
+class Replay:
+    """One server with slots that is sent a load, served by an order of requests."""
+
+    slots: int
+    order: str
+    waiting: list[Waiting] = field(default_factory=list)
+    ends: list[float] = field(default_factory=list)
+    on_time: int = 0
+    served: int = 0
+
+    def run(self, arrivals: list[Waiting], rng: Random) -> None:
+        """Serve all arrivals in order of time."""
+        for item in arrivals:
+            self.advance(item.arrived_s, rng)
+            if self.order == "refuse" and len(self.ends) >= self.slots:
+                continue
+            self.waiting.append(item)
+            self.start(item.arrived_s, rng)
+        self.advance(float("inf"), rng)
+
+    def advance(self, now_s: float, rng: Random) -> None:
+        while self.ends and self.ends[0] <= now_s:
+            ended_s = heapq.heappop(self.ends)
+            self.start(ended_s, rng)
+
+    def start(self, now_s: float, rng: Random) -> None:
+        while len(self.ends) < self.slots:
+            item = self.take(now_s)
+            if item is None:
+                return
+            ended_s = now_s + item.work_s * rng.uniform(0.7, 1.4)
+            heapq.heappush(self.ends, ended_s)
+            self.on_time += ended_s <= item.target_s
+            self.served += ended_s <= item.deadline_s
+
+    def take(self, now_s: float) -> Waiting | None:
+        if self.order == "backlog":
+            turns = plan_turns(self.waiting, now_s, self.slots, 0.0)
+            for turn in find_hopeless(turns, now_s):
+                self.waiting.remove(turn.item)
+        else:
+            self.waiting = [w for w in self.waiting if now_s < w.deadline_s]
+        item: Waiting | None
+        if self.order == "priority":
+            key = (
+                min((w.rank, w.arrived_s) for w in self.waiting) if self.waiting else 0
+            )
+            item = next((w for w in self.waiting if (w.rank, w.arrived_s) == key), None)
+        elif self.order == "backlog":
+            item = find_next(self.waiting, now_s)
+        else:
+            item = self.waiting[0] if self.waiting else None
+        if item is not None:
+            self.waiting.remove(item)
+        return item
+
+
+def make_burst(seed: int) -> list[Waiting]:
+    """Return 10 s of arrivals: three quarters of the capacity, 2.5 times it for 3 s."""
+    rng = Random(seed)
+    now_s, arrivals = 0.0, []
+    while now_s < 10.0:
+        factor = 2.5 if 2.0 <= now_s < 5.0 else 0.75
+        now_s += rng.expovariate(factor * 9 / WORK_S)
+        arrivals.append(make_waiting(arrived_s=now_s, rank=rng.choice((0, 0, 1))))
+    return arrivals
+
+
+def replay(order: str, seed: int) -> Replay:
+    found = Replay(9, order)
+    found.run(make_burst(seed), Random(seed + 1))
+    return found
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_burst_leaves_more_on_time_than_the_baselines(seed: int) -> None:
+    """Guards against a burst of seconds that makes every later request late."""
+    ours = replay("backlog", seed)
+    for order in ("arrival", "refuse", "priority"):
+        other = replay(order, seed)
+        assert ours.on_time >= other.on_time, order
+    arrival = replay("arrival", seed)
+    assert ours.on_time > 1.3 * arrival.on_time
+    assert ours.served > 0.9 * arrival.served
--- /dev/null
+++ b/src/berylmast/limits/tests/test_slots.py
@@ -0,0 +1,153 @@
+"""Guards against owners that send more than fits or hold what has no hope."""
+
+from collections.abc import Callable
+from dataclasses import replace
+from random import Random
+
+import anyio
+import pytest
+from result import Result
+
+from ...errors import ErrorKind, Refusal
+from ...model import AttemptResult, RequestHead, ServiceSlice
+from ...tests.fake_parts import make_head, make_slice
+from ..admission import Permit
+from ..slots import SlotAdmission
+
+pytestmark = pytest.mark.anyio
+
+DONE = AttemptResult(ok=True, refused=False, latency_s=0.1)
+
+
+class FakeMeter:
+    """States a slowdown, and counts the questions."""
+
+    def __init__(self, slowdown: float = 1.0) -> None:
+        self.slowdown = slowdown
+        self.questions = 0
+
+    async def refresh(self) -> None:
+        self.questions += 1
+
+    def get_slowdown(self, max_age_s: float) -> float:
+        return self.slowdown
+
+
+def make_admission(
+    slots: int = 2, meter: FakeMeter | None = None, service: str = "orders"
+) -> SlotAdmission:
+    found = replace(make_slice(slots=slots), service=service)
+    get_slice: Callable[[], ServiceSlice | None] = lambda: found  # noqa: E731
+    return SlotAdmission("b1", 1, get_slice, meter, Random(1))
+
+
+def make_request(**changes: object) -> RequestHead:
+    defaults: dict[str, object] = {"deadline_ms": 1000, "target_ms": 250}
+    return replace(make_head(), **{**defaults, **changes})  # type: ignore[arg-type]
+
+
+async def acquire(admission: SlotAdmission, **changes: object) -> Permit | Refusal:
+    result: Result[Permit, Refusal] = await admission.acquire(make_request(**changes))
+    return result.unwrap() if result.is_ok() else result.unwrap_err()
+
+
+async def test_no_more_requests_run_than_there_are_slots() -> None:
+    admission = make_admission(slots=2)
+    running, most = 0, 0
+
+    async def run() -> None:
+        nonlocal running, most
+        permit = await acquire(admission, deadline_ms=60_000, target_ms=60_000)
+        assert isinstance(permit, Permit)
+        running += 1
+        most = max(most, running)
+        await anyio.sleep(0.1)
+        running -= 1
+        permit.release(DONE)
+
+    async with anyio.create_task_group() as tg:
+        for _ in range(20):
+            tg.start_soon(run)
+    assert most == 2
+    assert admission.in_flight == 0
+
+
+@pytest.mark.parametrize(
+    ("draining", "service", "kind"),
+    [
+        (True, "orders", ErrorKind.DRAINING),
+        (False, "drawings", ErrorKind.NO_BACKEND),
+    ],
+    ids=["draining", "other-service"],
+)
+async def test_refused_before_dispatch(
+    draining: bool, service: str, kind: ErrorKind
+) -> None:
+    """An address may belong to a server of another service by now."""
+    admission = make_admission(service=service)
+    admission.draining = draining
+    refusal = await acquire(admission)
+    assert isinstance(refusal, Refusal)
+    assert refusal.kind is kind
+    assert refusal.not_run
+
+
+@pytest.mark.parametrize(
+    ("in_use", "slowdown", "may_spill", "busy"),
+    [
+        (0, 1.0, True, False),
+        (0, 5.0, True, True),
+        (0, 5.0, False, False),
+        (2, 1.0, True, True),
+    ],
+)
+async def test_busy_owner_passes_on_what_may_go_elsewhere(
+    in_use: int, slowdown: float, may_spill: bool, busy: bool
+) -> None:
+    admission = make_admission(slots=2, meter=FakeMeter(slowdown))
+    for _ in range(in_use):
+        assert isinstance(await acquire(admission), Permit)
+    found = await acquire(admission, may_spill=may_spill)
+    assert (isinstance(found, Refusal) and found.kind is ErrorKind.BUSY) == busy
+
+
+async def test_what_has_no_hope_is_refused_at_once_with_the_expected_wait() -> None:
+    """Guards against a refusal that comes only when the deadline has passed."""
+    admission = make_admission(slots=1)
+    permit = await acquire(admission)
+    assert isinstance(permit, Permit)
+    permit.release(DONE)
+    permit = await acquire(admission)
+    refusals: list[Refusal] = []
+
+    async def wait() -> None:
+        found = await acquire(admission, deadline_ms=450, target_ms=250)
+        if isinstance(found, Permit):
+            await anyio.sleep(0.1)
+            found.release(DONE)
+        else:
+            refusals.append(found)
+
+    started_s = anyio.current_time()
+    async with anyio.create_task_group() as tg:
+        for _ in range(10):
+            tg.start_soon(wait)
+        await anyio.sleep(0.01)
+        assert len(refusals) >= 5, "the backlog can't be served by their deadlines"
+        assert anyio.current_time() - started_s < 0.05
+        assert isinstance(permit, Permit)
+        permit.release(DONE)
+    assert {refusal.kind for refusal in refusals} == {ErrorKind.OVERLOADED}
+    assert all(0.05 <= refusal.wait_s <= 2.0 for refusal in refusals)
+    assert len({refusal.wait_s for refusal in refusals}) > 1, "returns are spread"
+
+
+async def test_cancelled_wait_gives_its_place_back() -> None:
+    admission = make_admission(slots=1)
+    permit = await acquire(admission)
+    with anyio.move_on_after(0.05):
+        await acquire(admission)
+    assert admission.report().queued == 0
+    assert isinstance(permit, Permit)
+    permit.release(DONE)
+    assert isinstance(await acquire(admission), Permit)
--- a/src/berylmast/routing/distance.py
+++ b/src/berylmast/routing/distance.py
@@ -8,8 +8,8 @@
 OTHER_DOMAIN_MS = 8.0
 """Two to three times the round trip: traffic between failure domains is paid for."""
 
-OTHER_REGION_MS = 100.0
-"""Six times the round trip: the link between regions is narrow and paid by volume."""
+OTHER_REGION_MS = 60.0
+"""Four times the round trip: the link between regions is narrow and paid by volume."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -87,7 +87,7 @@
         now_s = anyio.current_time()
         self._note_call(service, now_s, first=not exclude)
         if service.policy == LEAST_DELAY:
-            return self._choose_by_delay(service, exclude, idempotent, now_s)
+            return self._choose_by_delay(service, exclude, now_s)
         groups = group_by_region(self._find_ready(service.service, now_s))
         kind, detail = ErrorKind.NO_BACKEND, f"no backend server of {service.service}"
         last_resort: Endpoint | None = None
@@ -293,10 +293,13 @@
         self,
         service: ServiceSlice,
         exclude: Collection[str],
-        idempotent: bool,
         now_s: float,
     ) -> Result[Endpoint, Refusal]:
-        """Choose the lowest expected delay among the endpoints of all regions."""
+        """Choose the lowest expected delay among the endpoints of all regions.
+
+        Errors raise the expected delay. Nobody is ejected: when a whole service is
+        overloaded, timeouts would take half of it out just when all of it is needed.
+        """
         ready = self._find_ready(service.service, now_s)
         left = [e for e in ready if e.backend not in exclude]
         reachable = [
@@ -306,14 +309,7 @@
         if not left:
             kind = ErrorKind.NO_BACKEND
             return Err(Refusal(kind, f"no backend server of {service.service}"))
-        ejected = self._ejections.find_ejected({e.backend for e in ready})
-        if ejected:
-            by_name = {e.backend: e for e in left if e.backend in ejected}
-            trial = self._ejections.start_due_trial(by_name, idempotent, now_s)
-            if trial is not None:
-                return self._accept(by_name[trial])
-        usable = [e for e in left if e.backend not in ejected] or left
-        sample = sample_endpoints(usable, self._failure_domain, self._rng)
+        sample = sample_endpoints(left, self._failure_domain, self._rng)
         candidates = self._limit_new(self._loads.make_candidates(sample, now_s), now_s)
         best = min(candidates, key=self._estimate_cost)
         return self._accept(best.endpoint)
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -12,6 +12,7 @@
 from .backends.announced import AnnouncedBackend, BackendReport
 from .backends.client import BackendClient
 from .backends.health import Health, follow_health, make_check
+from .backends.measuring import LoadMeter
 from .backends.reporting import BackendReporting, Place
 from .daemons import Accept, Exchange, Identity, PeerListener
 from .daemons.frames import Compare, OpeningFrame
@@ -67,14 +68,24 @@
             return None
         announced = AnnouncedBackend()
         get_slice = make_slice_getter(announced, directory)
-        admission = limits.admission(cfg.daemon_id, identity.incarnation, get_slice)
+        client = BackendClient(cfg.backend, BACKEND_CONNECTIONS)
+
+        def get_load_path() -> str:
+            found = get_slice()
+            return "" if found is None else found.health_path
+
+        read_load = adapter.backend.read_load
+        meter = LoadMeter(cfg.backend, client, get_load_path, read_load)
+        admission = limits.admission(
+            cfg.daemon_id, identity.incarnation, get_slice, meter
+        )
         owner = Owner(
             admission,
             AttemptLedger(),
-            BackendClient(cfg.backend, BACKEND_CONNECTIONS),
+            client,
             interface=adapter.backend,
             get_backend=lambda: announced.current.backend if announced.current else "",
-            on_load=admission.record_load,
+            on_load=meter.record,
         )
         return cls(admission, owner, announced)
 
--- a/src/berylmast_dev/_http.py
+++ b/src/berylmast_dev/_http.py
@@ -1,6 +1,7 @@
 """Small helpers for ASGI stand-ins."""
 
 import json
+from collections.abc import Coroutine
 from typing import Any
 
 import anyio
@@ -40,8 +41,10 @@
     await send({"type": "http.response.body", "body": body})
 
 
-def serve_app(app: Any, host: str, port: int) -> None:
-    """Run one app until a signal stops the process."""
+def serve_app(
+    app: Any, host: str, port: int, beside: Coroutine[Any, Any, None] | None = None
+) -> None:
+    """Run one app until a signal stops the process, and a task ``beside`` it."""
     config = uvicorn.Config(
         app,
         host=host,
@@ -55,4 +58,16 @@
         timeout_graceful_shutdown=1,
     )
     server = uvicorn.Server(config)
-    anyio.run(server.serve, backend_options={"use_uvloop": True})
+
+    async def serve() -> None:
+        async with anyio.create_task_group() as tg:
+            if beside is not None:
+                tg.start_soon(_run, beside)
+            await server.serve()
+            tg.cancel_scope.cancel()
+
+    anyio.run(serve, backend_options={"use_uvloop": True})
+
+
+async def _run(task: Coroutine[Any, Any, None]) -> None:
+    await task
--- a/src/berylmast_dev/fcfs_daemon.py
+++ b/src/berylmast_dev/fcfs_daemon.py
@@ -68,7 +68,12 @@
 def run(settings: Path) -> None:
     """Run one daemon."""
     configure_logs()
-    limits = Limits(FirstComeAdmission, lambda _rng: NoShedder())
+    limits = Limits(
+        lambda name, number, get_slice, _meter: FirstComeAdmission(
+            name, number, get_slice
+        ),
+        lambda _rng: NoShedder(),
+    )
     cfg = load_settings(settings)
     anyio.run(run_daemon, cfg, OWN, limits, backend_options={"use_uvloop": True})
 
--- a/src/berylmast_dev/fleet.py
+++ b/src/berylmast_dev/fleet.py
@@ -6,7 +6,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
 from pathlib import Path
@@ -123,10 +123,19 @@
         }
         if member.health:
             settings["health"] = {"interval_s": 0.5}
-        path = self._folder / f"{member.name}.json"
-        path.write_text(json.dumps(settings, indent=2))
+        path = self.write_settings(member.name, settings)
         self.start_process(f"daemon-{member.name}", self.daemon_module, str(path))
 
+    def write_settings(self, name: str, settings: Mapping[str, object]) -> Path:
+        """Write the settings file of one daemon and return its path."""
+        path = self._folder / f"{name}.json"
+        path.write_text(json.dumps(settings, indent=2))
+        return path
+
+    async def wait_platform(self) -> None:
+        """Wait until the stand-in of the platform answers."""
+        await wait_answer((HOST, self.platform_port), "/calls")
+
     def apply_document(self, path: Path, base: int = 0) -> None:
         """Store a document through the operators' command line, on version ``base``."""
         subprocess.run(
@@ -208,7 +217,7 @@
             fleet.start_platform()
             for member in members:
                 fleet.start_backend(member)
-            await wait_answer((HOST, fleet.platform_port), "/calls")
+            await fleet.wait_platform()
             fleet.apply_document(document)
             for member in members:
                 fleet.start_daemon(member)
--- /dev/null
+++ b/src/berylmast_dev/platform_backend.py
@@ -0,0 +1,194 @@
+"""Stand-in for a backend server on the users' platform."""
+
+import json
+from dataclasses import dataclass, field
+from hashlib import sha256
+from random import Random
+from typing import Annotated, Any
+
+import anyio
+import httpcore
+from cyclopts import App, Parameter
+
+from ._http import read_body, send_json, serve_app
+
+HEARTBEAT_S = 0.5
+ANSWER_BYTES = 2_000
+
+Headers = dict[bytes, bytes]
+
+
+@dataclass(slots=True)
+class Call:
+    """A nested call that each request makes through the daemon of its own machine."""
+
+    host: str
+    path: str
+
+
+@dataclass(slots=True)
+class State:
+    """What ``/_control`` changes and ``/_ledger`` reports."""
+
+    draining: bool = False
+    slow: float = 1.0
+    garble: str = ""
+    runs: list[str] = field(default_factory=list)
+
+
+class PlatformBackend:
+    """Runs requests within its slots; refuses what is meant for another one.
+
+    ``garble`` in ``/_control`` spoils answers: "unsealed", "cut", "crossed" (a late
+    answer of another request comes first) or "".
+    """
+
+    def __init__(
+        self, name: str, slots: int, mean_ms: float, call: Call | None
+    ) -> None:
+        self.state = State()
+        self.name = name
+        self._slots = slots
+        self._running = 0
+        self._mean_s = mean_ms / 1000
+        self._call = call
+        self._rng = Random(name)
+
+    async def app(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
+        """Serve requests over ASGI."""
+        if scope["path"] == "/_control":
+            for key, value in json.loads(await read_body(receive)).items():
+                setattr(self.state, key, value)
+            await send_json(send, 200, {})
+        elif scope["path"] == "/_ledger":
+            await send_json(send, 200, self.state.runs)
+        else:
+            await self._serve(scope, receive, send)
+
+    async def _serve(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
+        headers: Headers = dict(scope["headers"])
+        attempt = headers.get(b"x-attempt-id")
+        body = await read_body(receive)
+        if attempt is None:
+            await self._refuse(send, 400)
+        elif (
+            headers.get(b"x-target-instance", self.name.encode()) != self.name.encode()
+        ):
+            await self._refuse(send, 421)
+        elif self._running >= self._slots:
+            await self._refuse(send, 503)
+        else:
+            await self._run(attempt, headers, body, send)
+
+    async def _run(
+        self, attempt: bytes, headers: Headers, body: bytes, send: Any
+    ) -> None:
+        self._running += 1
+        self.state.runs.append(attempt.decode())
+        try:
+            drawn_s = self._rng.gammavariate(4, self._mean_s / 4)
+            await anyio.sleep(drawn_s * self.state.slow)
+            deadline_ms = int(headers.get(b"x-deadline-ms", b"0"))
+            if self._call is not None and not await self._call_on(attempt, deadline_ms):
+                await self._answer(send, 500, attempt, b"a call failed")
+                return
+        finally:
+            self._running -= 1
+        digest = sha256(attempt + body).hexdigest().encode()
+        await self._answer(send, 200, attempt, digest.ljust(ANSWER_BYTES, b"."))
+
+    async def _call_on(self, attempt: bytes, deadline_ms: int) -> bool:
+        """Make the nested call; True if it was answered with success."""
+        assert self._call is not None
+        headers = [
+            ("host", self._call.host),
+            ("x-attempt-id", f"{attempt.decode()}-call"),
+            ("x-deadline-ms", str(deadline_ms)),
+        ]
+        async with httpcore.AsyncConnectionPool() as pool:
+            res = await pool.request("GET", self._call.path, headers=headers)
+        return res.status == 200
+
+    async def _refuse(self, send: Any, status: int) -> None:
+        headers = [(b"x-not-executed", b"1"), (b"content-length", b"0")]
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": b""})
+
+    async def _answer(
+        self, send: Any, status: int, attempt: bytes, body: bytes
+    ) -> None:
+        load = f"{self._running},0,{self._slots},100".encode()
+        headers = [
+            (b"x-attempt-id", b"other" if self.state.garble == "crossed" else attempt),
+            (b"x-server-load", load),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        if self.state.garble != "unsealed":
+            headers.append((b"x-response-seal", sha256(body).hexdigest().encode()))
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        if self.state.garble == "cut":
+            # Returning with the body unfinished closes the connection.
+            part = {"type": "http.response.body", "body": body[:10], "more_body": True}
+            await send(part)
+            return
+        await send({"type": "http.response.body", "body": body})
+
+    async def report(self, control: str, address: str, service: str) -> None:
+        """Send heartbeats until the process ends."""
+        sequence = 0
+        born = int(anyio.current_time() * 1000)
+        url = f"http://{control}/v1/rpc?call=instances.heartbeat&of={self.name}"
+        async with httpcore.AsyncConnectionPool() as pool:
+            while True:
+                sequence += 1
+                state = "draining" if self.state.draining else "ready"
+                body = {
+                    "address": address,
+                    "born": born,
+                    "info": {
+                        "service": service,
+                        "version": "v1",
+                        "zone": "",
+                        "slots": self._slots,
+                    },
+                    "status": {"state": state, "sequence": sequence, "coldLeft": "0ms"},
+                }
+                try:
+                    await pool.request("POST", url, content=json.dumps(body).encode())
+                except (httpcore.NetworkError, httpcore.ProtocolError):
+                    # The daemon beside it restarts; the next report reaches it.
+                    pass
+                await anyio.sleep(HEARTBEAT_S)
+
+
+cli = App(name="platform_backend", help=__doc__)
+
+
+@cli.default
+def run(
+    *,
+    name: str,
+    service: str,
+    port: int,
+    control: str,
+    host: str = "127.0.0.1",
+    slots: int = 6,
+    mean_ms: float = 10.0,
+    call: Annotated[str, Parameter(help="Nested call: ENTRY HOST PATH.")] = "",
+) -> None:
+    """Serve requests as one backend server that reports to its daemon."""
+    nested = None
+    if call:
+        entry, call_host, path = call.split()
+        nested = Call(call_host, f"http://{entry}{path}")
+    backend = PlatformBackend(name, slots, mean_ms, nested)
+    report = backend.report(control, f"{host}:{port}", service)
+    serve_app(backend.app, host, port, report)
+
+
+if __name__ == "__main__":
+    cli()
--- /dev/null
+++ b/src/berylmast_dev/platform_fleet.py
@@ -0,0 +1,295 @@
+"""A layout on the users' platform: store, backend servers that report, daemons."""
+
+import json
+import tempfile
+from collections import Counter
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from pathlib import Path
+from random import Random
+from typing import Any
+from uuid import uuid4
+
+import anyio
+import httpcore
+
+from .fleet import HOST, START_TIMEOUT_S, Fleet, find_ports
+
+PORTS_PER_MEMBER = 5
+ENTRY_HOST = "shop.example"
+TIMEOUT_MS = 2_000
+
+Routes = dict[str, dict[str, Any]]
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformMember:
+    """One machine: a daemon and the backend server beside it.
+
+    ``port`` is the first of five: callers, peers, ready, reports, backend server.
+    """
+
+    name: str
+    service: str
+    region: str
+    zone: str
+    port: int
+    slots: int = 6
+    mean_ms: float = 10.0
+    call: str = ""
+
+    @property
+    def entry(self) -> str:
+        """Return the address for callers."""
+        return f"{HOST}:{self.port}"
+
+    @property
+    def ready(self) -> str:
+        """Return the address that tells whether callers may come."""
+        return f"{HOST}:{self.port + 2}"
+
+    @property
+    def control(self) -> str:
+        """Return the address for reports of the backend server."""
+        return f"{HOST}:{self.port + 3}"
+
+    @property
+    def backend(self) -> str:
+        """Return the address of the backend server."""
+        return f"{HOST}:{self.port + 4}"
+
+
+def make_layout(
+    services: dict[str, float], zones: list[tuple[str, str]]
+) -> list[PlatformMember]:
+    """Return one member of each service in each zone."""
+    first = find_ports(len(services) * len(zones) * PORTS_PER_MEMBER)
+    members: list[PlatformMember] = []
+    for service, mean_ms in services.items():
+        for region, zone in zones:
+            port = first + PORTS_PER_MEMBER * len(members)
+            name = f"{service}-{zone}"
+            members.append(
+                PlatformMember(name, service, region, zone, port, mean_ms=mean_ms)
+            )
+    return members
+
+
+def make_route(service: str, path: str, *, idempotent: bool, **more: Any) -> Any:
+    """Return one route of a configuration."""
+    return {
+        "name": f"r-{path.strip('/')}",
+        "pathPrefix": path,
+        "kind": "idempotent" if idempotent else "non_idempotent",
+        "timeout": f"{TIMEOUT_MS}ms",
+        "targetLatency": "500ms",
+        "priority": 0,
+        "maxAttempts": 2,
+        "service": service,
+        **more,
+    }
+
+
+def make_configuration(version: int, routes: list[Any]) -> Any:
+    """Return a configuration with these routes on one host."""
+    services = sorted({route["service"] for route in routes})
+    return {
+        "version": version,
+        "services": [{"name": name, "healthPath": "/healthz"} for name in services],
+        "limits": {
+            "maxHeaderBytes": 16_384,
+            "maxBodyBytes": 1_000_000,
+            "headerTimeout": "3000ms",
+            "idleTimeout": "15000ms",
+        },
+        "virtualHosts": [{"host": ENTRY_HOST, "routePaths": routes}],
+    }
+
+
+class PlatformFleet(Fleet):
+    """The processes of one layout, stopped by their ids."""
+
+    def start_platform_backend(self, member: PlatformMember) -> None:
+        """Start the stand-in of one backend server."""
+        args = [
+            f"--name=i-{member.name}",
+            f"--service={member.service}",
+            f"--port={member.port + 4}",
+            f"--control={member.control}",
+            f"--slots={member.slots}",
+            f"--mean-ms={member.mean_ms}",
+        ]
+        if member.call:
+            args.append(f"--call={member.call}")
+        name = f"backend-{member.name}"
+        self.start_process(name, "berylmast_dev.platform_backend", *args)
+
+    def start_platform_daemon(self, member: PlatformMember) -> None:
+        """Write the settings of one daemon and start it."""
+        settings = {
+            "daemon_id": member.name,
+            "environment": "platform",
+            "interface": "platform",
+            "region": member.region,
+            "failure_domain": member.zone,
+            "service": member.service,
+            "backend": member.backend,
+            "callers": member.entry,
+            "peers": f"{HOST}:{member.port + 1}",
+            "admin": member.ready,
+            "announcements": member.control,
+            "platform": f"{HOST}:{self.platform_port}",
+            "drain": {"grace_s": "1000ms", "timeout_s": "3s"},
+            "retries": {"ratio": 0.2, "slack": 64, "window_s": "10s"},
+        }
+        path = self.write_settings(member.name, settings)
+        self.start_process(f"daemon-{member.name}", self.daemon_module, str(path))
+
+    async def put_configuration(self, spec: Any) -> None:
+        """Write the configuration as the operator does."""
+        body = json.dumps({"metadata": {"name": "main"}, "spec": spec}).encode()
+        base = f"http://{HOST}:{self.platform_port}/v1/objects/config"
+        async with httpcore.AsyncConnectionPool() as pool:
+            res = await pool.request("POST", base, content=body)
+            if res.status == 409:
+                await pool.request("PUT", f"{base}/main", content=body)
+
+
+async def wait_ready(member: PlatformMember) -> None:
+    """Wait until a daemon says that callers may come."""
+    with anyio.fail_after(START_TIMEOUT_S):
+        async with httpcore.AsyncConnectionPool() as pool:
+            while True:
+                try:
+                    url = f"http://{member.ready}/v1/ready"
+                    if (await pool.request("GET", url)).status == 200:
+                        return
+                except (httpcore.NetworkError, httpcore.ProtocolError):
+                    # It has not opened its port yet.
+                    pass
+                await anyio.sleep(0.05)
+
+
+@asynccontextmanager
+async def run_platform_fleet(
+    members: list[PlatformMember], spec: Any
+) -> AsyncIterator[PlatformFleet]:
+    """Run a layout until the block ends, then stop every process of it."""
+    with tempfile.TemporaryDirectory(prefix="berylmast-") as folder:
+        fleet = PlatformFleet(Path(folder), find_ports(1))
+        try:
+            fleet.start_platform()
+            await fleet.wait_platform()
+            await fleet.put_configuration(spec)
+            for member in members:
+                fleet.start_platform_backend(member)
+                fleet.start_platform_daemon(member)
+            for member in members:
+                await wait_ready(member)
+            await anyio.sleep(1.0)
+            yield fleet
+        finally:
+            fleet.stop_all()
+
+
+@dataclass(slots=True)
+class Seen:
+    """What callers of one path saw; latencies in milliseconds, sealed answers only."""
+
+    statuses: Counter[int] = field(default_factory=Counter)
+    latencies_ms: list[float] = field(default_factory=list)
+    answered: list[str] = field(default_factory=list)
+    refused: list[str] = field(default_factory=list)
+    unsealed: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformLoad:
+    """Requests for one path at a rate per second."""
+
+    path: str
+    rate: float
+    method: str = "GET"
+    body: bytes = b""
+
+
+async def run_platform_load(
+    members: list[PlatformMember],
+    loads: list[PlatformLoad],
+    seconds: float,
+    seed: int = 1,
+) -> dict[str, Seen]:
+    """Send each load at its rate, spread over the entries, and wait for the answers."""
+    seen = {load.path: Seen() for load in loads}
+    async with httpcore.AsyncConnectionPool(max_connections=500) as pool:
+        async with anyio.create_task_group() as tg:
+            for number, load in enumerate(loads):
+                rng = Random(seed * 1000 + number)
+                tg.start_soon(
+                    _send_load, pool, members, load, seconds, rng, seen[load.path]
+                )
+    return seen
+
+
+async def _send_load(
+    pool: httpcore.AsyncConnectionPool,
+    members: list[PlatformMember],
+    load: PlatformLoad,
+    seconds: float,
+    rng: Random,
+    seen: Seen,
+) -> None:
+    end_s = anyio.current_time() + seconds
+    async with anyio.create_task_group() as tg:
+        while anyio.current_time() < end_s:
+            tg.start_soon(_send_one, pool, rng.choice(members), load, seen)
+            await anyio.sleep(rng.expovariate(load.rate))
+
+
+async def _send_one(
+    pool: httpcore.AsyncConnectionPool,
+    member: PlatformMember,
+    load: PlatformLoad,
+    seen: Seen,
+) -> None:
+    attempt = uuid4().hex
+    headers = [
+        ("host", ENTRY_HOST),
+        ("x-attempt-id", attempt),
+        ("x-deadline-ms", str(TIMEOUT_MS)),
+    ]
+    started_s = anyio.current_time()
+    try:
+        res = await pool.request(
+            load.method,
+            f"http://{member.entry}{load.path}item",
+            headers=headers,
+            content=load.body or None,
+        )
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        seen.statuses[0] += 1
+        return
+    seen.statuses[res.status] += 1
+    if res.status == 200:
+        names = {name.lower() for name, _ in res.headers}
+        seen.unsealed += b"x-response-seal" not in names
+        seen.answered.append(attempt)
+        seen.latencies_ms.append((anyio.current_time() - started_s) * 1000)
+    elif res.status in (429, 503):
+        seen.refused.append(attempt)
+
+
+async def read_runs(member: PlatformMember) -> list[str]:
+    """Return the ids of the requests that a backend server ran."""
+    async with httpcore.AsyncConnectionPool() as pool:
+        res = await pool.request("GET", f"http://{member.backend}/_ledger")
+    runs: list[str] = json.loads(res.content)
+    return runs
+
+
+async def control_platform_backend(member: PlatformMember, **control: object) -> None:
+    """Inject or end a fault of one backend server."""
+    content = json.dumps(control).encode()
+    async with httpcore.AsyncConnectionPool() as pool:
+        await pool.request("POST", f"http://{member.backend}/_control", content=content)
