Keep part of the slots free of late requests

Cause: after a power loss or a burst half of the capacity went to requests that were already late; their callers came again, and the overload lasted 14 s.

Change: late requests start only below 0.7 of the slots; one that would have less than 1.5 typical service times before its deadline is refused.

--- a/src/berylmast/limits/backlog.py
+++ b/src/berylmast/limits/backlog.py
@@ -19,6 +19,15 @@
 on time; half of the requests take less than the typical time."""
 
 
+LATE_SHARE = 0.7
+"""Share of the slots up to which late requests are started. The rest stays free for
+those that can be on time: where both get all slots, a passing overload lasts, because
+callers of late answers come again."""
+
+SLOW_FACTOR = 1.5
+"""Multiple of the typical service time that must be left before the deadline: a request
+that is cut at its deadline has used a slot for nothing."""
+
 _SHORTEST_S = 0.001
 
 
@@ -45,19 +54,31 @@
     wait_s: float
 
 
+def is_late(item: Waiting, now_s: float) -> bool:
+    """Tell whether a request that starts now will hardly be on time."""
+    return now_s + ON_TIME_SHARE * item.work_s > item.target_s
+
+
 def get_order(item: Waiting, now_s: float) -> tuple[bool, int, int, float]:
     """Return the sort key: on time, urgent, short and new requests first.
 
     Service times within a factor of about two count as equal.
     """
-    late = now_s + ON_TIME_SHARE * item.work_s > item.target_s
+    late = is_late(item, now_s)
     length = round(math.log2(max(item.work_s, _SHORTEST_S)))
     return (late, item.rank, length, -item.arrived_s)
 
 
-def find_next(waiting: Collection[Waiting], now_s: float) -> Waiting | None:
-    """Return the request that gets the next slot."""
-    return min(waiting, key=lambda item: get_order(item, now_s), default=None)
+def find_next(
+    waiting: Collection[Waiting], now_s: float, slots: int, in_use: int
+) -> Waiting | None:
+    """Return the request that gets the next slot, None if none may."""
+    if in_use >= slots:
+        return None
+    item = min(waiting, key=lambda item: get_order(item, now_s), default=None)
+    if item is None or not is_late(item, now_s):
+        return item
+    return item if in_use < max(1, LATE_SHARE * slots) else None
 
 
 def plan_turns(
@@ -81,5 +102,5 @@
     return [
         turn
         for turn in turns
-        if now_s + turn.wait_s + turn.item.work_s > turn.item.deadline_s
+        if now_s + turn.wait_s + SLOW_FACTOR * turn.item.work_s > turn.item.deadline_s
     ]
--- a/src/berylmast/limits/slots.py
+++ b/src/berylmast/limits/slots.py
@@ -11,7 +11,13 @@
 from ..errors import ErrorKind, Refusal
 from ..model import AttemptResult, LoadReport, RequestHead, ServiceSlice
 from .admission import Permit
-from .backlog import Waiting, find_hopeless, find_next, plan_turns
+from .backlog import (
+    SLOW_FACTOR,
+    Waiting,
+    find_hopeless,
+    find_next,
+    plan_turns,
+)
 from .estimate import MovingEstimate, TypicalTime
 
 FIRST_WORK_S = 0.1
@@ -162,10 +168,7 @@
 
     def _advance(self, slots: int, now_s: float) -> None:
         """Start what has a free slot, then refuse what has no hope."""
-        while self._in_flight < slots:
-            item = find_next(self._waiting, now_s)
-            if item is None:
-                return
+        while item := find_next(self._waiting, now_s, slots, self._in_flight):
             assert isinstance(item, _Entry)
             self._waiting.remove(item)
             self._in_flight += 1
@@ -187,7 +190,7 @@
         """
         if item.settled.is_set():
             return
-        latest_s = item.deadline_s - item.work_s - anyio.current_time()
+        latest_s = item.deadline_s - SLOW_FACTOR * item.work_s - anyio.current_time()
         with anyio.move_on_after(max(0.0, latest_s)):
             await item.settled.wait()
         if not item.settled.is_set():
--- a/src/berylmast/limits/tests/test_backlog.py
+++ b/src/berylmast/limits/tests/test_backlog.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from ..backlog import Waiting, find_hopeless, find_next, get_order, plan_turns
+from ..backlog import (
+    SLOW_FACTOR,
+    Waiting,
+    find_hopeless,
+    find_next,
+    get_order,
+    plan_turns,
+)
 
 TARGET_S = 0.25
 DEADLINE_S = 1.0
@@ -39,11 +46,24 @@
 def test_order_of_two(first: Waiting, second: Waiting) -> None:
     now_s = 0.2
     assert get_order(first, now_s) < get_order(second, now_s)
-    assert find_next([second, first], now_s) is first
+    assert find_next([second, first], now_s, 4, 0) is first
+
+
+@pytest.mark.parametrize(
+    ("late", "in_use", "starts"),
+    [(False, 8, True), (False, 9, False), (True, 6, True), (True, 7, False)],
+)
+def test_late_requests_leave_slots_to_those_on_time(
+    late: bool, in_use: int, starts: bool
+) -> None:
+    """Guards against an overload that lasts because late work takes every slot."""
+    item = make_waiting(arrived_s=-0.3 if late else 0.0)
+    found = find_next([item], 0.0, 9, in_use)
+    assert (found is item) == starts
 
 
 def test_nothing_waits() -> None:
-    assert find_next([], 0.0) is None
+    assert find_next([], 0.0, 4, 0) is None
     assert plan_turns([], 0.0, 4, 0.1) == []
 
 
@@ -54,7 +74,7 @@
     hopeless = find_hopeless(turns, 0.0)
     assert 0 < len(hopeless) < len(waiting)
     for turn in hopeless:
-        assert turn.wait_s + WORK_S > turn.item.deadline_s
+        assert turn.wait_s + SLOW_FACTOR * WORK_S > turn.item.deadline_s
     assert {id(t) for t in turns[-len(hopeless) :]} == {id(t) for t in hopeless}
 
 
@@ -108,7 +128,7 @@
             )
             item = next((w for w in self.waiting if (w.rank, w.arrived_s) == key), None)
         elif self.order == "backlog":
-            item = find_next(self.waiting, now_s)
+            item = find_next(self.waiting, now_s, self.slots, len(self.ends))
         else:
             item = self.waiting[0] if self.waiting else None
         if item is not None:
