Weigh the bytes of a request on the way; short requests are never late

Nested calls beyond their target were put behind, and the requests that wait for them failed with 500 after using their slots.

Change: the distance grows with the body's size. A request that takes at most 0.4 of the longest typical time at its server never counts as late.

--- a/src/berylmast/limits/backlog.py
+++ b/src/berylmast/limits/backlog.py
@@ -19,6 +19,9 @@
 on time; half of the requests take less than the typical time."""
 
 
+SHORT_SHARE = 0.4
+"""A request is short up to this share of the longest typical time at a server."""
+
 LATE_SHARE = 0.7
 """Share of the slots up to which late requests are started. The rest stays free for
 those that can be on time: where both get all slots, a passing overload lasts, because
@@ -36,7 +39,9 @@
     """A request that waits for a slot.
 
     Times are in seconds of the runtime's clock. ``work_s`` is the typical service time.
-    The answer is on time up to ``target_s`` and useless after ``deadline_s``.
+    The answer is on time up to ``target_s`` and useless after ``deadline_s``. ``short``
+    marks a request that takes a small part of what others take at this server: it may
+    be a call of a request that holds a slot elsewhere and fails with it.
     """
 
     rank: int
@@ -44,6 +49,7 @@
     arrived_s: float
     target_s: float
     deadline_s: float
+    short: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +61,13 @@
 
 
 def is_late(item: Waiting, now_s: float) -> bool:
-    """Tell whether a request that starts now will hardly be on time."""
+    """Tell whether a request that starts now will hardly be on time.
+
+    Short requests never count as late: refusing one saves little, and wastes all that
+    its caller has done.
+    """
+    if item.short:
+        return False
     return now_s + ON_TIME_SHARE * item.work_s > item.target_s
 
 
--- a/src/berylmast/limits/slots.py
+++ b/src/berylmast/limits/slots.py
@@ -12,6 +12,7 @@
 from ..model import AttemptResult, LoadReport, RequestHead, ServiceSlice
 from .admission import Permit
 from .backlog import (
+    SHORT_SHARE,
     SLOW_FACTOR,
     Waiting,
     find_hopeless,
@@ -157,7 +158,9 @@
         deadline_s = now_s + head.deadline_ms / 1000
         target_s = now_s + head.target_ms / 1000 if head.target_ms else deadline_s
         work_s = self._estimate_work_s(kind)
-        return _Entry(head.rank, work_s, now_s, target_s, deadline_s)
+        longest_s = max((known.value_s for known in self._work.values()), default=0.0)
+        short = work_s <= SHORT_SHARE * longest_s
+        return _Entry(head.rank, work_s, now_s, target_s, deadline_s, short)
 
     async def _is_busy(self, slots: int) -> bool:
         """Tell whether a request is better tried elsewhere."""
--- a/src/berylmast/limits/tests/test_backlog.py
+++ b/src/berylmast/limits/tests/test_backlog.py
@@ -1,7 +1,7 @@
 """Guards against queues in which every request waits until it is too late."""
 
 import heapq
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 
 import pytest
@@ -62,6 +62,14 @@
     assert (found is item) == starts
 
 
+def test_short_request_is_served_also_when_it_is_late() -> None:
+    """Guards against calls that fail requests which hold slots elsewhere."""
+    call = replace(make_waiting(work_s=0.02, arrived_s=-0.3), short=True)
+    fresh = make_waiting()
+    assert find_next([fresh, call], 0.0, 9, 8) is call
+    assert find_next([replace(call, rank=1), fresh], 0.0, 9, 8) is fresh
+
+
 def test_nothing_waits() -> None:
     assert find_next([], 0.0, 4, 0) is None
     assert plan_turns([], 0.0, 4, 0.1) == []
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -87,7 +87,7 @@
         now_s = anyio.current_time()
         self._note_call(service, now_s, first=not exclude)
         if service.policy == LEAST_DELAY:
-            return self._choose_by_delay(service, exclude, now_s)
+            return self._choose_by_delay(service, exclude, body_bytes, now_s)
         groups = group_by_region(self._find_ready(service.service, now_s))
         kind, detail = ErrorKind.NO_BACKEND, f"no backend server of {service.service}"
         last_resort: Endpoint | None = None
@@ -293,6 +293,7 @@
         self,
         service: ServiceSlice,
         exclude: Collection[str],
+        body_bytes: int,
         now_s: float,
     ) -> Result[Endpoint, Refusal]:
         """Choose the lowest expected delay among the endpoints of all regions.
@@ -311,13 +312,14 @@
             return Err(Refusal(kind, f"no backend server of {service.service}"))
         sample = sample_endpoints(left, self._failure_domain, self._rng)
         candidates = self._limit_new(self._loads.make_candidates(sample, now_s), now_s)
-        best = min(candidates, key=self._estimate_cost)
-        return self._accept(best.endpoint)
-
-    def _estimate_cost(self, candidate: Candidate) -> tuple[float, float]:
         place = Distance(self._region, self._failure_domain, self._daemon_address)
-        distance_ms = estimate_distance_ms(place, candidate.endpoint)
-        return (estimate_delay_ms(candidate, distance_ms), self._rng.random())
+
+        def estimate_cost(candidate: Candidate) -> tuple[float, float]:
+            distance_ms = estimate_distance_ms(place, candidate.endpoint, body_bytes)
+            return (estimate_delay_ms(candidate, distance_ms), self._rng.random())
+
+        best = min(candidates, key=estimate_cost)
+        return self._accept(best.endpoint)
 
     def _limit_new(
         self, candidates: Sequence[Candidate], now_s: float
--- /dev/null
+++ b/src/berylmast/routing/tests/test_distance.py
@@ -0,0 +1,65 @@
+"""Guards against large bodies on the paid link while a server nearby is only busy."""
+
+import pytest
+
+from ...model import Endpoint
+from ..distance import Distance, estimate_distance_ms
+from ..policies import Candidate, estimate_delay_ms
+
+PLACE = Distance("n", "n1", ("own", 1))
+
+
+def make_endpoint(host: str, region: str, domain: str) -> Endpoint:
+    return Endpoint(host, "s", host, 1, region, domain, 1, 1)
+
+
+OWN = make_endpoint("own", "n", "n1")
+NEAR = make_endpoint("near", "n", "n1")
+DOMAIN = make_endpoint("domain", "n", "n2")
+REGION = make_endpoint("region", "s", "s1")
+
+
+@pytest.mark.parametrize("body_bytes", [0, 1_000, 60_000])
+def test_farther_costs_more(body_bytes: int) -> None:
+    costs = [
+        estimate_distance_ms(PLACE, endpoint, body_bytes)
+        for endpoint in (OWN, NEAR, DOMAIN, REGION)
+    ]
+    assert costs == sorted(costs)
+    assert len(set(costs)) == len(costs)
+
+
+@pytest.mark.parametrize(
+    ("body_bytes", "queued", "goes_far"),
+    [(0, 0, False), (0, 9, True), (60_000, 9, False), (60_000, 30, True)],
+    ids=["idle", "busy", "busy-large-body", "overloaded-large-body"],
+)
+def test_request_leaves_its_region_only_for_a_gain(
+    body_bytes: int, queued: int, goes_far: bool
+) -> None:
+    def cost(endpoint: Endpoint, in_flight: int) -> float:
+        distance_ms = estimate_distance_ms(PLACE, endpoint, body_bytes)
+        candidate = Candidate(endpoint, in_flight, 0, 120.0, 0.0, limit=9)
+        return estimate_delay_ms(candidate, distance_ms)
+
+    near = cost(DOMAIN, 9 + queued if queued else 4)
+    assert (cost(REGION, 4) < near) == goes_far
+
+
+@pytest.mark.parametrize(
+    ("slowdown", "age_s", "chosen"),
+    [(5.0, 0.01, "quiet"), (5.0, 2.0, "near"), (1.0, 0.01, "near")],
+    ids=["slowed-now", "slowed-long-ago", "both-quiet"],
+)
+def test_slowed_neighbour_is_left_out_only_while_it_is_slowed(
+    slowdown: float, age_s: float, chosen: str
+) -> None:
+    near = Candidate(NEAR, 2, 0, 100.0, age_s, limit=6, slowdown=slowdown)
+    quiet = Candidate(DOMAIN, 2, 0, 100.0, 0.01, limit=6)
+    if age_s > 1:
+        quiet = Candidate(DOMAIN, 2, 0, 100.0, age_s, limit=6)
+    costs = {
+        "near": estimate_delay_ms(near, estimate_distance_ms(PLACE, NEAR, 0)),
+        "quiet": estimate_delay_ms(quiet, estimate_distance_ms(PLACE, DOMAIN, 0)),
+    }
+    assert min(costs, key=costs.__getitem__) == chosen
