Bound the log by event and write it from a thread; serve metrics

Cause: one line for each request is not bounded under load, a reader that stops reading would block the daemon, and a failure could not be followed from entry to owner. Nothing was served to a metrics reader.

Change: lines go to standard output through a bounded queue; each kind of ending has a rate of its own, and what is left out is counted. Counters and histograms are served in the text format of Prometheus, whose library is loaded at the first scrape.

--- a/src/berylmast/bin/run.py
+++ b/src/berylmast/bin/run.py
@@ -28,10 +28,13 @@
 
 def run_configured(cfg: DaemonSettings) -> None:
     """Run the daemon of checked settings until it is stopped."""
-    configure_logs()
+    stop_logs = configure_logs()
     _prepare_collector()
     adapter = load_adapter(cfg.interface)
-    anyio.run(run_daemon, cfg, adapter, backend_options={"use_uvloop": True})
+    try:
+        anyio.run(run_daemon, cfg, adapter, backend_options={"use_uvloop": True})
+    finally:
+        stop_logs()
 
 
 def load_adapter(interface: Interface) -> Adapter:
--- a/src/berylmast/callers/app.py
+++ b/src/berylmast/callers/app.py
@@ -193,5 +193,9 @@
             reason="" if refusal is None else refusal.kind,
             status=answer.status,
             duration_ms=(anyio.current_time() - started_s) * 1000,
+            version=req.service.version,
+            deadline_ms=req.head.deadline_ms,
+            sent=trace.sent,
+            load_age_ms=trace.load_age_ms,
         )
     )
--- a/src/berylmast/callers/context.py
+++ b/src/berylmast/callers/context.py
@@ -54,13 +54,16 @@
 class Trace:
     """What happened to one request.
 
-    ``attempts`` counts the owners that were asked, ``sent`` the backend servers that
-    may have seen the request. ``may_have_run`` holds while some attempt was sent and
-    is not proved not to have run; ``answered`` once the caller has the whole answer.
+    ``load_age_ms`` is the age of the load report by which the last backend server was
+    chosen, -1 if there was none. ``attempts`` counts the owners that were asked,
+    ``sent`` the backend servers that may have seen the request. ``may_have_run`` holds
+    while some attempt was sent and is not proved not to have run; ``answered`` once the
+    caller has the whole answer.
     """
 
     backend: str = ""
     attempts: int = 0
+    load_age_ms: float = -1.0
     sent: int = 0
     may_have_run: bool = False
     answered: bool = False
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -95,6 +95,7 @@
             return Err(verdict or _make_deadline_refusal(trace))
         trace.attempts += 1
         trace.backend = placement.endpoint.backend
+        trace.load_age_ms = forwarder.router.get_load_age_ms(trace.backend)
         head = replace(
             req.head,
             # Taken when it is sent: the owner's ledger relies on recent counters.
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -23,11 +23,12 @@
 from .model import Endpoint
 from .operators.daemon_admin import make_daemon_admin
 from .operators.explaining import make_explain
+from .operators.metrics_app import make_metrics_app
 from .operators.readiness import answer_readiness
 from .routing import Prober, Router
 from .settings import DaemonSettings
 from .shutdown import serve_until_signal
-from .telemetry import Sight, log_event, make_statsd_report
+from .telemetry import Sight, log_event, make_metrics, make_statsd_report
 from .wiring import (
     LocalBackend,
     Surroundings,
@@ -37,6 +38,7 @@
     make_request_counter,
     make_retry_budget,
     make_stale_finder,
+    make_value_reader,
 )
 
 
@@ -138,6 +140,9 @@
 
         ready = answer_readiness(admin, adapter.ready_path, is_ready)
         tg.start_soon(make_server(ready, cfg.admin).serve)
+        if cfg.metrics is not None:
+            render = make_metrics(sight, make_value_reader(held, roster, anchor, local))
+            tg.start_soon(make_server(make_metrics_app(render), cfg.metrics).serve)
         log_event("started", daemon=cfg.daemon_id, callers=cfg.callers)
         await serve_until_signal(
             callers,
--- /dev/null
+++ b/src/berylmast/operators/metrics_app.py
@@ -0,0 +1,27 @@
+"""Serves the metrics of one daemon over HTTP."""
+
+from collections.abc import Callable
+from typing import Any
+
+from .admin import App
+
+PATH = "/metrics"
+
+
+def make_metrics_app(render: Callable[[], bytes]) -> App:
+    """Return the ASGI app that answers ``GET /metrics`` with rendered text."""
+
+    async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
+        found = scope["path"] == PATH
+        body = render() if found else b""
+        headers = [
+            (b"content-type", b"text/plain; version=0.0.4; charset=utf-8"),
+            (b"content-length", str(len(body)).encode()),
+        ]
+        status = 200 if found else 404
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": body})
+
+    return app
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -146,6 +146,11 @@
         """Keep a report unless a newer one of the same backend server is known."""
         self._loads.record_load(report, anyio.current_time())
 
+    def get_load_age_ms(self, backend: str) -> float:
+        """Return the age of the last load report in milliseconds, -1 without one."""
+        age_s = self._loads.get_age(backend, anyio.current_time())
+        return -1.0 if age_s == float("inf") else age_s * 1000
+
     def find_stale(self) -> list[Endpoint]:
         """Return the endpoints of recently called services whose report is too old."""
         now_s = anyio.current_time()
--- a/src/berylmast/settings/_models.py
+++ b/src/berylmast/settings/_models.py
@@ -97,6 +97,11 @@
     service: str | None = Field(None, description="service of the local backend server")
     backend: Address | None = Field(None, description="the local backend server, HTTP")
     platform: Address = Field(description="the platform's object API, HTTP")
+    metrics: Address | None = Field(
+        None,
+        description="where counters and histograms are read, HTTP /metrics; none if "
+        "absent",
+    )
     statsd: Address | None = Field(
         None, description="statsd server, UDP; none if absent"
     )
--- a/src/berylmast/telemetry/histograms.py
+++ b/src/berylmast/telemetry/histograms.py
@@ -29,6 +29,21 @@
     max_ms: float
 
 
+BUCKETS_MS = (5, 10, 25, 50, 100, 250, 500, 1_000, 2_500, 5_000, 15_000)
+"""Upper bounds of the buckets that are shown to a metrics reader."""
+
+
+@dataclass(frozen=True, slots=True)
+class LatencyBuckets:
+    """Counts of latencies up to each of BUCKETS_MS, of all, and their sum in ms."""
+
+    service: str
+    priority: str
+    counts: tuple[int, ...]
+    total: int
+    sum_ms: float
+
+
 class Histograms:
     """One histogram of latencies for each service, priority and tenant."""
 
@@ -52,6 +67,17 @@
         """Return one summary per histogram, sorted by service, priority, tenant."""
         return [_summarise(key, self._histograms[key]) for key in self._sorted_keys()]
 
+    def list_buckets(self) -> list[LatencyBuckets]:
+        """Return the buckets by service and priority, all tenants together."""
+        found: dict[tuple[str, str], HdrHistogram] = {}
+        for (service, priority, _), histogram in self._histograms.items():
+            merged = found.get((service, priority))
+            if merged is None:
+                merged = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+                found[service, priority] = merged
+            merged.add(histogram)
+        return [_count_buckets(key, found[key]) for key in sorted(found)]
+
     def _sorted_keys(self) -> list[tuple[str, str, str]]:
         return sorted(self._histograms)
 
@@ -64,6 +90,18 @@
         return tenant
 
 
+def _count_buckets(key: tuple[str, str], histogram: HdrHistogram) -> LatencyBuckets:
+    counts = [0] * len(BUCKETS_MS)
+    sum_us = 0
+    for item in histogram.get_recorded_iterator():
+        sum_us += item.value_iterated_to * item.count_added_in_this_iter_step
+        for index, bound_ms in enumerate(BUCKETS_MS):
+            if item.value_iterated_to <= bound_ms * 1000:
+                counts[index] += item.count_added_in_this_iter_step
+    total: int = histogram.get_total_count()
+    return LatencyBuckets(*key, tuple(counts), total, sum_us / 1000)
+
+
 def _summarise(key: tuple[str, str, str], histogram: HdrHistogram) -> Summary:
     def read_ms(percentile: float) -> float:
         value: int = histogram.get_value_at_percentile(percentile)
--- /dev/null
+++ b/src/berylmast/telemetry/metrics.py
@@ -0,0 +1,88 @@
+"""Counters and latency histograms in the text exposition format of Prometheus.
+
+The library is imported with the first scrape: a daemon that nobody scrapes neither
+loads it nor starts later for it.
+"""
+
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+from .histograms import BUCKETS_MS
+from .sight import Sight
+
+PREFIX = "berylmast"
+
+
+@dataclass(frozen=True, slots=True)
+class Gauge:
+    """A value at this moment; ``help`` says what it is and in which unit."""
+
+    name: str
+    help: str
+    value: float
+
+
+@dataclass(frozen=True, slots=True)
+class Count:
+    """A count since the start; ``help`` says of what."""
+
+    name: str
+    help: str
+    value: float
+
+
+ReadValues = Callable[[], list[Gauge | Count]]
+
+
+def make_metrics(sight: Sight, read_values: ReadValues) -> Callable[[], bytes]:
+    """Return the function that renders all metrics as text."""
+
+    def render() -> bytes:
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(_Collector(sight, read_values))
+        text: bytes = generate_latest(registry)
+        return text
+
+    return render
+
+
+class _Collector:
+    def __init__(self, sight: Sight, read_values: ReadValues) -> None:
+        self._sight = sight
+        self._read_values = read_values
+
+    def collect(self) -> Iterator[Any]:
+        """Yield every family of metrics once."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        labels = ["service", "priority", "outcome", "reason"]
+        requests = CounterMetricFamily(
+            f"{PREFIX}_requests", "Requests of callers that ended", labels=labels
+        )
+        for key, count in sorted(self._sight.list_counts().items()):
+            requests.add_metric(key, count)
+        yield requests
+        latencies = HistogramMetricFamily(
+            f"{PREFIX}_request_duration_seconds",
+            "Time from a request to its answer or error",
+            labels=["service", "priority"],
+        )
+        for item in self._sight.list_histograms():
+            pairs = zip(BUCKETS_MS, item.counts, strict=True)
+            buckets = [(str(bound_ms / 1000), n) for bound_ms, n in pairs]
+            buckets.append(("+Inf", item.total))
+            latencies.add_metric(
+                [item.service, item.priority], buckets, item.sum_ms / 1000
+            )
+        yield latencies
+        for value in self._read_values():
+            counts = isinstance(value, Count)
+            family: Any = CounterMetricFamily if counts else GaugeMetricFamily
+            yield family(f"{PREFIX}_{value.name}", value.help, value=value.value)
--- a/src/berylmast/telemetry/sight.py
+++ b/src/berylmast/telemetry/sight.py
@@ -3,14 +3,27 @@
 from collections import Counter
 from dataclasses import asdict, dataclass, fields
 
-from .histograms import Histograms
-from .logs import log_event
+from .histograms import Histograms, LatencyBuckets
+from .logs import EventRates
 from .statsd_report import StatsdReport
 
+ANSWERED = "answered"
+ORDINARY_LINES_PER_S = 5.0
+"""Lines of requests that the first owner answered."""
+
+TELLING_LINES_PER_S = 20.0
+"""Lines a second of each kind of failure, and of answers that took several attempts."""
+
 
 @dataclass(frozen=True, slots=True)
 class RequestLog:
-    """All that an on-call engineer needs of one request, in one line."""
+    """All that an on-call engineer needs of one request, in one line.
+
+    ``version`` is that of the configuration, ``deadline_ms`` what the caller allowed.
+    ``attempts`` counts the owners that were asked, ``sent`` the backend servers that
+    may have run it. ``load_age_ms`` is the age of the load report by which the last
+    one was chosen, -1 if there was none.
+    """
 
     request: str
     service: str
@@ -22,6 +35,10 @@
     reason: str
     status: int
     duration_ms: float
+    version: int = 0
+    deadline_ms: int = 0
+    sent: int = 0
+    load_age_ms: float = -1.0
 
 
 _LOG_FIELDS = tuple(field.name for field in fields(RequestLog))
@@ -34,6 +51,8 @@
         self._statsd = statsd
         self._histograms = Histograms()
         self._counts: Counter[tuple[str, str, str, str]] = Counter()
+        self._ordinary = EventRates(ORDINARY_LINES_PER_S)
+        self._telling = EventRates(TELLING_LINES_PER_S)
 
     def record_request(self, entry: RequestLog) -> None:
         """Log a finished request and count it."""
@@ -50,7 +69,11 @@
                 entry.reason,
                 entry.duration_ms,
             )
-        log_event("request", **{name: getattr(entry, name) for name in _LOG_FIELDS})
+        ordinary = entry.outcome == ANSWERED and entry.attempts <= 1
+        rates = self._ordinary if ordinary else self._telling
+        ending = entry.outcome if entry.outcome == ANSWERED else entry.reason
+        fields = {name: getattr(entry, name) for name in _LOG_FIELDS}
+        rates.write(ending, "request", **fields)
 
     def summarise_counts(self) -> list[dict[str, object]]:
         """Return the number of requests by service, priority, outcome and reason."""
@@ -70,3 +93,11 @@
     def summarise_histograms(self) -> list[dict[str, object]]:
         """Return the percentiles by service, priority and tenant."""
         return [asdict(summary) for summary in self._histograms.summarise()]
+
+    def list_counts(self) -> dict[tuple[str, str, str, str], int]:
+        """Return the number of requests by service, priority, outcome and reason."""
+        return dict(self._counts)
+
+    def list_histograms(self) -> list[LatencyBuckets]:
+        """Return the cumulative counts of latencies by service and priority."""
+        return self._histograms.list_buckets()
--- a/src/berylmast/telemetry/tests/test_telemetry.py
+++ b/src/berylmast/telemetry/tests/test_telemetry.py
@@ -1,12 +1,13 @@
 """Guards against log lines that can't be parsed and against unbounded histograms."""
 
 import logging
+import queue
 import shlex
 
 import pytest
 
 from ..histograms import HIGHEST_US, MAX_TENANTS, OTHER_TENANTS, Histograms
-from ..logs import KeyValueFormatter
+from ..logs import BoundedHandler, EventRates, KeyValueFormatter
 from ..sight import RequestLog, Sight
 from ..statsd_report import StatsdReport
 
@@ -104,3 +105,34 @@
     pipe.lines.clear()
     report.flush()
     assert pipe.lines == {}
+
+
+def test_flood_of_one_event_leaves_lines_to_the_others(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a log whose volume grows with the load."""
+    now_s = 0.0
+    lines: list[tuple[str, dict[str, object]]] = []
+
+    def write(event: str, *, level: int = 0, **fields: object) -> None:
+        lines.append((event, fields))
+
+    monkeypatch.setattr("berylmast.telemetry.logs.log_event", write)
+    rates = EventRates(5.0, lambda: now_s)
+    for number in range(100):
+        rates.write("overloaded", "refused", number=number)
+    rates.write("draining", "refused", number=100)
+    assert [fields["number"] for _, fields in lines] == [0, 1, 2, 3, 4, 100]
+    now_s = 1.0
+    rates.write("overloaded", "refused", number=101)
+    assert lines[-2] == (
+        "left_out",
+        {"of": "refused", "key": "overloaded", "count": 95},
+    )
+
+
+def test_reader_that_stops_reading_does_not_stop_the_daemon() -> None:
+    handler = BoundedHandler(queue.Queue(2))
+    for _ in range(5):
+        handler.emit(logging.makeLogRecord({"msg": "request"}))
+    assert handler.dropped == 3
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -26,7 +26,7 @@
 from .model import AttemptId, Endpoint, ServiceSlice
 from .routing import Router
 from .settings import DaemonSettings
-from .telemetry import log_event
+from .telemetry import Count, Gauge, log_event
 
 BACKEND_CONNECTIONS = 1_000
 """Far above the slots of a backend server; admission is what bounds its requests."""
@@ -53,6 +53,7 @@
     admission: Admission
     owner: Owner
     announced: AnnouncedBackend
+    meter: LoadMeter
 
     @classmethod
     def make(
@@ -87,7 +88,7 @@
             get_backend=lambda: announced.current.backend if announced.current else "",
             on_load=meter.record,
         )
-        return cls(admission, owner, announced)
+        return cls(admission, owner, announced, meter)
 
     def follow(
         self,
@@ -219,6 +220,34 @@
     return report
 
 
+def make_value_reader(
+    held: HeldDocument, roster: Roster, anchor: Anchor, local: LocalBackend | None
+) -> Callable[[], list[Gauge | Count]]:
+    """Return the function that reads the values of this daemon for its metrics."""
+
+    def read_values() -> list[Gauge | Count]:
+        values: list[Gauge | Count] = [
+            Gauge("configuration_version", "Version in force", held.version),
+            Gauge("endpoint_records", "Records known", len(roster.records())),
+            Gauge(
+                "store_up", "1 if the store answered last", int(bool(anchor.link.up))
+            ),
+            Count("store_calls", "Calls to the store", anchor.calls),
+        ]
+        if local is not None:
+            load = local.admission.report()
+            values += [
+                Gauge("backend_in_flight", "Requests at the server", load.in_flight),
+                Gauge("backend_queued", "Requests that wait for a slot", load.queued),
+                Gauge("backend_slots", "Slots of the server", load.limit),
+                Gauge("backend_slowdown", "1 if work takes as usual", load.slowdown),
+                Count("load_questions", "Questions for load", local.meter.questions),
+            ]
+        return values
+
+    return read_values
+
+
 def make_request_counter(
     listener: PeerListener, admission: Admission | None
 ) -> Callable[[], int]:
