--- /dev/null
+++ b/src/berylmast/platform/tests/test_configuration.py
@@ -0,0 +1,119 @@
+"""Guards against configurations that are read wrongly, or accepted though unusable."""
+
+import copy
+from typing import Any
+
+import pytest
+
+from ..configuration import parse_configuration
+
+VALID: dict[str, Any] = {
+    "version": 7,
+    "services": [
+        {"name": "a", "healthPath": "/healthz", "maxConns": 260, "protocol": "h1"},
+        {"name": "b", "healthPath": "/healthz", "maxConns": 60},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 67108864,
+        "headerTimeout": "3000ms",
+        "idleTimeout": "15s",
+    },
+    "virtualHosts": [
+        {
+            "host": "Shop.example",
+            "routePaths": [
+                {
+                    "name": "r1",
+                    "pathPrefix": "/x/",
+                    "kind": "idempotent",
+                    "timeout": "1000ms",
+                    "targetLatency": "250ms",
+                    "priority": 0,
+                    "maxAttempts": 2,
+                    "trafficSplit": [
+                        {"service": "a", "weight": 90},
+                        {"service": "b", "weight": 10},
+                    ],
+                },
+                {
+                    "name": "r2",
+                    "pathPrefix": "/x/y/",
+                    "kind": "upload",
+                    "timeout": "2.5s",
+                    "targetLatency": "400ms",
+                    "priority": 1,
+                    "service": "b",
+                },
+            ],
+        }
+    ],
+}
+
+
+def change(path: str, value: object) -> dict[str, Any]:
+    """Return the valid configuration with one value replaced; None removes it."""
+    spec: Any = copy.deepcopy(VALID)
+    place = spec
+    *keys, last = [int(k) if k.isdigit() else k for k in path.split(".")]
+    for key in keys:
+        place = place[key]
+    if value is None:
+        del place[last]
+    else:
+        place[last] = value
+    result: dict[str, Any] = spec
+    return result
+
+
+def test_values_are_translated() -> None:
+    cfg = parse_configuration(VALID).unwrap()
+    assert cfg.version == 7
+    assert cfg.limits is not None
+    assert cfg.limits.idle_timeout_s == 15.0
+    assert cfg.services["b"].connections == 60
+    first = cfg.find_route("shop.example", "/x/1")
+    assert first is not None
+    assert [(p.service, p.weight) for p in first.parts] == [("a", 90), ("b", 10)]
+    assert (first.idempotent, first.timeout_ms, first.target_ms) == (True, 1000, 250)
+    longest = cfg.find_route("shop.example", "/x/y/1")
+    assert longest is not None
+    assert (longest.name, longest.idempotent, longest.max_attempts) == ("r2", False, 1)
+
+
+@pytest.mark.parametrize(
+    ("host", "path"),
+    [("shop.example", "/z/"), ("shop.example", "/x"), ("other.example", "/x/1")],
+)
+def test_nothing_matches(host: str, path: str) -> None:
+    assert parse_configuration(VALID).unwrap().find_route(host, path) is None
+
+
+@pytest.mark.parametrize(
+    "spec",
+    [
+        change("version", None),
+        change("version", "7x"),
+        change("services", None),
+        change("limits.idleTimeout", "15 minutes"),
+        change("virtualHosts.0.routePaths.0.timeout", None),
+        change("virtualHosts.0.routePaths.0.trafficSplit", []),
+        change("virtualHosts.0.routePaths.1.service", "unknown"),
+        change("virtualHosts.0.routePaths.1.pathPrefix", "x/"),
+        change("virtualHosts", "cut"),
+        "not an object",
+        None,
+        [],
+    ],
+)
+def test_unusable_configuration_is_refused(spec: object) -> None:
+    """The last good configuration stays in force."""
+    assert parse_configuration(spec).is_err()
+
+
+def test_unknown_fields_and_kinds_are_borne() -> None:
+    spec = change("virtualHosts.0.routePaths.0.kind", "something-new")
+    spec["extra"] = {"x": 1}
+    route = parse_configuration(spec).unwrap().find_route("shop.example", "/x/1")
+    assert route is not None
+    assert not route.idempotent, "what is not known must not run twice"
--- /dev/null
+++ b/src/berylmast/platform/tests/test_reports.py
@@ -0,0 +1,92 @@
+"""Guards against reports of other writers that name a server, or get no answer."""
+
+import json
+from typing import Any
+
+import pytest
+from result import Err, Ok, Result
+
+from ...backends.announced import BackendReport, Departure
+from ..reports import make_report_app, parse_departure, parse_heartbeat
+
+pytestmark = pytest.mark.anyio
+
+BEAT: dict[str, Any] = {
+    "address": "10.0.0.9:8080",
+    "born": 1700000000000,
+    "info": {"service": "a", "version": "v1", "zone": "z", "slots": 9},
+    "status": {"state": "ready", "sequence": 4, "coldLeft": "1500ms"},
+}
+
+
+def change(section: str | None, key: str, value: object) -> bytes:
+    beat = json.loads(json.dumps(BEAT))
+    place = beat if section is None else beat[section]
+    place[key] = value
+    return json.dumps(beat).encode()
+
+
+def test_heartbeat_is_translated() -> None:
+    found = parse_heartbeat("i-1", json.dumps(BEAT).encode()).unwrap()
+    assert found == BackendReport(
+        "i-1", "a", "10.0.0.9:8080", 9, False, 1700000000000, 4, 1.5
+    )
+
+
+@pytest.mark.parametrize(
+    ("backend", "body"),
+    [
+        ("", json.dumps(BEAT).encode()),
+        ("i-1", b"\xff\x00"),
+        ("i-1", b"[]"),
+        ("i-1", b"{}"),
+        ("i-1", change("status", "state", "sleeping")),
+        ("i-1", change("status", "sequence", "4")),
+        ("i-1", change("status", "sequence", -1)),
+        ("i-1", change("info", "slots", 0)),
+        ("i-1", change("info", "slots", 2.5)),
+        ("i-1", change("info", "service", 7)),
+        ("i-1", change(None, "born", 17.5)),
+        ("i-1", change(None, "address", None)),
+    ],
+)
+def test_report_of_another_writer_is_refused(backend: str, body: bytes) -> None:
+    assert parse_heartbeat(backend, body).is_err()
+
+
+@pytest.mark.parametrize(
+    ("body", "born_ms"), [(b"", 0), (b"{}", 0), (b'{"born": 5}', 5)]
+)
+def test_departure_may_have_no_body(body: bytes, born_ms: int) -> None:
+    assert parse_departure("i-1", body).unwrap() == Departure("i-1", born_ms)
+
+
+@pytest.mark.parametrize(
+    ("path", "query", "body", "accepted", "status"),
+    [
+        ("/v1/rpc", b"call=instances.heartbeat&of=i-1", BEAT, True, 200),
+        ("/v1/rpc", b"call=instances.heartbeat&of=i-1", BEAT, False, 400),
+        ("/v1/rpc", b"call=instances.heartbeat&of=i-1", {}, True, 400),
+        ("/v1/rpc", b"call=instances.deregister&of=i-1", {}, True, 200),
+        ("/v1/rpc", b"call=other&of=i-1", {}, True, 404),
+        ("/other", b"call=instances.heartbeat&of=i-1", BEAT, True, 404),
+    ],
+)
+async def test_call_is_answered(
+    path: str, query: bytes, body: Any, accepted: bool, status: int
+) -> None:
+    sent: list[dict[str, Any]] = []
+    result: Result[None, str] = Ok(None) if accepted else Err("no")
+
+    async def take(_: object) -> Result[None, str]:
+        return result
+
+    async def receive() -> dict[str, Any]:
+        return {"type": "http.request", "body": json.dumps(body).encode()}
+
+    async def send(message: dict[str, Any]) -> None:
+        sent.append(message)
+
+    app = make_report_app(take, take, lambda _backend, _reason: None)
+    await app({"path": path, "query_string": query}, receive, send)
+    assert sent[0]["status"] == status
--- /dev/null
+++ b/src/berylmast/platform/tests/test_requests.py
@@ -0,0 +1,107 @@
+"""Guards against untrue promises to callers and against answers taken for another's."""
+
+from dataclasses import replace
+
+import pytest
+
+from ...backends.interface import Verdict
+from ...errors import ANSWERS, ErrorKind, Outcome, Refusal
+from ...model import BackendLoad, Headers
+from ...tests.fake_parts import make_head
+from ..requests import (
+    is_stray,
+    judge_answer,
+    make_backend_head,
+    make_error_answer,
+    read_deadline_ms,
+    read_load,
+    set_origin,
+)
+
+SEALED = [(b"x-response-seal", b"s"), (b"x-attempt-id", b"r1")]
+
+
+@pytest.mark.parametrize("kind", list(ErrorKind))
+def test_status_that_promises_not_run_is_true(kind: ErrorKind) -> None:
+    """429, 503, 408 and 421 say that the request has not run and never will."""
+    answer = make_error_answer(Refusal(kind, ""))
+    promises = answer.status in (408, 421, 429, 503)
+    if promises:
+        assert ANSWERS[kind].outcome is Outcome.NOT_RUN
+    names = {name for name, _ in answer.headers}
+    assert (b"retry-after" in names) == (answer.status == 503)
+
+
+def test_retry_after_may_be_a_fraction() -> None:
+    refusal = Refusal(ErrorKind.OVERLOADED, "", 0.125)
+    assert dict(make_error_answer(refusal).headers)[b"retry-after"] == b"0.125"
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "verdict"),
+    [
+        (200, SEALED, Verdict.VALID),
+        (500, SEALED, Verdict.VALID),
+        (200, [], Verdict.INVALID),
+        (500, [], Verdict.INVALID),
+        (200, [*SEALED, (b"content-encoding", b"gzip")], Verdict.INVALID),
+        (503, [(b"x-not-executed", b"1")], Verdict.NOT_RUN),
+        (429, [(b"x-not-executed", b"1")], Verdict.NOT_RUN),
+        (421, [(b"x-instance-id", b"i-2")], Verdict.NOT_RUN),
+        (503, SEALED, Verdict.VALID),
+    ],
+)
+def test_answer_of_the_backend_server(
+    status: int, headers: Headers, verdict: Verdict
+) -> None:
+    assert judge_answer(status, headers) is verdict
+
+
+@pytest.mark.parametrize(
+    ("headers", "stray"),
+    [
+        ([(b"x-attempt-id", b"r1")], False),
+        ([(b"x-attempt-id", b"r0")], True),
+        ([], False),
+    ],
+)
+def test_late_answer_of_another_request_is_known(headers: Headers, stray: bool) -> None:
+    head = replace(make_head(), headers=[(b"x-attempt-id", b"r1")])
+    assert is_stray(head, headers) == stray
+
+
+def test_backend_server_gets_what_is_left_and_who_is_meant() -> None:
+    headers = [(b"x-deadline-ms", b"2000"), (b"x-target-instance", b"forged")]
+    head = replace(make_head(), headers=[*headers, (b"x-attempt-id", b"r1")])
+    sent = make_backend_head(head, 1500, "i-1")
+    assert sorted(sent.headers) == [
+        (b"x-attempt-id", b"r1"),
+        (b"x-deadline-ms", b"1500"),
+        (b"x-target-instance", b"i-1"),
+    ]
+
+
+def test_origin_is_set_whatever_the_caller_sent() -> None:
+    headers = set_origin([(b"x-caller-service", b"forged"), (b"a", b"1")], "orders")
+    assert headers == [(b"a", b"1"), (b"x-caller-service", b"orders")]
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [(b"2000", 2000), (b"-5", 0), (b"soon", None), (b"1e3", 1000)],
+)
+def test_deadline_of_a_caller(value: bytes, expected: int | None) -> None:
+    assert read_deadline_ms([(b"x-deadline-ms", value)]) == expected
+
+
+@pytest.mark.parametrize(
+    ("value", "expected"),
+    [
+        (b"3,0,8", BackendLoad(3, 0, 8, 1.0)),
+        (b"3,1,8,500", BackendLoad(3, 1, 8, 5.0)),
+        (b"3,1", None),
+        (b"a,b,c", None),
+    ],
+)
+def test_load_of_an_answer(value: bytes, expected: BackendLoad | None) -> None:
+    assert read_load([(b"x-server-load", value)]) == expected
--- a/src/berylmast_dev/fleet.py
+++ b/src/berylmast_dev/fleet.py
@@ -18,6 +18,7 @@
 HOST = "127.0.0.1"
 START_TIMEOUT_S = 30.0
 STOP_TIMEOUT_S = 5.0
+LOG_TAIL_CHARS = 1_500
 PORTS_PER_MEMBER = 4
 DAEMON_MODULE = "berylmast.bin.berylmastd"
 # Below the range from which the kernel takes ports of outgoing connections.
@@ -152,6 +153,16 @@
             check=True,
         )
 
+    def describe(self) -> str:
+        """Return the state of every process and the end of its log."""
+        parts = []
+        for name, process in self.processes.items():
+            state = process.poll()
+            ended = "runs" if state is None else f"ended with {state}"
+            log = (self._folder / f"{name}.log").read_text()[-LOG_TAIL_CHARS:]
+            parts.append(f"{name} {ended}:\n{log}")
+        return "\n".join(parts)
+
     def stop_all(self) -> None:
         """Stop every process and wait; one that does not end is killed."""
         for process in self.processes.values():
--- a/src/berylmast_dev/platform_fleet.py
+++ b/src/berylmast_dev/platform_fleet.py
@@ -107,6 +107,10 @@
     }
 
 
+class FleetNotReady(Exception):
+    """A process of the layout did not start; the text holds the logs of all."""
+
+
 class PlatformFleet(Fleet):
     """The processes of one layout, stopped by their ids."""
 
@@ -185,8 +189,11 @@
             for member in members:
                 fleet.start_platform_backend(member)
                 fleet.start_platform_daemon(member)
-            for member in members:
-                await wait_ready(member)
+            try:
+                for member in members:
+                    await wait_ready(member)
+            except TimeoutError as exc:
+                raise FleetNotReady(fleet.describe()) from exc
             await anyio.sleep(1.0)
             yield fleet
         finally:
--- /dev/null
+++ b/src/berylmast_dev/tests/test_platform.py
@@ -0,0 +1,135 @@
+"""Guards the whole path on the platform's protocol, with real processes."""
+
+import signal
+from collections import Counter
+from typing import Any
+
+import anyio
+import pytest
+
+from ..platform_fleet import (
+    PlatformFleet,
+    PlatformLoad,
+    PlatformMember,
+    control_platform_backend,
+    make_configuration,
+    make_layout,
+    make_route,
+    read_runs,
+    run_platform_fleet,
+    run_platform_load,
+    wait_ready,
+)
+
+pytestmark = pytest.mark.anyio
+
+READS = PlatformLoad("/orders/", 60)
+WRITES = PlatformLoad("/pay/", 40, "POST", b"x" * 400)
+ZONES = [("n", "n1"), ("s", "s1")]
+
+
+@pytest.fixture
+def anyio_backend(real_clock: tuple[str, dict[str, Any]]) -> tuple[str, dict[str, Any]]:
+    return real_clock
+
+
+def make_spec(version: int) -> Any:
+    return make_configuration(
+        version,
+        [
+            make_route("orders", "/orders/", idempotent=True),
+            make_route("orders", "/pay/", idempotent=False),
+        ],
+    )
+
+
+async def count_runs(members: list[PlatformMember]) -> Counter[str]:
+    runs: Counter[str] = Counter()
+    for member in members:
+        runs.update(await read_runs(member))
+    return runs
+
+
+@pytest.mark.parametrize("garble", ["", "unsealed", "cut", "crossed"])
+async def test_answers_are_whole_and_belong_to_their_request(garble: str) -> None:
+    members = make_layout({"orders": 10.0}, ZONES)
+    async with run_platform_fleet(members, make_spec(1)):
+        await control_platform_backend(members[0], garble=garble)
+        seen = await run_platform_load(members, [READS, WRITES], 2.0)
+        runs = await count_runs(members)
+    reads, writes = seen["/orders/"], seen["/pay/"]
+    assert reads.unsealed == writes.unsealed == 0
+    assert len(writes.answered) > 20
+    assert all(runs[attempt] <= 1 for attempt in writes.answered)
+    assert all(runs[attempt] == 0 for attempt in reads.refused + writes.refused)
+    if not garble:
+        assert set(reads.statuses) == set(writes.statuses) == {200}
+
+
+@pytest.mark.parametrize(
+    "strike", ["kill_daemon", "store_away", "restart_without_store"]
+)
+async def test_promises_hold_while_a_process_fails(strike: str) -> None:
+    members = make_layout({"orders": 10.0}, [*ZONES, ("n", "n2")])
+
+    async def begin(fleet: PlatformFleet) -> None:
+        await anyio.sleep(1.0)
+        if strike != "kill_daemon":
+            fleet.processes["platform"].send_signal(signal.SIGSTOP)
+        if strike != "store_away":
+            daemon = fleet.processes[f"daemon-{members[0].name}"]
+            daemon.kill()
+            daemon.wait()
+            fleet.start_platform_daemon(members[0])
+
+    async with run_platform_fleet(members, make_spec(1)) as fleet:
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(begin, fleet)
+            seen = await run_platform_load(members[1:], [READS, WRITES], 4.0)
+        await wait_ready(members[0])
+        again = await run_platform_load(members[:1], [READS], 1.0)
+        fleet.processes["platform"].send_signal(signal.SIGCONT)
+        runs = await count_runs(members)
+    writes = seen["/pay/"]
+    assert all(runs[attempt] <= 1 for attempt in runs)
+    assert all(runs[attempt] == 0 for attempt in writes.refused)
+    answered = len(seen["/orders/"].answered) + len(writes.answered)
+    total = sum(seen["/orders/"].statuses.values()) + sum(writes.statuses.values())
+    assert answered > 0.8 * total
+    assert set(again["/orders/"].statuses) == {200}
+
+
+async def test_leaving_server_gets_no_request_after_its_time() -> None:
+    members = make_layout({"orders": 10.0}, ZONES)
+    late: list[str] = []
+
+    async def leave() -> None:
+        await anyio.sleep(1.0)
+        await control_platform_backend(members[0], draining=True)
+        # Up to one heartbeat until the report, then the time of the settings.
+        await anyio.sleep(0.5 + 2.0)
+        before = await read_runs(members[0])
+        await anyio.sleep(1.0)
+        late.extend((await read_runs(members[0]))[len(before) :])
+
+    async with run_platform_fleet(members, make_spec(1)):
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(leave)
+            seen = await run_platform_load(members, [READS, WRITES], 4.5)
+    assert late == []
+    assert set(seen["/orders/"].statuses) | set(seen["/pay/"].statuses) == {200}
+
+
+async def test_new_configuration_is_in_force_within_two_seconds() -> None:
+    members = make_layout({"orders": 10.0}, ZONES)
+    added = PlatformLoad("/new/", 20)
+    async with run_platform_fleet(members, make_spec(1)) as fleet:
+        before = await run_platform_load(members, [added], 0.5)
+        spec = make_spec(5)
+        route = make_route("orders", "/new/", idempotent=True)
+        spec["virtualHosts"][0]["routePaths"].append(route)
+        await fleet.put_configuration(spec)
+        await anyio.sleep(2.0)
+        after = await run_platform_load(members, [added], 0.5)
+    assert set(before["/new/"].statuses) == {404}
+    assert set(after["/new/"].statuses) == {200}
