Reload the settings by SIGHUP and when the file changes

Cause: SIGHUP ended the daemon; the platform sends it when it has written new settings, and may change the file without a signal.

Change: the file is read again by SIGHUP and when a look every 2 s finds it changed. leave_s, retries, drain and service are in force at once; other changes are named in the log as needing a new start; a file that is not valid leaves the settings in force.

--- a/src/berylmast/adapter.py
+++ b/src/berylmast/adapter.py
@@ -17,7 +17,7 @@
 from .membership.store import Store
 from .model import AttemptId
 from .routes import Configuration
-from .settings import DaemonSettings
+from .settings import DaemonSettings, LiveSettings
 
 TakeReport = Callable[[BackendReport], Awaitable[Result[None, str]]]
 TakeDeparture = Callable[[Departure], Awaitable[Result[None, str]]]
@@ -25,7 +25,7 @@
 """Is told the id of a backend server and why its message can't be used."""
 
 MakeClassifier = Callable[
-    [DaemonSettings, Directory, HeldDocument, Random, Callable[[], AttemptId]], Classify
+    [LiveSettings, Directory, HeldDocument, Random, Callable[[], AttemptId]], Classify
 ]
 
 
--- a/src/berylmast/backends/reporting.py
+++ b/src/berylmast/backends/reporting.py
@@ -47,7 +47,7 @@
         admission: Admission,
         place: Place,
         backend_address: str,
-        leave_s: float,
+        get_leave_s: Callable[[], float],
         is_known: Callable[[str], bool],
         publish: Callable[[Endpoint], None],
         wait_stored: Callable[[float], Awaitable[bool]],
@@ -57,7 +57,7 @@
         self._admission = admission
         self._place = place
         self._address = backend_address
-        self._leave_s = leave_s
+        self._get_leave_s = get_leave_s
         self._is_known = is_known
         self._publish = publish
         self._wait_stored = wait_stored
@@ -145,7 +145,7 @@
         return EndpointState.READY
 
     async def _close_admission(self, record: Endpoint) -> None:
-        await anyio.sleep(self._leave_s * ACCEPT_SHARE)
+        await anyio.sleep(self._get_leave_s() * ACCEPT_SHARE)
         current = self._record
         if current is not None and current.backend == record.backend:
             self._admission.draining = current.state is not EndpointState.READY
--- a/src/berylmast/backends/tests/test_reporting.py
+++ b/src/berylmast/backends/tests/test_reporting.py
@@ -51,7 +51,7 @@
             admission,
             Place("h", 7, "n", "n1"),
             "h:1",
-            LEAVE_S,
+            lambda: LEAVE_S,
             lambda service: service in known,
             published.append,
             wait_stored,
--- a/src/berylmast/bin/berylmastd.py
+++ b/src/berylmast/bin/berylmastd.py
@@ -5,7 +5,7 @@
 
 from cyclopts import App
 
-from ..settings import SettingsError, load_settings
+from ..settings import LiveSettings, SettingsError, load_settings
 from .run import EXIT_SETTINGS, run_configured
 
 app = App(name="berylmastd", help=__doc__)
@@ -30,7 +30,7 @@
     if check_settings:
         print(f"{settings}: settings are valid")
         return
-    run_configured(cfg)
+    run_configured(LiveSettings(cfg, settings))
 
 
 def main() -> None:
--- a/src/berylmast/bin/run.py
+++ b/src/berylmast/bin/run.py
@@ -9,7 +9,7 @@
 
 from ..adapter import Adapter
 from ..daemon import run_daemon
-from ..settings import DaemonSettings, Interface, SettingsError, load_settings
+from ..settings import Interface, LiveSettings, SettingsError, load_settings
 from ..telemetry import configure_logs
 
 EXIT_SETTINGS = 2
@@ -22,17 +22,17 @@
     except SettingsError as exc:
         print(exc, file=sys.stderr)
         return EXIT_SETTINGS
-    run_configured(cfg)
+    run_configured(LiveSettings(cfg, path))
     return 0
 
 
-def run_configured(cfg: DaemonSettings) -> None:
+def run_configured(live: LiveSettings) -> None:
     """Run the daemon of checked settings until it is stopped."""
     stop_logs = configure_logs()
     _prepare_collector()
-    adapter = load_adapter(cfg.interface)
+    adapter = load_adapter(live.cfg.interface)
     try:
-        anyio.run(run_daemon, cfg, adapter, backend_options={"use_uvloop": True})
+        anyio.run(run_daemon, live, adapter, backend_options={"use_uvloop": True})
     finally:
         stop_logs()
 
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -25,8 +25,9 @@
 from .operators.explaining import make_explain
 from .operators.metrics_app import make_metrics_app
 from .operators.readiness import answer_readiness
+from .reload import follow_settings
 from .routing import Prober, Router
-from .settings import DaemonSettings
+from .settings import LiveSettings
 from .shutdown import serve_until_signal
 from .telemetry import Sight, log_event, make_metrics, make_statsd_report
 from .wiring import (
@@ -48,12 +49,13 @@
 
 
 async def run_daemon(
-    cfg: DaemonSettings, adapter: Adapter, limits: Limits | None = None
+    live: LiveSettings, adapter: Adapter, limits: Limits | None = None
 ) -> None:
     """Run one daemon until SIGTERM or SIGINT.
 
     ``limits`` replaces the classes that the adapter limits with.
     """
+    cfg = live.cfg
     limits = limits or adapter.limits
     rng = Random()
     identity = Identity(cfg.daemon_id, make_incarnation())
@@ -93,9 +95,10 @@
         if local is not None:
             await tg.start(local.owner.run)
             parts = Surroundings(identity, held, lifecycle, anchor, publish, listener)
-            local.follow(tg, cfg, adapter, parts)
+            local.follow(tg, live, adapter, parts)
         tg.start_soon(anchor.run)
         tg.start_soon(gossip.run)
+        tg.start_soon(follow_settings, live)
         prober = Prober(
             pool,
             router.probe_budget,
@@ -106,7 +109,7 @@
         tg.start_soon(prober.run)
         forwarder = Forwarder(
             router=router,
-            retries=make_retry_budget(cfg, roster),
+            retries=make_retry_budget(live, roster),
             shedder=limits.shedder(rng),
             open_exchange=make_opener(
                 pool, owner, lambda endpoint: (endpoint.host, endpoint.port) == own
@@ -115,7 +118,7 @@
             endpoints=directory.endpoints,
         )
         classify = adapter.make_classifier(
-            cfg, directory, held, rng, forwarder.next_attempt
+            live, directory, held, rng, forwarder.next_attempt
         )
         app = make_app(
             classify, cfg.limits, forwarder, sight, adapter.make_error_answer
@@ -147,7 +150,7 @@
         await serve_until_signal(
             callers,
             lifecycle,
-            cfg.drain,
+            lambda: live.cfg.drain,
             make_request_counter(listener, local.admission if local else None),
         )
         log_event("stopped", daemon=cfg.daemon_id)
--- a/src/berylmast/limits/retry_budget.py
+++ b/src/berylmast/limits/retry_budget.py
@@ -11,21 +11,24 @@
     Without it, retries would multiply the load on an overloaded fleet. Each priority of
     a service has its own budget: refusals of a flood of browsing must not use up the
     retries of orders. ``get_burst`` gives the most retries in a row, which may depend
-    on the number of daemons that share a limit; ``ratio`` replaces that of the service.
+    on the number of daemons that share a limit; ``get_ratio`` replaces the ratio of the
+    service.
     """
 
     def __init__(
-        self, get_burst: Callable[[], float] = lambda: BURST, ratio: float | None = None
+        self,
+        get_burst: Callable[[], float] = lambda: BURST,
+        get_ratio: Callable[[], float] | None = None,
     ) -> None:
         self._get_burst = get_burst
-        self._ratio = ratio
+        self._get_ratio = get_ratio
         self._tokens: dict[tuple[str, str], float] = {}
 
     def record_first_try(self, service: str, priority: str, ratio: float) -> None:
         """Earn a share of a retry."""
         burst = self._get_burst()
         tokens = self._tokens.get((service, priority), burst)
-        earned = ratio if self._ratio is None else self._ratio
+        earned = ratio if self._get_ratio is None else self._get_ratio()
         self._tokens[service, priority] = min(tokens + earned, burst)
 
     def try_spend(self, service: str, priority: str) -> bool:
--- a/src/berylmast/own_interface.py
+++ b/src/berylmast/own_interface.py
@@ -21,7 +21,7 @@
 from .platform.reports import make_report_app
 from .platform.store import StoreClient
 from .routes import Configuration
-from .settings import DaemonSettings
+from .settings import DaemonSettings, LiveSettings
 
 READY_PATH = "/ready"
 
@@ -51,13 +51,13 @@
 
 
 def _make_classifier(
-    cfg: DaemonSettings,
+    live: LiveSettings,
     directory: Directory,
     held: HeldDocument,
     rng: Random,
     next_attempt: Callable[[], AttemptId],
 ) -> Classify:
-    return make_classifier(directory, cfg.limits, next_attempt)
+    return make_classifier(directory, live.cfg.limits, next_attempt)
 
 
 OWN = Adapter(
--- a/src/berylmast/platform/adapter.py
+++ b/src/berylmast/platform/adapter.py
@@ -12,7 +12,7 @@
 from ..membership.store import Store
 from ..model import AttemptId
 from ..routing.split import SplitChooser
-from ..settings import DaemonSettings
+from ..settings import DaemonSettings, LiveSettings
 from . import configuration
 from .anchor import PlatformStore
 from .reports import make_report_app
@@ -36,16 +36,15 @@
 
 
 def _make_classifier(
-    cfg: DaemonSettings,
+    live: LiveSettings,
     directory: Directory,
     held: HeldDocument,
     rng: Random,
     next_attempt: Callable[[], AttemptId],
 ) -> Classify:
-    origin = cfg.service or ""
     choose_service = SplitChooser(rng).choose
     return make_routed_classifier(
-        held, _HEADERS, choose_service, next_attempt, lambda: origin
+        held, _HEADERS, choose_service, next_attempt, lambda: live.cfg.service or ""
     )
 
 
--- /dev/null
+++ b/src/berylmast/reload.py
@@ -0,0 +1,34 @@
+"""Follows the settings file: by SIGHUP, and by a look at it now and then."""
+
+import signal
+
+import anyio
+
+from .settings import LiveSettings
+from .telemetry import log_event
+
+LOOK_S = 2.0
+"""Interval of the looks; the file may change without a signal."""
+
+
+async def follow_settings(live: LiveSettings) -> None:
+    """Reload the settings when SIGHUP comes or the file has changed."""
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(_look, live)
+        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for _ in signals:
+                _reload(live, "signal")
+
+
+async def _look(live: LiveSettings) -> None:
+    while True:
+        await anyio.sleep(LOOK_S)
+        if live.changed:
+            _reload(live, "changed-file")
+
+
+def _reload(live: LiveSettings, cause: str) -> None:
+    def report(outcome: str, what: str) -> None:
+        log_event("reload", cause=cause, outcome=outcome, settings=what)
+
+    live.reload(report)
--- a/src/berylmast/settings/__init__.py
+++ b/src/berylmast/settings/__init__.py
@@ -1,5 +1,6 @@
 """The settings of one daemon: JSON with comments, checked when loaded."""
 
+from ._live import LiveSettings
 from ._load import SettingsError, load_settings
 from ._models import (
     Address,
@@ -19,6 +20,7 @@
     "HealthSettings",
     "Interface",
     "LimitSettings",
+    "LiveSettings",
     "RetrySettings",
     "Seconds",
     "SettingsError",
--- a/src/berylmast/shutdown.py
+++ b/src/berylmast/shutdown.py
@@ -16,7 +16,7 @@
 async def serve_until_signal(
     server: HttpServer,
     lifecycle: Lifecycle,
-    cfg: DrainSettings,
+    get_cfg: Callable[[], DrainSettings],
     count_exchanges: Callable[[], int],
 ) -> None:
     """Serve callers until SIGTERM or SIGINT, then leave without cutting a request.
@@ -35,7 +35,7 @@
             tg.start_soon(serve)
             await anext(signals)
             tg.start_soon(_cut_at_next_signal, signals, tg)
-            await stop_gracefully(server, ended, lifecycle, cfg, count_exchanges)
+            await stop_gracefully(server, ended, lifecycle, get_cfg(), count_exchanges)
             tg.cancel_scope.cancel()
 
 
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -25,7 +25,7 @@
 from .membership.roster import Roster
 from .model import AttemptId, Endpoint, ServiceSlice
 from .routing import Router
-from .settings import DaemonSettings
+from .settings import DaemonSettings, LiveSettings
 from .telemetry import Count, Gauge, log_event
 
 BACKEND_CONNECTIONS = 1_000
@@ -93,17 +93,18 @@
     def follow(
         self,
         tg: TaskGroup,
-        cfg: DaemonSettings,
+        live: LiveSettings,
         adapter: Adapter,
         parts: Surroundings,
     ) -> None:
         """Follow the state of the backend server, as it reports it or by its health."""
+        cfg = live.cfg
         reporting = BackendReporting(
             self.announced,
             self.admission,
             Place(cfg.peers.host, cfg.peers.port, cfg.region, cfg.failure_domain),
             str(cfg.backend),
-            cfg.leave_s,
+            lambda: live.cfg.leave_s,
             parts.held.knows_service,
             parts.publish,
             parts.anchor.wait_stored,
@@ -260,21 +261,25 @@
     return count_requests
 
 
-def make_retry_budget(cfg: DaemonSettings, roster: Roster) -> RetryBudget:
+def make_retry_budget(live: LiveSettings, roster: Roster) -> RetryBudget:
     """Return this daemon's share of the fleet's retry budget.
 
     Half of what is allowed: calls that a repeated request makes again are repeats too.
     """
-    if cfg.retries is None:
+    if live.cfg.retries is None:
         return RetryBudget()
-    retries = cfg.retries
-    own = (cfg.peers.host, cfg.peers.port)
+    own = (live.cfg.peers.host, live.cfg.peers.port)
 
     def get_burst() -> float:
+        retries = live.cfg.retries
         daemons = len(roster.peers(own)) + 1
-        return retries.slack / (2 * daemons)
+        return 0.0 if retries is None else retries.slack / (2 * daemons)
+
+    def get_ratio() -> float:
+        retries = live.cfg.retries
+        return 0.0 if retries is None else retries.ratio / 2
 
-    return RetryBudget(get_burst, ratio=retries.ratio / 2)
+    return RetryBudget(get_burst, get_ratio)
 
 
 def make_attempts(identity: Identity) -> Callable[[], AttemptId]:
--- a/src/berylmast_dev/fcfs_daemon.py
+++ b/src/berylmast_dev/fcfs_daemon.py
@@ -11,7 +11,7 @@
 from berylmast.limits import AdmissionController, Limits, NoShedder, Permit
 from berylmast.model import AttemptResult, LoadReport, RequestHead
 from berylmast.own_interface import OWN
-from berylmast.settings import load_settings
+from berylmast.settings import LiveSettings, load_settings
 from berylmast.telemetry import configure_logs
 
 QUEUE_WAIT_S = 0.25
@@ -74,8 +74,8 @@
         ),
         lambda _rng: NoShedder(),
     )
-    cfg = load_settings(settings)
-    anyio.run(run_daemon, cfg, OWN, limits, backend_options={"use_uvloop": True})
+    live = LiveSettings(load_settings(settings))
+    anyio.run(run_daemon, live, OWN, limits, backend_options={"use_uvloop": True})
 
 
 if __name__ == "__main__":
--- a/src/berylmast_dev/tests/test_platform.py
+++ b/src/berylmast_dev/tests/test_platform.py
@@ -133,3 +133,23 @@
         after = await run_platform_load(members, [added], 0.5)
     assert set(before["/new/"].statuses) == {404}
     assert set(after["/new/"].statuses) == {200}
+
+
+async def test_reload_by_signal_cuts_no_request() -> None:
+    """SIGHUP ends a process that does not handle it."""
+    members = make_layout({"orders": 10.0}, ZONES)
+
+    async def reload(fleet: PlatformFleet) -> None:
+        for _ in range(5):
+            await anyio.sleep(0.3)
+            for member in members:
+                daemon = fleet.processes[f"daemon-{member.name}"]
+                daemon.send_signal(signal.SIGHUP)
+
+    async with run_platform_fleet(members, make_spec(1)) as fleet:
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(reload, fleet)
+            seen = await run_platform_load(members, [READS, WRITES], 2.0)
+        log = fleet.describe()
+    assert set(seen["/orders/"].statuses) | set(seen["/pay/"].statuses) == {200}
+    assert "event=reload cause=signal outcome=applied" in log
