--- a/features/matrix/table.py
+++ b/features/matrix/table.py
@@ -9,7 +9,7 @@
 COLUMNS = (*REQUEST_STEPS, *DOCUMENT_STEPS)
 NOT_RUN = "not run"
 REASON_PAIR = "the pair meets in no state of its own at this step, see the single cells"
-REASON_STALE = "the registrar is stale only if cut off before the change is stored"
+REASON_STALE = "the peer is stale only if cut off before the change is stored"
 REASON_TWICE = "the repeat is run at one step of a request and one of a change only"
 KNOWN_RED_FILE = Path(__file__).parents[2] / "KNOWN-RED.txt"
 FIELDS = 3
@@ -49,7 +49,7 @@
         for row, states in self._rows.items():
             left = [column for column in COLUMNS if column not in states]
             reason = REASON_TWICE if row.endswith(", twice") else REASON_PAIR
-            reason = REASON_STALE if row == "stale registrar" else reason
+            reason = REASON_STALE if row == "stale peer" else reason
             if left:
                 found.append(f"not run: {row} @ {', '.join(left)}: {reason}")
         return found
--- a/src/berylmast/backends/owner.py
+++ b/src/berylmast/backends/owner.py
@@ -239,9 +239,8 @@
                     cut_short=not end.done,
                 )
         finally:
-            ending = recorder.ending
-            if ending is not None and ending.kind is not None:
-                self._log_failure(head, ending.kind, ending.detail)
+            ran_s = anyio.current_time() - started_s
+            self._log_ending(head, recorder.ending, ran_s)
             if end.load is not None:
                 self._on_load(end.load)
             admitted.unwrap().release(result)
@@ -301,7 +300,16 @@
             slowdown=load.slowdown,
         )
 
-    def _log_failure(self, head: RequestHead, kind: ErrorKind, detail: str) -> None:
+    def _log_ending(
+        self, head: RequestHead, ending: Ending | None, ran_s: float
+    ) -> None:
+        """Log an attempt that failed, or that its entry gave up."""
+        if ending is None:
+            ending = _ABANDONED
+        if ending.kind is None:
+            return
+        kind = ending.kind
+        load = self._admission.report()
         self._rates.write(
             kind,
             "attempt_failed",
@@ -309,8 +317,11 @@
             attempt=head.attempt,
             backend=self._get_backend(),
             reason=kind,
-            detail=detail,
+            detail=ending.detail,
+            ran_ms=ran_s * 1000,
             deadline_ms=head.deadline_ms,
+            in_flight=load.in_flight,
+            slowdown=load.slowdown,
         )
 
     def _report(self) -> LoadReport:
--- a/src/berylmast/callers/app.py
+++ b/src/berylmast/callers/app.py
@@ -195,7 +195,7 @@
             duration_ms=(anyio.current_time() - started_s) * 1000,
             version=req.service.version,
             deadline_ms=req.head.deadline_ms,
-            sent=trace.sent,
+            sent=max(trace.sent, int(trace.may_have_run)),
             load_age_ms=trace.load_age_ms,
         )
     )
--- a/src/berylmast/limits/backlog.py
+++ b/src/berylmast/limits/backlog.py
@@ -27,6 +27,10 @@
 those that can be on time: where both get all slots, a passing overload lasts, because
 callers of late answers come again."""
 
+LATE_PLACES = 0.5
+"""Late requests that may wait, as a share of the slots. New requests pass them by, so
+that more would wait in vain; their callers do better to come again."""
+
 SLOW_FACTOR = 1.5
 """Multiple of the typical service time that must be left before the deadline: a request
 that is cut at its deadline has used a slot for nothing."""
@@ -109,10 +113,13 @@
     return turns
 
 
-def find_hopeless(turns: Collection[Turn], now_s: float) -> list[Turn]:
-    """Return the turns that would end after the deadline of their request."""
-    return [
+def find_hopeless(turns: Collection[Turn], now_s: float, slots: int) -> list[Turn]:
+    """Return the turns that won't come, or would end after the deadline."""
+    late = [turn for turn in turns if is_late(turn.item, now_s)]
+    surplus = late[max(1, math.ceil(LATE_PLACES * slots)) :]
+    return surplus + [
         turn
         for turn in turns
-        if now_s + turn.wait_s + SLOW_FACTOR * turn.item.work_s > turn.item.deadline_s
+        if turn not in surplus
+        and now_s + turn.wait_s + SLOW_FACTOR * turn.item.work_s > turn.item.deadline_s
     ]
--- a/src/berylmast/limits/slots.py
+++ b/src/berylmast/limits/slots.py
@@ -180,7 +180,7 @@
         mean_s = self._latency_ms.value / 1000 or FIRST_WORK_S
         turns = plan_turns(self._waiting, now_s, slots, mean_s / slots)
         backlog_s = turns[-1].wait_s if turns else 0.0
-        for turn in find_hopeless(turns, now_s):
+        for turn in find_hopeless(turns, now_s, slots):
             assert isinstance(turn.item, _Entry)
             detail = f"{turn.wait_s:.3f} s to wait and {turn.item.work_s:.3f} s to run"
             self._refuse_entry(turn.item, detail, backlog_s)
