Refuse heads that take too long; show the platform's protocol in the demo

Cause: the header timeout of the configuration was read and not kept; the demo showed the project's own interface only.

Change: a head that is not whole in time is refused with 408 (not run) and the connection closed. make demo also runs a layout on the platform's protocol with a killed daemon, a leaving server and a store that stops answering. The marks of unreachable owners are pruned with the other state of the router.

--- a/Makefile
+++ b/Makefile
@@ -15,6 +15,7 @@
 
 demo: $(STAMP)
 	$(RUN)/python -m berylmast_dev.demo
+	$(RUN)/python -m berylmast_dev.platform_demo
 
 test: $(STAMP)
 	$(RUN)/python -m pytest
--- a/src/berylmast/_serve.py
+++ b/src/berylmast/_serve.py
@@ -60,6 +60,8 @@
 
     max_header_bytes = 0
     get_idle_s: Callable[[], float] | None = None
+    get_header_timeout_s: Callable[[], float | None] = staticmethod(lambda: None)
+    _header_timer: asyncio.TimerHandle | None = None
     _pending_bytes = 0
     _refused = False
 
@@ -88,9 +90,13 @@
         """Start counting the bytes of a head."""
         super().on_message_begin()
         self._pending_bytes = 0
+        timeout_s = self.get_header_timeout_s()
+        if timeout_s is not None:
+            self._header_timer = self.loop.call_later(timeout_s, self._refuse_slow)
 
     def on_headers_complete(self) -> None:
         """Hand the head to the app; later headers are trailers."""
+        self._stop_header_timer()
         trailers: list[tuple[bytes, bytes]] = []
         cast(dict[str, Any], self.scope)[TRAILERS_KEY] = trailers
         super().on_headers_complete()
@@ -107,6 +113,24 @@
         super().on_message_complete()
         self._pending_bytes = 0
 
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Forget the timer of a head that will never be whole."""
+        self._stop_header_timer()
+        super().connection_lost(exc)
+
+    def _stop_header_timer(self) -> None:
+        if self._header_timer is not None:
+            self._header_timer.cancel()
+            self._header_timer = None
+
+    def _refuse_slow(self) -> None:
+        self._header_timer = None
+        if self.cycle is not None and not self.cycle.response_complete:
+            # The caller still takes an earlier answer; its end closes the connection.
+            return
+        kind = ErrorKind.HEADERS_TIMEOUT
+        self._refuse(Refusal(kind, "the head of the request took too long"))
+
     def send_400_response(self, msg: str) -> None:
         """Answer bytes that are not valid HTTP, with the outcome."""
         self._pending_bytes = 0
@@ -148,14 +172,17 @@
     address: Address,
     limits: LimitSettings | None = None,
     get_idle_s: Callable[[], float] | None = None,
+    get_header_timeout_s: Callable[[], float | None] = lambda: None,
 ) -> HttpServer:
     """Return a server for one app; ``await server.serve()`` runs it.
 
     ``get_idle_s`` gives the idle time of callers' connections in seconds where it
-    changes while the server runs.
+    changes while the server runs, ``get_header_timeout_s`` the time in which the head
+    of a request must be whole, None for no limit.
     """
     limits = limits or LimitSettings()
     members: dict[str, Any] = {"max_header_bytes": limits.max_header_bytes}
+    members["get_header_timeout_s"] = staticmethod(get_header_timeout_s)
     if get_idle_s is not None:
         members["get_idle_s"] = staticmethod(get_idle_s)
     protocol = type("Protocol", (BoundedProtocol,), members)
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -128,6 +128,7 @@
             cfg.callers,
             cfg.limits,
             get_idle_s=lambda: held.get_idle_s(cfg.limits.keep_alive_s),
+            get_header_timeout_s=held.get_header_timeout_s,
         )
         admin = make_daemon_admin(
             sight,
--- a/src/berylmast/errors.py
+++ b/src/berylmast/errors.py
@@ -23,6 +23,7 @@
     BAD_REQUEST = "bad-request"
     HEADERS_TOO_LARGE = "headers-too-large"
     TOO_MANY_HEADERS = "too-many-headers"
+    HEADERS_TIMEOUT = "headers-timeout"
     BODY_TOO_LARGE = "body-too-large"
     BODY_TOO_LARGE_UNKNOWN = "body-too-large-unknown"
     BODY_CUT = "body-cut"
@@ -72,6 +73,7 @@
     ErrorKind.BAD_REQUEST: Answer(400, _NOT_RUN),
     ErrorKind.HEADERS_TOO_LARGE: Answer(431, _NOT_RUN),
     ErrorKind.TOO_MANY_HEADERS: Answer(431, _NOT_RUN),
+    ErrorKind.HEADERS_TIMEOUT: Answer(408, _NOT_RUN),
     ErrorKind.BODY_TOO_LARGE: Answer(413, _NOT_RUN),
     ErrorKind.BODY_TOO_LARGE_UNKNOWN: Answer(413, _UNKNOWN),
     ErrorKind.BODY_CUT: Answer(400, _UNKNOWN),
--- a/src/berylmast/membership/held.py
+++ b/src/berylmast/membership/held.py
@@ -40,6 +40,12 @@
             return default_s
         return self.current.limits.idle_timeout_s
 
+    def get_header_timeout_s(self) -> float | None:
+        """Return the time in which a request's head must be whole, in seconds."""
+        if self.current is None or self.current.limits is None:
+            return None
+        return self.current.limits.header_timeout_s
+
     def add_listener(self, listener: Callable[[Configuration], None]) -> None:
         """Call a function with each configuration that comes into force."""
         self._listeners.append(listener)
--- a/src/berylmast/platform/reports.py
+++ b/src/berylmast/platform/reports.py
@@ -100,6 +100,17 @@
     read or is refused gets 400. ``on_unusable`` is told the id and the reason.
     """
 
+    async def take(call: str, backend: str, body: bytes) -> Result[None, str]:
+        if call == HEARTBEAT:
+            report = parse_heartbeat(backend, body)
+            if report.is_err():
+                return Err(report.unwrap_err())
+            return await on_report(report.unwrap())
+        departure = parse_departure(backend, body)
+        if departure.is_err():
+            return Err(departure.unwrap_err())
+        return await on_departure(departure.unwrap())
+
     async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
         query = parse_qs(scope["query_string"].decode("latin-1"))
         call, backend = query.get("call", [""])[0], query.get("of", [""])[0]
@@ -107,17 +118,7 @@
         if scope["path"] != PATH or call not in (HEARTBEAT, DEREGISTER):
             await _answer(send, 404)
             return
-        result: Result[None, str]
-        if call == HEARTBEAT:
-            report = parse_heartbeat(backend, body)
-            result = await on_report(report.unwrap()) if report.is_ok() else report  # type: ignore[assignment]
-        else:
-            departure = parse_departure(backend, body)
-            result = (
-                await on_departure(departure.unwrap())
-                if departure.is_ok()
-                else departure  # type: ignore[assignment]
-            )
+        result = await take(call, backend, body)
         if result.is_err():
             on_unusable(backend, result.unwrap_err())
         await _answer(send, 200 if result.is_ok() else 400)
--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -40,6 +40,7 @@
     ErrorKind.BODY_TOO_LARGE_UNKNOWN: 413,
     ErrorKind.HEADERS_TOO_LARGE: 431,
     ErrorKind.TOO_MANY_HEADERS: 431,
+    ErrorKind.HEADERS_TIMEOUT: 408,
     ErrorKind.UNKNOWN_SERVICE: 404,
     ErrorKind.DEADLINE_UNKNOWN: _Status.TIMEOUT,
 }
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -220,6 +220,7 @@
                 self._ejections.forget(backend)
         self._loads.prune(kept)
         self._ramp.prune(kept)
+        self._unreachable.prune(kept)
 
     def _find_probed(self, service: str) -> list[Endpoint]:
         """Return the endpoints of the regions that calls normally reach."""
--- a/src/berylmast/routing/unreachable.py
+++ b/src/berylmast/routing/unreachable.py
@@ -41,6 +41,11 @@
             pause_s = min(2 * known.pause_s, MAX_PAUSE_S)
         self._marks[backend] = _Mark(now_s + pause_s, pause_s)
 
+    def prune(self, backends: frozenset[str]) -> None:
+        """Drop the marks of backend servers that are gone."""
+        for backend in [b for b in self._marks if b not in backends]:
+            del self._marks[backend]
+
     def is_marked(self, backend: str, now_s: float) -> bool:
         """Tell whether a backend server is left out for now."""
         mark = self._marks.get(backend)
--- a/src/berylmast/tests/test_serve.py
+++ b/src/berylmast/tests/test_serve.py
@@ -31,6 +31,7 @@
     max_body_bytes=100,
 )
 POST = b"POST / HTTP/1.1\r\nHost: s\r\n"
+HEADER_TIMEOUT_S = 0.3
 
 
 @pytest.fixture
@@ -58,7 +59,10 @@
         await send({"type": "http.response.start", "status": 200, "headers": []})
         await send({"type": "http.response.body", "body": b""})
 
-    server = make_server(app, Address(host="127.0.0.1", port=0), LIMITS)
+    address = Address(host="127.0.0.1", port=0)
+    server = make_server(
+        app, address, LIMITS, get_header_timeout_s=lambda: HEADER_TIMEOUT_S
+    )
     async with anyio.create_task_group() as tg:
         tg.start_soon(server.serve)
         while not server.started:
@@ -181,3 +185,25 @@
                 await stream.receive()
         assert 0.8 <= anyio.current_time() - started_s <= 2.5
     assert LimitSettings().keep_alive_s > 60
+
+
+@pytest.mark.parametrize(
+    ("pause_s", "served"), [(HEADER_TIMEOUT_S / 3, True), (HEADER_TIMEOUT_S * 3, False)]
+)
+async def test_head_that_takes_too_long_is_refused(
+    pause_s: float, served: bool
+) -> None:
+    """Guards against callers that hold connections open with half a head."""
+    seen: list[dict[str, Any]] = []
+    async with connect(seen) as stream:
+        await stream.send(POST)
+        await anyio.sleep(pause_s)
+        if served:
+            await stream.send(b"Content-Length: 0\r\n\r\n")
+            await anyio.sleep(HEADER_TIMEOUT_S * 1.5)
+            assert (await stream.receive()).startswith(b"HTTP/1.1 200")
+        else:
+            answer = await read_all(stream)
+            assert answer.startswith(b"HTTP/1.1 408")
+            assert b"berylmast-outcome: not-run" in answer
+    assert len(seen) == served
