--- a/src/berylmast/backends/owner.py
+++ b/src/berylmast/backends/owner.py
@@ -31,7 +31,8 @@
     LoadReport,
     RequestHead,
 )
-from ..telemetry import EventRates, log_event
+from ..telemetry import log_event
+from .attempt_log import AttemptLog
 from .client import BackendClient
 from .dispatch import DispatchEnd, dispatch_request
 from .interface import OWN_INTERFACE, BackendInterface
@@ -45,10 +46,6 @@
 )
 
 
-LINES_PER_S = 20.0
-"""Lines a second of each kind of refusal and of failure."""
-
-
 class Owner:
     """The only sender of work to the local backend server.
 
@@ -74,7 +71,7 @@
         self._interface = interface
         self._get_backend = get_backend
         self._on_load = on_load
-        self._rates = EventRates(LINES_PER_S)
+        self._log = AttemptLog(admission.report, get_backend)
         self._tg: TaskGroup | None = None
 
     async def run(
@@ -195,7 +192,7 @@
             return
         if admitted.is_err():
             refusal = admitted.unwrap_err()
-            self._log_refusal(head, refusal, anyio.current_time() - arrived_s)
+            self._log.refused(head, refusal, anyio.current_time() - arrived_s)
             await recorder.send(
                 Refuse(
                     exchange.id,
@@ -240,7 +237,7 @@
                 )
         finally:
             ran_s = anyio.current_time() - started_s
-            self._log_ending(head, recorder.ending, ran_s)
+            self._log.ended(head, recorder.ending or _ABANDONED, ran_s)
             if end.load is not None:
                 self._on_load(end.load)
             admitted.unwrap().release(result)
@@ -277,53 +274,6 @@
         elif scope.cancelled_caught:
             await self._fail(recorder, ErrorKind.DEADLINE_UNKNOWN, "deadline passed")
 
-    def _log_refusal(
-        self, head: RequestHead, refusal: Refusal, waited_s: float
-    ) -> None:
-        if refusal.kind is ErrorKind.BUSY:
-            # The entry asks another owner within milliseconds and logs how that ends.
-            return
-        load = self._admission.report()
-        self._rates.write(
-            refusal.kind,
-            "refused",
-            request=head.request_id,
-            attempt=head.attempt,
-            backend=load.backend,
-            reason=refusal.kind,
-            detail=refusal.detail,
-            waited_ms=waited_s * 1000,
-            deadline_ms=head.deadline_ms,
-            in_flight=load.in_flight,
-            queued=load.queued,
-            slots=load.limit,
-            slowdown=load.slowdown,
-        )
-
-    def _log_ending(
-        self, head: RequestHead, ending: Ending | None, ran_s: float
-    ) -> None:
-        """Log an attempt that failed, or that its entry gave up."""
-        if ending is None:
-            ending = _ABANDONED
-        if ending.kind is None:
-            return
-        kind = ending.kind
-        load = self._admission.report()
-        self._rates.write(
-            kind,
-            "attempt_failed",
-            request=head.request_id,
-            attempt=head.attempt,
-            backend=self._get_backend(),
-            reason=kind,
-            detail=ending.detail,
-            ran_ms=ran_s * 1000,
-            deadline_ms=head.deadline_ms,
-            in_flight=load.in_flight,
-            slowdown=load.slowdown,
-        )
-
     def _report(self) -> LoadReport:
         return self._admission.report()
 
