Find the earlier servers of an address without a search of all records

Cause: each record of a list was compared with all known ones, so that the time to join grows with the square of the fleet.

Change: records are indexed by address. Behaviour is unchanged.

--- a/src/berylmast/membership/roster.py
+++ b/src/berylmast/membership/roster.py
@@ -21,6 +21,7 @@
     def __init__(self, directory: Directory) -> None:
         self._directory = directory
         self._table = RecordTable()
+        self._at_address: dict[PeerAddress, set[str]] = {}
         self._digest: str | None = None
         self._listeners: list[Callable[[list[Endpoint]], None]] = []
 
@@ -39,6 +40,9 @@
     def merge(self, records: Iterable[Endpoint]) -> list[Endpoint]:
         """Adopt the records that replace known ones, and return those."""
         changed = self._table.merge(records)
+        for record in changed:
+            address = (record.host, record.port)
+            self._at_address.setdefault(address, set()).add(record.backend)
         for record in list(changed):
             changed += self._table.merge(self._find_replaced(record))
         if not changed:
@@ -82,11 +86,13 @@
     def _find_replaced(self, new: Endpoint) -> list[Endpoint]:
         if new.state is EndpointState.GONE:
             return []
+        names = self._at_address.get((new.host, new.port), set()) - {new.backend}
+        found = [self._table.get(name) for name in sorted(names)]
         return [
             replace(old, state=EndpointState.GONE)
-            for old in self.records()
-            if (old.host, old.port) == (new.host, new.port)
-            and old.backend != new.backend
+            for old in found
+            if old is not None
+            and (old.host, old.port) == (new.host, new.port)
             and old.incarnation <= new.incarnation
             and old.state is not EndpointState.GONE
         ]
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -1,5 +1,6 @@
 """Guards against daemons that lose each other or go back to an older state."""
 
+import time
 from dataclasses import replace
 
 import anyio
@@ -166,3 +167,16 @@
     roster.merge([second])
     found = {endpoint.backend for endpoint in directory.endpoints("orders")}
     assert found == kept
+
+
+def test_joining_a_large_fleet_takes_time_in_proportion_to_it() -> None:
+    """Guards against a search of all records for each record of a list."""
+    many = [
+        Endpoint(f"n{n}", "orders", f"h{n}", 1, "r", "d", 3, 1) for n in range(5000)
+    ]
+    roster = Roster(Directory())
+    started_s = time.process_time()
+    roster.merge(many)
+    took_s = time.process_time() - started_s
+    assert took_s < 2.0, "a search for each record takes ten times as long"
+    assert len(roster.peers(("other", 1))) == 5000
