Bear an infinite deadline of a caller; drop what the adapter does not use

Cause: a deadline of 'inf' raised OverflowError and was answered with 500.

Change: it counts as no deadline, the route's timeout holds. A second reading of the host and a class around three statuses are gone.

Test: the table of deadlines failed with 'inf' before.

--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -1,11 +1,9 @@
 """Headers of requests and answers on the platform, read and written."""
 
 from dataclasses import replace
-from enum import StrEnum
-from typing import Any
 
 from ..backends.interface import BackendInterface, Verdict
-from ..callers.answer import ErrorAnswer
+from ..callers.answer import ERROR_HEADER, OUTCOME_HEADER, ErrorAnswer
 from ..errors import ErrorKind, Outcome, Refusal
 from ..model import BackendLoad, Headers, RequestHead
 
@@ -27,11 +25,9 @@
 _USUAL_PERCENT = 100.0
 
 
-class _Status:
-    UNAVAILABLE = 503
-    BAD_GATEWAY = 502
-    TIMEOUT = 504
-
+_BAD_GATEWAY = 502
+_UNAVAILABLE = 503
+_TIMEOUT = 504
 
 _STATUSES = {
     ErrorKind.BAD_REQUEST: 400,
@@ -42,7 +38,7 @@
     ErrorKind.TOO_MANY_HEADERS: 431,
     ErrorKind.HEADERS_TIMEOUT: 408,
     ErrorKind.UNKNOWN_SERVICE: 404,
-    ErrorKind.DEADLINE_UNKNOWN: _Status.TIMEOUT,
+    ErrorKind.DEADLINE_UNKNOWN: _TIMEOUT,
 }
 """Statuses of the kinds that are no plain refusal or failure.
 
@@ -50,13 +46,6 @@
 """
 
 
-class HeaderField(StrEnum):
-    """Headers of error answers that are the project's own."""
-
-    ERROR = "berylmast-error"
-    OUTCOME = "berylmast-outcome"
-
-
 def read_attempt_id(headers: Headers) -> str:
     """Return the caller's id of this request, empty if it sent none."""
     return _find(headers, ATTEMPT_ID).decode("latin-1")
@@ -67,7 +56,7 @@
     text = _find(headers, DEADLINE_MS).decode("latin-1").strip()
     try:
         return max(0, int(float(text)))
-    except ValueError:
+    except (ValueError, OverflowError):
         return None
 
 
@@ -84,15 +73,15 @@
     """
     status = _STATUSES.get(refusal.kind)
     if status is None:
-        status = _Status.UNAVAILABLE if refusal.not_run else _Status.BAD_GATEWAY
+        status = _UNAVAILABLE if refusal.not_run else _BAD_GATEWAY
     headers = [
         (b"content-type", b"text/plain; charset=utf-8"),
-        (HeaderField.OUTCOME.encode(), refusal.answer.outcome.encode()),
-        (HeaderField.ERROR.encode(), refusal.kind.encode()),
+        (OUTCOME_HEADER, refusal.answer.outcome.encode()),
+        (ERROR_HEADER, refusal.kind.encode()),
     ]
-    if status == _Status.UNAVAILABLE:
+    if status == _UNAVAILABLE:
         headers.append((b"retry-after", f"{refusal.wait_s:.3f}".encode()))
-    assert status != _Status.UNAVAILABLE or refusal.answer.outcome is Outcome.NOT_RUN
+    assert status != _UNAVAILABLE or refusal.answer.outcome is Outcome.NOT_RUN
     return ErrorAnswer(status, tuple(headers))
 
 
@@ -147,9 +136,3 @@
         if key == name:
             return value
     return b""
-
-
-def read_host(scope: dict[str, Any]) -> str:
-    """Return the host that a request names, without its port, in lower case."""
-    value = _find(scope["headers"], b"host").decode("latin-1")
-    return value.partition(":")[0].lower()
--- a/src/berylmast/platform/tests/test_requests.py
+++ b/src/berylmast/platform/tests/test_requests.py
@@ -88,7 +88,7 @@
 
 @pytest.mark.parametrize(
     ("value", "expected"),
-    [(b"2000", 2000), (b"-5", 0), (b"soon", None), (b"1e3", 1000)],
+    [(b"2000", 2000), (b"-5", 0), (b"soon", None), (b"inf", None), (b"1e3", 1000)],
 )
 def test_deadline_of_a_caller(value: bytes, expected: int | None) -> None:
     assert read_deadline_ms([(b"x-deadline-ms", value)]) == expected
