Drop what the new membership never calls

Cause: reading the whole change again: listeners of the roster and of the held configuration, marking a record as gone, and the event of the first list have no caller since registrars are gone.

Change: they are removed. Behaviour is unchanged.

--- a/src/berylmast/membership/anchoring.py
+++ b/src/berylmast/membership/anchoring.py
@@ -56,7 +56,6 @@
         rng: Random,
     ) -> None:
         self.link = StoreLink()
-        self.listed = anyio.Event()
         self._store = store
         self._roster = roster
         self._document = document
@@ -173,7 +172,6 @@
         for record in found:
             self._revisions[record.endpoint.backend] = record.revision
         self._roster.merge(record.endpoint for record in found)
-        self.listed.set()
 
     async def _write(self, record: Endpoint) -> None:
         """Store a record unless a newer one of the same backend server is stored."""
--- a/src/berylmast/membership/held.py
+++ b/src/berylmast/membership/held.py
@@ -23,7 +23,6 @@
         self.text = b""
         self._parse = parse
         self._directory = directory
-        self._listeners: list[Callable[[Configuration], None]] = []
 
     @property
     def version(self) -> int:
@@ -46,10 +45,6 @@
             return None
         return self.current.limits.header_timeout_s
 
-    def add_listener(self, listener: Callable[[Configuration], None]) -> None:
-        """Call a function with each configuration that comes into force."""
-        self._listeners.append(listener)
-
     def adopt_text(self, text: bytes, source: str) -> bool:
         """Adopt a configuration as JSON text; False if it is not newer or unusable."""
         try:
@@ -77,6 +72,4 @@
         for name in dropped:
             self._directory.drop_service(name, new.version)
         log_event("document_in_force", version=new.version, source=source)
-        for listener in self._listeners:
-            listener(new)
         return True
--- a/src/berylmast/membership/records.py
+++ b/src/berylmast/membership/records.py
@@ -1,7 +1,7 @@
 """Endpoint records: their order, their wire form, and their table."""
 
 from collections.abc import Iterable
-from dataclasses import astuple, replace
+from dataclasses import astuple
 
 from ..daemons.frames import Record
 from ..model import Endpoint, EndpointState
@@ -82,24 +82,6 @@
             self._forget(next(iter(self._gone)))
         return changed
 
-    def find_gone(self, records: Iterable[Endpoint]) -> list[Endpoint]:
-        """Return the records that are gone here but not in the given ones."""
-        known = [(self._records.get(record.backend), record) for record in records]
-        return [
-            gone
-            for gone, record in known
-            if gone is not None
-            and gone.state is EndpointState.GONE
-            and supersedes(gone, record)
-        ]
-
-    def make_gone(self, backend: str, order: tuple[int, int]) -> list[Endpoint]:
-        """Return the record as GONE, to be merged; none if ``order`` is outdated."""
-        known = self._records.get(backend)
-        if known is None or known.order != order:
-            return []
-        return [replace(known, state=EndpointState.GONE)]
-
     def _adopt(self, new: Endpoint) -> bool:
         old = self._records.get(new.backend)
         if not supersedes(new, old):
--- a/src/berylmast/membership/roster.py
+++ b/src/berylmast/membership/roster.py
@@ -1,6 +1,6 @@
 """The endpoint records of the whole fleet, as this daemon knows them."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
 from dataclasses import replace
 from hashlib import blake2b
 
@@ -23,11 +23,6 @@
         self._table = RecordTable()
         self._at_address: dict[PeerAddress, set[str]] = {}
         self._digest: str | None = None
-        self._listeners: list[Callable[[list[Endpoint]], None]] = []
-
-    def add_listener(self, listener: Callable[[list[Endpoint]], None]) -> None:
-        """Call a function with the records that each merge has changed."""
-        self._listeners.append(listener)
 
     def get(self, backend: str) -> Endpoint | None:
         """Return the newest record of a backend server."""
@@ -50,14 +45,8 @@
         self._digest = None
         for record in changed:
             self._directory.put_endpoint(record)
-        for listener in self._listeners:
-            listener(changed)
         return changed
 
-    def mark_gone(self, backend: str, order: tuple[int, int]) -> list[Endpoint]:
-        """Take a backend server out unless it has reported something newer."""
-        return self.merge(self._table.make_gone(backend, order))
-
     def find_newer(self, records: Iterable[Endpoint]) -> list[Endpoint]:
         """Return the records here that replace or are missing among the given ones."""
         given = RecordTable()
