Claim the ports of a layout until its process ends

Cause: find_ports checked that nothing listened on a block, but the block stayed open until its servers had started. The store of a layout was given its port after its members; with a chance of 10 in 12,000 a layout it was one of theirs, and the daemon that came second ended with an error of its bind. Other processes that looked for ports met the same.

--- a/src/berylmast_dev/fleet.py
+++ b/src/berylmast_dev/fleet.py
@@ -52,22 +52,39 @@
         return (HOST, self.port + 3)
 
 
+_claims: list[socket.socket] = []
+
+
 def find_ports(count: int) -> int:
-    """Return the first of ``count`` free ports in a row."""
+    """Return the first of ``count`` free ports in a row; this process claims them.
+
+    A port stays free until its server starts, so a check for a listener alone would
+    give the same port to a second caller. The claim is a datagram socket on the same
+    number: other processes that look for ports see it, servers do not.
+    """
     rng = Random()
     while True:
         first = rng.randrange(_PORT_RANGE.start, _PORT_RANGE.stop - count)
-        if all(_is_free(port) for port in range(first, first + count)):
+        claims = [_claim(port) for port in range(first, first + count)]
+        taken = [claim for claim in claims if claim is not None]
+        if len(taken) == count:
+            _claims.extend(taken)
             return first
+        for claim in taken:
+            claim.close()
 
 
-def _is_free(port: int) -> bool:
-    with socket.socket() as sock:
-        try:
+def _claim(port: int) -> socket.socket | None:
+    """Return the claim of a port; None if it is claimed or has a listener."""
+    claim = socket.socket(type=socket.SOCK_DGRAM)
+    try:
+        claim.bind((HOST, port))
+        with socket.socket() as sock:
             sock.bind((HOST, port))
-        except OSError:
-            return False
-        return True
+    except OSError:
+        claim.close()
+        return None
+    return claim
 
 
 class Fleet:
--- /dev/null
+++ b/src/berylmast_dev/tests/test_fleet.py
@@ -0,0 +1,33 @@
+"""Guards the start of layouts: two processes that share a port never get ready."""
+
+import socket
+from random import Random
+
+import pytest
+
+from .. import fleet
+
+
+class SequenceRandom(Random):
+    """Returns given numbers from ``randrange`` in turn."""
+
+    def __init__(self, numbers: list[int]) -> None:
+        super().__init__()
+        self._numbers = numbers
+
+    def randrange(self, *args: object) -> int:
+        return self._numbers.pop(0)
+
+
+@pytest.mark.parametrize("overlap", [0, 1, 9])
+def test_ports_are_given_out_once(
+    overlap: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a store on the port of a daemon that has not started yet."""
+    block = fleet.find_ports(10)
+    with socket.socket() as sock:
+        sock.bind((fleet.HOST, 0))
+        free = sock.getsockname()[1]
+    numbers = [block + overlap, free]
+    monkeypatch.setattr(fleet, "Random", lambda: SequenceRandom(numbers))
+    assert fleet.find_ports(1) == free
