Add a randomized soak on the platform's protocol

Real processes on loopback (store, six daemons, six backend servers), a proxy in front of every address that is called, and faults drawn from a seed: kills, stops, freezes, reloads and steps of the wall clock of daemons; kills, freezes, leaves, slow and spoilt answers of backend servers; a store that refuses all callers or half of them, limits, hangs, is slow, loses answers, acts late or drops its history; links that delay, hold one way or both, refuse or reset; configurations. Faults overlap and come in series.

The product gains one setting, advertised, for a daemon that others reach at another address than it listens at; the proxy needs it, and so does an address that is translated on the way.

Cause: the stand-in of the backend server took a body that was cut off as complete and ran it.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -59,7 +59,7 @@
     limits = limits or adapter.limits
     rng = Random()
     identity = Identity(cfg.daemon_id, make_incarnation())
-    own = (cfg.peers.host, cfg.peers.port)
+    own = (cfg.peer_address.host, cfg.peer_address.port)
     directory = Directory()
     roster = Roster(directory)
     held = HeldDocument(adapter.parse_configuration, directory)
--- a/src/berylmast/platform/tests/test_store.py
+++ b/src/berylmast/platform/tests/test_store.py
@@ -162,3 +162,14 @@
         assert accepted == 2
         await client.aclose()
         tg.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize("outage", ["refuse", "limit"])
+async def test_store_refuses_some_callers_only(outage: str) -> None:
+    """Guards the stand-in: a machine is refused while others are served."""
+    async with serve() as (store, client):
+        store.control({"outage": outage, "hosts": ["127.0.1.1"]})
+        await client.put("things", "a", {"n": 1}, 0)
+        store.control({"hosts": ["127.0.0.1"]})
+        with pytest.raises(PlatformUnavailable):
+            await client.get("things", "a")
--- a/src/berylmast/settings/_models.py
+++ b/src/berylmast/settings/_models.py
@@ -92,7 +92,12 @@
         min_length=1, description="failure domain, in its region"
     )
     callers: Address = Field(description="where callers reach this daemon, HTTP")
-    peers: Address = Field(description="where other daemons reach this one, TCP")
+    peers: Address = Field(description="where this daemon listens for others, TCP")
+    advertised: Address | None = Field(
+        None,
+        description="where other daemons reach this one if not at peers, for an "
+        "address that is translated on the way, TCP",
+    )
     admin: Address = Field(description="where operators reach this daemon, HTTP")
     service: str | None = Field(None, description="service of the local backend server")
     backend: Address | None = Field(None, description="the local backend server, HTTP")
@@ -130,3 +135,8 @@
         description="health endpoint of the backend server; not followed if absent",
     )
     drain: DrainSettings = DrainSettings()
+
+    @property
+    def peer_address(self) -> Address:
+        """Return the address that other daemons connect to."""
+        return self.advertised or self.peers
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -102,7 +102,12 @@
         reporting = BackendReporting(
             self.announced,
             self.admission,
-            Place(cfg.peers.host, cfg.peers.port, cfg.region, cfg.failure_domain),
+            Place(
+                cfg.peer_address.host,
+                cfg.peer_address.port,
+                cfg.region,
+                cfg.failure_domain,
+            ),
             str(cfg.backend),
             lambda: live.cfg.leave_s,
             parts.held.knows_service,
@@ -268,7 +273,7 @@
     """
     if live.cfg.retries is None:
         return RetryBudget()
-    own = (live.cfg.peers.host, live.cfg.peers.port)
+    own = (live.cfg.peer_address.host, live.cfg.peer_address.port)
 
     def get_burst() -> float:
         retries = live.cfg.retries
--- a/src/berylmast_dev/_http.py
+++ b/src/berylmast_dev/_http.py
@@ -8,11 +8,17 @@
 import uvicorn
 
 
+class BodyCut(Exception):
+    """The caller went away before the whole body had arrived."""
+
+
 async def read_body(receive: Any) -> bytes:
-    """Return the whole request body."""
+    """Return the whole request body; raises BodyCut if it ends early."""
     parts = []
     while True:
         message = await receive()
+        if message["type"] == "http.disconnect":
+            raise BodyCut
         parts.append(message.get("body", b""))
         if not message.get("more_body", False):
             return b"".join(parts)
--- a/src/berylmast_dev/lean_client.py
+++ b/src/berylmast_dev/lean_client.py
@@ -21,12 +21,17 @@
 
     status: int = 0
     headers: dict[bytes, bytes] = field(default_factory=dict)
+    body: bytearray = field(default_factory=bytearray)
     complete: bool = False
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Take one header."""
         self.headers[name.lower()] = value
 
+    def on_body(self, data: bytes) -> None:
+        """Take a part of the body."""
+        self.body += data
+
     def on_message_complete(self) -> None:
         """Take the end of the body."""
         self.complete = True
--- a/src/berylmast_dev/platform_backend.py
+++ b/src/berylmast_dev/platform_backend.py
@@ -1,8 +1,10 @@
 """Stand-in for a backend server on the users' platform."""
 
 import json
+import time
 from dataclasses import dataclass, field
 from hashlib import sha256
+from pathlib import Path
 from random import Random
 from typing import Annotated, Any
 
@@ -10,9 +12,10 @@
 import httpcore
 from cyclopts import App, Parameter
 
-from ._http import read_body, send_json, serve_app
+from ._http import BodyCut, read_body, send_json, serve_app
 
 HEARTBEAT_S = 0.5
+ACKNOWLEDGE_S = 1.0
 ANSWER_BYTES = 2_000
 
 Headers = dict[bytes, bytes]
@@ -28,9 +31,13 @@
 
 @dataclass(slots=True)
 class State:
-    """What ``/_control`` changes and ``/_ledger`` reports."""
+    """What ``/_control`` changes and ``/_ledger`` reports.
+
+    ``acknowledged`` tells that a daemon has taken the report of the leaving.
+    """
 
     draining: bool = False
+    acknowledged: bool = False
     slow: float = 1.0
     garble: str = ""
     runs: list[str] = field(default_factory=list)
@@ -44,10 +51,18 @@
     """
 
     def __init__(
-        self, name: str, slots: int, mean_ms: float, call: Call | None
+        self,
+        name: str,
+        service: str,
+        slots: int,
+        mean_ms: float,
+        call: Call | None,
+        ledger: Path | None = None,
     ) -> None:
         self.state = State()
         self.name = name
+        self._service = service
+        self._ledger = ledger
         self._slots = slots
         self._running = 0
         self._mean_s = mean_ms / 1000
@@ -62,13 +77,19 @@
             await send_json(send, 200, {})
         elif scope["path"] == "/_ledger":
             await send_json(send, 200, self.state.runs)
+        elif scope["path"] == "/_state":
+            await send_json(send, 200, {"acknowledged": self.state.acknowledged})
         else:
             await self._serve(scope, receive, send)
 
     async def _serve(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         headers: Headers = dict(scope["headers"])
         attempt = headers.get(b"x-attempt-id")
-        body = await read_body(receive)
+        try:
+            body = await read_body(receive)
+        except BodyCut:
+            # A server does not run a request that has not arrived whole.
+            return
         if attempt is None:
             await self._refuse(send, 400)
         elif (
@@ -78,13 +99,33 @@
         elif self._running >= self._slots:
             await self._refuse(send, 503)
         else:
+            self._write_run(attempt, scope["path"], headers, body)
             await self._run(attempt, headers, body, send)
 
+    def _write_run(
+        self, attempt: bytes, path: str, headers: Headers, body: bytes
+    ) -> None:
+        """Note a run before it begins, so that a killed process leaves it behind."""
+        self.state.runs.append(attempt.decode())
+        if self._ledger is None:
+            return
+        run = {
+            "attempt": attempt.decode(),
+            "server": self.name,
+            "service": self._service,
+            "caller_service": headers.get(b"x-caller-service", b"").decode(),
+            "path": path,
+            "body_digest": sha256(body).hexdigest(),
+            "deadline_ms": int(headers.get(b"x-deadline-ms", b"0")),
+            "at_s": time.monotonic(),
+        }
+        with self._ledger.open("a") as file:
+            file.write(json.dumps(run) + "\n")
+
     async def _run(
         self, attempt: bytes, headers: Headers, body: bytes, send: Any
     ) -> None:
         self._running += 1
-        self.state.runs.append(attempt.decode())
         try:
             drawn_s = self._rng.gammavariate(4, self._mean_s / 4)
             await anyio.sleep(drawn_s * self.state.slow)
@@ -105,8 +146,12 @@
             ("x-attempt-id", f"{attempt.decode()}-call"),
             ("x-deadline-ms", str(deadline_ms)),
         ]
-        async with httpcore.AsyncConnectionPool() as pool:
-            res = await pool.request("GET", self._call.path, headers=headers)
+        try:
+            async with httpcore.AsyncConnectionPool() as pool:
+                res = await pool.request("GET", self._call.path, headers=headers)
+        except (httpcore.NetworkError, httpcore.ProtocolError):
+            # The daemon restarts; the request fails as after any failed call.
+            return False
         return res.status == 200
 
     async def _refuse(self, send: Any, status: int) -> None:
@@ -137,7 +182,7 @@
             return
         await send({"type": "http.response.body", "body": body})
 
-    async def report(self, control: str, address: str, service: str) -> None:
+    async def report(self, control: str, address: str) -> None:
         """Send heartbeats until the process ends."""
         sequence = 0
         born = int(anyio.current_time() * 1000)
@@ -150,7 +195,7 @@
                     "address": address,
                     "born": born,
                     "info": {
-                        "service": service,
+                        "service": self._service,
                         "version": "v1",
                         "zone": "",
                         "slots": self._slots,
@@ -158,7 +203,11 @@
                     "status": {"state": state, "sequence": sequence, "coldLeft": "0ms"},
                 }
                 try:
-                    await pool.request("POST", url, content=json.dumps(body).encode())
+                    with anyio.move_on_after(ACKNOWLEDGE_S):
+                        content = json.dumps(body).encode()
+                        res = await pool.request("POST", url, content=content)
+                        if state == "draining" and res.status == 200:
+                            self.state.acknowledged = True
                 except (httpcore.NetworkError, httpcore.ProtocolError):
                     # The daemon beside it restarts; the next report reaches it.
                     pass
@@ -179,14 +228,16 @@
     slots: int = 6,
     mean_ms: float = 10.0,
     call: Annotated[str, Parameter(help="Nested call: ENTRY HOST PATH.")] = "",
+    address: Annotated[str, Parameter(help="Reported in place of HOST:PORT.")] = "",
+    ledger: Annotated[Path | None, Parameter(help="File that keeps the runs.")] = None,
 ) -> None:
     """Serve requests as one backend server that reports to its daemon."""
     nested = None
     if call:
         entry, call_host, path = call.split()
         nested = Call(call_host, f"http://{entry}{path}")
-    backend = PlatformBackend(name, slots, mean_ms, nested)
-    report = backend.report(control, f"{host}:{port}", service)
+    backend = PlatformBackend(name, service, slots, mean_ms, nested, ledger)
+    report = backend.report(control, address or f"{host}:{port}")
     serve_app(backend.app, host, port, report)
 
 
--- a/src/berylmast_dev/platform_fleet.py
+++ b/src/berylmast_dev/platform_fleet.py
@@ -129,9 +129,9 @@
         name = f"backend-{member.name}"
         self.start_process(name, "berylmast_dev.platform_backend", *args)
 
-    def start_platform_daemon(self, member: PlatformMember) -> None:
-        """Write the settings of one daemon and start it."""
-        settings = {
+    def make_settings(self, member: PlatformMember) -> dict[str, Any]:
+        """Return the settings of one daemon."""
+        return {
             "daemon_id": member.name,
             "environment": "platform",
             "interface": "platform",
@@ -147,17 +147,22 @@
             "drain": {"grace_s": "1000ms", "timeout_s": "3s"},
             "retries": {"ratio": 0.2, "slack": 64, "window_s": "10s"},
         }
+
+    def start_platform_daemon(self, member: PlatformMember) -> None:
+        """Write the settings of one daemon and start it."""
+        settings = self.make_settings(member)
         path = self.write_settings(member.name, settings)
         self.start_process(f"daemon-{member.name}", self.daemon_module, str(path))
 
-    async def put_configuration(self, spec: Any) -> None:
-        """Write the configuration as the operator does."""
+    async def put_configuration(self, spec: Any) -> bool:
+        """Write the configuration as the operator does; True if acknowledged."""
         body = json.dumps({"metadata": {"name": "main"}, "spec": spec}).encode()
         base = f"http://{HOST}:{self.platform_port}/v1/objects/config"
         async with httpcore.AsyncConnectionPool() as pool:
             res = await pool.request("POST", base, content=body)
             if res.status == 409:
-                await pool.request("PUT", f"{base}/main", content=body)
+                res = await pool.request("PUT", f"{base}/main", content=body)
+        return res.status in (200, 201)
 
 
 async def wait_ready(member: PlatformMember) -> None:
--- /dev/null
+++ b/src/berylmast_dev/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real processes on loopback under faults, with promises checked."""
--- /dev/null
+++ b/src/berylmast_dev/soak/links.py
@@ -0,0 +1,138 @@
+"""A loopback proxy whose connections are delayed, reset, cut one way or silenced."""
+
+import socket
+import struct
+from dataclasses import dataclass
+from enum import StrEnum
+
+import anyio
+from anyio.abc import SocketAttribute, SocketStream, TaskStatus
+
+from ..fleet import HOST
+
+_READ_BYTES = 65_536
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class Mode(StrEnum):
+    """What a link does with bytes.
+
+    Bytes that are held arrive when the link passes again, as after a partition.
+    """
+
+    PASS = "pass"
+    REFUSE = "refuse"
+    HOLD_REQUESTS = "hold_requests"
+    HOLD_ANSWERS = "hold_answers"
+    SILENT = "silent"
+
+
+_HELD_TO_TARGET = (Mode.HOLD_REQUESTS, Mode.SILENT)
+_HELD_TO_CALLER = (Mode.HOLD_ANSWERS, Mode.SILENT)
+
+
+@dataclass(frozen=True, slots=True)
+class LinkState:
+    """How a link behaves now; ``delay_s`` is added each way."""
+
+    mode: Mode = Mode.PASS
+    delay_s: float = 0.0
+
+
+class Link:
+    """Forwards connections from one port to another.
+
+    ``source`` is the loopback address by which the target knows the caller.
+    """
+
+    def __init__(self, port: int, target_port: int, source: str = HOST) -> None:
+        self.port = port
+        self._target_port = target_port
+        self._source = source
+        self._state = LinkState()
+        self._changed = anyio.Event()
+        self._ends: set[_End] = set()
+
+    async def run(
+        self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+    ) -> None:
+        """Forward until cancelled."""
+        listener = await anyio.create_tcp_listener(
+            local_host=HOST, local_port=self.port
+        )
+        async with listener:
+            task_status.started()
+            await listener.serve(self._forward)
+
+    def set_state(self, state: LinkState) -> None:
+        """Change the behaviour of open and new connections."""
+        self._state = state
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    async def reset(self) -> None:
+        """Reset all open connections."""
+        for end in tuple(self._ends):
+            await end.reset()
+
+    async def _forward(self, stream: SocketStream) -> None:
+        caller = _End(stream)
+        try:
+            await self._connect_and_copy(caller)
+        finally:
+            await anyio.aclose_forcefully(stream)
+
+    async def _connect_and_copy(self, caller: "_End") -> None:
+        if self._state.mode is Mode.REFUSE:
+            await caller.reset()
+            return
+        try:
+            stream = await anyio.connect_tcp(
+                HOST, self._target_port, local_host=self._source
+            )
+        except OSError:
+            # Nothing listens there now; the caller sees the same as without a proxy.
+            await caller.reset()
+            return
+        target = _End(stream)
+        self._ends |= {caller, target}
+        try:
+            async with anyio.create_task_group() as tg:
+                tg.start_soon(self._copy, caller, target, _HELD_TO_TARGET)
+                tg.start_soon(self._copy, target, caller, _HELD_TO_CALLER)
+        finally:
+            self._ends -= {caller, target}
+            await anyio.aclose_forcefully(stream)
+
+    async def _copy(self, source: "_End", sink: "_End", held: tuple[Mode, ...]) -> None:
+        try:
+            while True:
+                data = await source.stream.receive(_READ_BYTES)
+                await anyio.sleep(self._state.delay_s)
+                await self._wait_passing(held)
+                await sink.stream.send(data)
+        except anyio.EndOfStream:
+            await self._wait_passing(held)
+            await anyio.aclose_forcefully(sink.stream)
+        except (anyio.BrokenResourceError, anyio.ClosedResourceError):
+            await sink.reset()
+
+    async def _wait_passing(self, held: tuple[Mode, ...]) -> None:
+        while self._state.mode in held:
+            await self._changed.wait()
+
+
+class _End:
+    """One connection of a link; its socket is kept for a reset after a close."""
+
+    def __init__(self, stream: SocketStream) -> None:
+        self.stream = stream
+        self._sock = stream.extra(SocketAttribute.raw_socket)
+
+    async def reset(self) -> None:
+        try:
+            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        except (OSError, ValueError):
+            # It is closed already: a closed socket has no file descriptor.
+            pass
+        await anyio.aclose_forcefully(self.stream)
--- /dev/null
+++ b/src/berylmast_dev/soak/run.py
@@ -0,0 +1,156 @@
+"""Plays one seed: starts the layout, lets faults strike, judges what was seen."""
+
+import shutil
+import tempfile
+from collections import Counter
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import anyio
+
+from ..fleet import find_ports
+from ..platform_fleet import (
+    ENTRY_HOST,
+    FleetNotReady,
+    PlatformMember,
+    make_layout,
+    wait_ready,
+)
+from .callers import send_traffic
+from .configurations import SERVICES, Configurations
+from .layout import LEAVE_S, SoakFleet
+from .promises import Record, Sent, Violation, find_violations
+from .schedule import Fault, draw_faults
+from .strikes import Striker
+
+ZONES = [("north", "n1"), ("north", "n2"), ("south", "s1")]
+MEAN_MS = 12.0
+MAX_ATTEMPTS = 2
+SETTLE_S = 6.0
+CALM_S = 3.0
+MOST_RUN_S = 120.0
+
+
+@dataclass(frozen=True, slots=True)
+class Outcome:
+    """What one seed showed; ``folder`` is kept if a promise was broken."""
+
+    seed: int
+    faults: list[Fault]
+    statuses: Counter[int]
+    violations: list[Violation]
+    folder: Path | None = None
+    errors: list[str] = field(default_factory=list)
+
+
+async def play_seed(seed: int, seconds: float, keep: Path) -> Outcome:
+    """Play one seed with ``seconds`` of faults; logs of a failure go to ``keep``."""
+    with tempfile.TemporaryDirectory(prefix="berylmast-soak-") as name:
+        folder = Path(name)
+        outcome = await _play(seed, seconds, folder)
+        if not outcome.violations and not outcome.errors:
+            return outcome
+        kept = keep / f"seed-{seed}"
+        shutil.copytree(folder, kept, dirs_exist_ok=True)
+    return Outcome(
+        seed,
+        outcome.faults,
+        outcome.statuses,
+        outcome.violations,
+        kept,
+        outcome.errors,
+    )
+
+
+async def _play(seed: int, seconds: float, folder: Path) -> Outcome:
+    members = [
+        _with_call(member)
+        for member in make_layout(dict.fromkeys(SERVICES, MEAN_MS), ZONES)
+    ]
+    faults = draw_faults(seed, len(members), seconds)
+    fleet = SoakFleet(folder, find_ports(1), members)
+    sent: list[Sent] = []
+    try:
+        with anyio.fail_after(MOST_RUN_S):
+            async with anyio.create_task_group() as tg:
+                for link in fleet.links.values():
+                    await tg.start(link.run)
+                record = await _strike_and_judge(fleet, faults, seed, seconds, sent)
+                tg.cancel_scope.cancel()
+        fleet.note_own_ends()
+    finally:
+        fleet.stop_all()
+    errors = [*fleet.ended_by_themselves, *_find_tracebacks(fleet)]
+    statuses = Counter(item.status for item in sent)
+    return Outcome(seed, faults, statuses, find_violations(record), errors=errors)
+
+
+async def _strike_and_judge(
+    fleet: SoakFleet, faults: list[Fault], seed: int, seconds: float, sent: list[Sent]
+) -> Record:
+    fleet.start_platform()
+    await fleet.wait_platform()
+    configurations = Configurations(fleet.put_configuration)
+    await configurations.write(configurations.make_spec())
+    for member in fleet.members:
+        fleet.start_member(member)
+    try:
+        for member in fleet.members:
+            await wait_ready(member)
+    except TimeoutError as exc:
+        raise FleetNotReady(fleet.describe()) from exc
+    await anyio.sleep(1.0)
+    striker = Striker(fleet, configurations)
+    start_s = anyio.current_time()
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(_send_all, fleet, seed, start_s + seconds, sent)
+        for fault in faults:
+            tg.start_soon(striker.strike, fault, start_s)
+    await anyio.sleep(SETTLE_S)
+    calm_from_s = anyio.current_time()
+    await _send_all(fleet, seed, calm_from_s + CALM_S, sent)
+    return Record(
+        sent=sent,
+        runs=fleet.read_runs(),
+        leaves=striker.leaves,
+        disturbed=fleet.disturbed,
+        configurations=configurations.history,
+        callers={member.name: member.service for member in fleet.members},
+        calm_from_s=calm_from_s,
+        leave_s=LEAVE_S,
+        max_attempts=MAX_ATTEMPTS,
+    )
+
+
+async def _send_all(
+    fleet: SoakFleet, seed: int, until_s: float, sent: list[Sent]
+) -> None:
+    async def send(member: PlatformMember) -> None:
+        sent.extend(await send_traffic(fleet, member, seed, until_s))
+
+    async with anyio.create_task_group() as tg:
+        for member in fleet.members:
+            tg.start_soon(send, member)
+
+
+def _with_call(member: PlatformMember) -> PlatformMember:
+    """Let the backend servers of the first service call the second one."""
+    call = f"{ENTRY_HOST} /called/item" if member.service == SERVICES[0] else ""
+    return PlatformMember(
+        member.name,
+        member.service,
+        member.region,
+        member.zone,
+        member.port,
+        mean_ms=member.mean_ms,
+        call=call,
+    )
+
+
+def _find_tracebacks(fleet: SoakFleet) -> list[str]:
+    """Return the daemons that logged an error nobody handled."""
+    return [
+        f"{name} logged a traceback"
+        for name, log in fleet.read_logs().items()
+        if name.startswith("daemon-") and "Traceback (most recent call last)" in log
+    ]
--- /dev/null
+++ b/src/berylmast_dev/soak/skewed_daemon.py
@@ -0,0 +1,23 @@
+"""The daemon with a wall clock that a file moves, as a step of the clock does."""
+
+import os
+import time
+from pathlib import Path
+
+from berylmast.bin.berylmastd import main
+
+from .layout import SKEW_FILE
+
+
+def _make_clock(path: Path) -> None:
+    real = time.time
+
+    def read() -> float:
+        return real() + (float(path.read_text()) if path.exists() else 0.0)
+
+    time.time = read
+
+
+if __name__ == "__main__":
+    _make_clock(Path(os.environ[SKEW_FILE]))
+    main()
--- /dev/null
+++ b/src/berylmast_dev/soak/tests/test_links.py
@@ -0,0 +1,83 @@
+"""Guards the soak's proxy: a fault that does not act hides what it should find."""
+
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager, suppress
+from typing import Any
+
+import anyio
+import pytest
+from anyio.abc import SocketStream
+
+from ...fleet import HOST, find_ports
+from ..links import Link, LinkState, Mode
+
+pytestmark = pytest.mark.anyio
+
+
+@pytest.fixture
+def anyio_backend(real_clock: Any) -> Any:
+    return real_clock
+
+
+async def echo(stream: SocketStream) -> None:
+    async with stream:
+        # A reset ends the connection like a close.
+        with suppress(anyio.BrokenResourceError):
+            async for data in stream:
+                await stream.send(data)
+
+
+@asynccontextmanager
+async def run_link() -> AsyncIterator[Link]:
+    target, port = find_ports(1), find_ports(1)
+    link = Link(port, target)
+    listener = await anyio.create_tcp_listener(local_host=HOST, local_port=target)
+    async with listener, anyio.create_task_group() as tg:
+        tg.start_soon(listener.serve, echo)
+        await tg.start(link.run)
+        yield link
+        tg.cancel_scope.cancel()
+
+
+async def arrives(stream: SocketStream, within_s: float) -> bool:
+    with anyio.move_on_after(within_s):
+        return await stream.receive() == b"x"
+    return False
+
+
+@pytest.mark.parametrize(
+    ("state", "held"),
+    [
+        (LinkState(), False),
+        (LinkState(delay_s=0.02), False),
+        (LinkState(Mode.HOLD_REQUESTS), True),
+        (LinkState(Mode.HOLD_ANSWERS), True),
+        (LinkState(Mode.SILENT), True),
+    ],
+)
+async def test_held_bytes_arrive_after_the_fault(state: LinkState, held: bool) -> None:
+    async with run_link() as link:
+        async with await anyio.connect_tcp(HOST, link.port) as stream:
+            link.set_state(state)
+            await stream.send(b"x")
+            assert await arrives(stream, 0.3) is not held
+            link.set_state(LinkState())
+            assert not held or await arrives(stream, 2.0)
+
+
+async def test_reset_ends_open_connections() -> None:
+    async with run_link() as link:
+        stream = await anyio.connect_tcp(HOST, link.port)
+        await stream.send(b"x")
+        assert await arrives(stream, 2.0)
+        await link.reset()
+        with pytest.raises(anyio.BrokenResourceError):
+            await stream.receive()
+
+
+async def test_refused_connections_end_at_once() -> None:
+    async with run_link() as link:
+        link.set_state(LinkState(Mode.REFUSE))
+        with pytest.raises((anyio.BrokenResourceError, anyio.EndOfStream)):
+            stream = await anyio.connect_tcp(HOST, link.port)
+            await stream.receive()
--- a/src/berylmast_dev/store.py
+++ b/src/berylmast_dev/store.py
@@ -9,7 +9,7 @@
 import anyio
 from cyclopts import App
 
-from ._http import read_body, send_json, serve_app
+from ._http import BodyCut, read_body, send_json, serve_app
 from .objects import Change, ObjectTable
 
 PREFIX = ["v1", "objects"]
@@ -25,10 +25,12 @@
     ``outage`` is "refuse" (503 at once), "limit" (429 at once), "hang" (no answer), or
     "". ``slow_s`` delays every call. ``lose_answers`` is the number of writes that take
     effect and hang; ``late_s`` lets these take effect only after that time.
-    ``silent_watches`` stops the answers of the watches that wait now.
+    ``silent_watches`` stops the answers of the watches that wait now. ``hosts`` limits
+    the outage to callers at these addresses; empty for all.
     """
 
     outage: str = ""
+    hosts: tuple[str, ...] = ()
     slow_s: float = 0.0
     lose_answers: int = 0
     late_s: float = 0.0
@@ -86,13 +88,18 @@
         }
         verb = _name_verb(scope["method"], parts, query)
         self.calls[f"{verb} {parts[0]}"] += 1
-        body = await read_body(receive)
+        try:
+            body = await read_body(receive)
+        except BodyCut:
+            # The caller went away before it had asked for anything.
+            return
         if self.faults.slow_s:
             await anyio.sleep(self.faults.slow_s)
-        if self.faults.outage in ("refuse", "limit"):
-            status = 503 if self.faults.outage == "refuse" else 429
-            await send_json(send, status, {"error": self.faults.outage})
-        elif self.faults.outage == "hang":
+        outage = self._find_outage(scope["client"][0])
+        if outage in ("refuse", "limit"):
+            status = 503 if outage == "refuse" else 429
+            await send_json(send, status, {"error": outage})
+        elif outage == "hang":
             await _hang(receive)
         elif verb == "watch":
             await self._serve_watch(parts[0], query, receive, send)
@@ -106,6 +113,10 @@
                 return
             await send_json(send, status, data)
 
+    def _find_outage(self, host: str) -> str:
+        served = self.faults.hosts and host not in self.faults.hosts
+        return "" if served else self.faults.outage
+
     def _run(
         self, verb: str, parts: list[str], query: dict[str, str], body: bytes
     ) -> tuple[int, Any]:
