Move the HTTP client out of the backend server's package

Cause: one client sends requests to the local backend server, health checks and calls to the store, but stood in backends/ under the name BackendClient; the adapter imported across packages for it.

Change: package http_client with HttpClient, HttpAnswer, HttpConnection, ConnectionCut and ServerUnreachable, and its tests beside it. Tests of the packages concerned pass.

--- a/src/berylmast/backends/dispatch.py
+++ b/src/berylmast/backends/dispatch.py
@@ -8,8 +8,8 @@
 from ..daemons import Exchange, ExchangeLost
 from ..daemons.frames import Body, Continue, End, Fail, Refuse, Response
 from ..errors import ErrorKind
+from ..http_client import ConnectionCut, HttpAnswer, HttpClient, ServerUnreachable
 from ..model import BackendLoad, Headers, LoadReport, RequestHead
-from .client import BackendAnswer, BackendClient, BackendCut, BackendUnreachable
 from .interface import OWN_INTERFACE, BackendInterface, Verdict
 
 # RFC 9110 section 6.5.1: fields that frame, route or authorise a message are not taken
@@ -70,7 +70,7 @@
 async def dispatch_request(
     exchange: Exchange,
     head: RequestHead,
-    client: BackendClient,
+    client: HttpClient,
     report: Callable[[], LoadReport],
     end: DispatchEnd,
     interface: BackendInterface = OWN_INTERFACE,
@@ -108,7 +108,7 @@
 async def _dispatch(
     exchange: Exchange,
     head: RequestHead,
-    client: BackendClient,
+    client: HttpClient,
     report: Callable[[], LoadReport],
     end: DispatchEnd,
     interface: BackendInterface,
@@ -136,11 +136,11 @@
             end.answer_s = anyio.current_time() - sent_s
             end.load = interface.read_load(answer.headers)
             await _judge_answer(exchange, answer, report, end, interface)
-    except BackendUnreachable as exc:
+    except ServerUnreachable as exc:
         await exchange.send(
             Refuse(exchange.id, ErrorKind.BACKEND_UNREACHABLE, str(exc), report())
         )
-    except BackendCut as exc:
+    except ConnectionCut as exc:
         await exchange.send(
             Fail(exchange.id, ErrorKind.BACKEND_CUT, str(exc), report())
         )
@@ -152,7 +152,7 @@
 
 async def _judge_answer(
     exchange: Exchange,
-    answer: BackendAnswer,
+    answer: HttpAnswer,
     report: Callable[[], LoadReport],
     end: DispatchEnd,
     interface: BackendInterface,
@@ -172,7 +172,7 @@
             end.status = answer.status
 
 
-async def _read_ahead(answer: BackendAnswer, limit: int) -> list[bytes]:
+async def _read_ahead(answer: HttpAnswer, limit: int) -> list[bytes]:
     """Return the first parts of a body: all of it if it has at most ``limit`` bytes."""
     ahead: list[bytes] = []
     size = 0
@@ -187,7 +187,7 @@
 
 async def _send_answer(
     exchange: Exchange,
-    answer: BackendAnswer,
+    answer: HttpAnswer,
     report: Callable[[], LoadReport],
     read_ahead_bytes: int,
 ) -> None:
--- a/src/berylmast/backends/health.py
+++ b/src/berylmast/backends/health.py
@@ -9,8 +9,8 @@
 
 import anyio
 
+from ..http_client import ConnectionCut, HttpClient, ServerUnreachable
 from ..settings import Address, HealthSettings
-from .client import BackendClient, BackendCut, BackendUnreachable
 
 
 class Health(StrEnum):
@@ -26,7 +26,7 @@
 
 def make_check(address: Address, cfg: HealthSettings) -> Check:
     """Return a check over HTTP: 2xx is ready, 503 is leaving, all else is down."""
-    client = BackendClient(address, connections=1)
+    client = HttpClient(address, connections=1)
     headers = [(b"host", str(address).encode())]
 
     async def check() -> Health:
@@ -35,7 +35,7 @@
                 async with client.send("GET", cfg.path, headers, None) as answer:
                     async for _ in answer.body:
                         pass
-        except (BackendUnreachable, BackendCut, TimeoutError):
+        except (ServerUnreachable, ConnectionCut, TimeoutError):
             return Health.DOWN
         if answer.status == 503:
             return Health.LEAVING
--- a/src/berylmast/backends/measuring.py
+++ b/src/berylmast/backends/measuring.py
@@ -4,9 +4,9 @@
 
 import anyio
 
+from ..http_client import ConnectionCut, HttpClient, ServerUnreachable
 from ..model import BackendLoad, Headers
 from ..settings import Address
-from .client import BackendClient, BackendCut, BackendUnreachable
 
 FRESH_S = 0.04
 """A load stated this recently is still true: it changes within tenths of a second."""
@@ -28,7 +28,7 @@
     def __init__(
         self,
         address: Address,
-        client: BackendClient,
+        client: HttpClient,
         get_path: Callable[[], str],
         read_load: Callable[[Headers], BackendLoad | None],
     ) -> None:
@@ -79,7 +79,7 @@
                     load = self._read_load(answer.headers)
                     async for _ in answer.body:
                         pass
-        except (BackendUnreachable, BackendCut, TimeoutError):
+        except (ServerUnreachable, ConnectionCut, TimeoutError):
             # The requests themselves will tell what is wrong with it.
             load = None
         if load is None:
--- a/src/berylmast/backends/owner.py
+++ b/src/berylmast/backends/owner.py
@@ -23,6 +23,7 @@
     Request,
 )
 from ..errors import ErrorKind, Refusal
+from ..http_client import HttpClient
 from ..limits import Admission, Permit
 from ..model import (
     AttemptResult,
@@ -33,7 +34,6 @@
 )
 from ..telemetry import log_event
 from .attempt_log import AttemptLog
-from .client import BackendClient
 from .dispatch import DispatchEnd, dispatch_request
 from .interface import OWN_INTERFACE, BackendInterface
 from .keys import KeyLedger
@@ -58,7 +58,7 @@
         self,
         admission: Admission,
         ledger: AttemptLedger,
-        client: BackendClient,
+        client: HttpClient,
         keys: KeyLedger | None = None,
         interface: BackendInterface = OWN_INTERFACE,
         get_backend: Callable[[], str] = lambda: "",
--- a/src/berylmast/backends/tests/test_dispatch.py
+++ b/src/berylmast/backends/tests/test_dispatch.py
@@ -9,8 +9,8 @@
 from ...daemons import Exchange, connect_exchanges
 from ...daemons.frames import Body, Continue, End, Fail, Frame, Refuse, Reset, Response
 from ...errors import ErrorKind
+from ...http_client import ConnectionCut, HttpAnswer, ServerUnreachable
 from ...model import AttemptId, Headers, LoadReport, RequestHead
-from ..client import BackendAnswer, BackendCut, BackendUnreachable
 from ..dispatch import DispatchEnd, dispatch_request
 
 pytestmark = pytest.mark.anyio
@@ -56,16 +56,16 @@
         body: AsyncIterator[bytes] | None,
         get_trailers: Callable[[], Headers],
         is_stray: Callable[[Headers], bool] = lambda _headers: False,
-    ) -> AsyncIterator[BackendAnswer]:
+    ) -> AsyncIterator[HttpAnswer]:
         try:
-            if self.parts and isinstance(self.parts[0], BackendUnreachable):
+            if self.parts and isinstance(self.parts[0], ServerUnreachable):
                 raise self.parts[0]
             if not self.reads:
                 await anyio.sleep_forever()
             if body is not None:
                 self.bodies.append(b"".join([part async for part in body]))
                 self.trailers = get_trailers()
-            yield BackendAnswer(
+            yield HttpAnswer(
                 200, [], self._iterate(), [(b"sum", b"1"), (b"host", b"x")]
             )
         except BaseException:
@@ -98,9 +98,9 @@
     ("parts", "ok", "expected"),
     [
         ([b"hi"], True, [Continue, Response, Body, End]),
-        ([b"hi", BackendCut("cut")], False, [Continue, Response, Body, Fail]),
-        ([BackendCut("cut")], False, [Continue, Response, Fail]),
-        ([BackendUnreachable("gone")], False, [Continue, Refuse]),
+        ([b"hi", ConnectionCut("cut")], False, [Continue, Response, Body, Fail]),
+        ([ConnectionCut("cut")], False, [Continue, Response, Fail]),
+        ([ServerUnreachable("gone")], False, [Continue, Refuse]),
     ],
 )
 async def test_cut_answer_has_no_end(
--- a/src/berylmast/backends/tests/test_measuring.py
+++ b/src/berylmast/backends/tests/test_measuring.py
@@ -7,9 +7,9 @@
 import anyio
 import pytest
 
+from ...http_client import HttpAnswer, HttpClient
 from ...model import BackendLoad, Headers
 from ...settings import Address
-from ..client import BackendAnswer, BackendClient
 from ..measuring import FRESH_S, PAUSE_S, TIMEOUT_S, LoadMeter
 
 pytestmark = pytest.mark.anyio
@@ -26,7 +26,7 @@
         self.slowdown = 5.0
 
     @asynccontextmanager
-    async def send(self, *args: Any) -> AsyncIterator[BackendAnswer]:
+    async def send(self, *args: Any) -> AsyncIterator[HttpAnswer]:
         self.calls += 1
         await anyio.sleep(float("inf") if self.hangs else 0.001)
 
@@ -34,7 +34,7 @@
             return
             yield
 
-        yield BackendAnswer(200, [(b"load", str(self.slowdown).encode())], no_body())
+        yield HttpAnswer(200, [(b"load", str(self.slowdown).encode())], no_body())
 
 
 def read_load(headers: Headers) -> BackendLoad | None:
@@ -42,7 +42,7 @@
 
 
 def make_meter(server: FakeServer, path: str = "/healthz") -> LoadMeter:
-    client = cast(BackendClient, server)
+    client = cast(HttpClient, server)
     return LoadMeter(ADDRESS, client, lambda: path, read_load)
 
 
--- a/src/berylmast/backends/tests/test_owner_limits.py
+++ b/src/berylmast/backends/tests/test_owner_limits.py
@@ -10,17 +10,17 @@
 from ...daemons import Exchange, connect_exchanges
 from ...daemons.frames import Refuse, Request, Reset, Response
 from ...errors import ErrorKind
+from ...http_client import HttpAnswer, HttpClient
 from ...limits import AdmissionController
 from ...limits.tests.driver import HEAD, make_controller
 from ...model import AttemptId, Headers
-from ..client import BackendAnswer, BackendClient
 from ..ledger import AttemptLedger
 from ..owner import Owner
 
 pytestmark = pytest.mark.anyio
 
 
-class FakeClient(BackendClient):
+class FakeClient(HttpClient):
     """Answers with one status after a time."""
 
     def __init__(self, status: int, delay_s: float) -> None:
@@ -36,7 +36,7 @@
         body: AsyncIterator[bytes] | None,
         get_trailers: Callable[[], Headers] | None = None,
         is_stray: Callable[[Headers], bool] = lambda _headers: False,
-    ) -> AsyncIterator[BackendAnswer]:
+    ) -> AsyncIterator[HttpAnswer]:
         """Answer without a body."""
 
         async def no_body() -> AsyncIterator[bytes]:
@@ -44,7 +44,7 @@
             yield
 
         await anyio.sleep(self._delay_s)
-        yield BackendAnswer(self._status, (), no_body())
+        yield HttpAnswer(self._status, (), no_body())
 
 
 def make_owner(controller: AdmissionController, status: int, delay_s: float) -> Owner:
--- a/src/berylmast/backends/client.py
+++ b/src/berylmast/http_client/_client.py
@@ -1,4 +1,4 @@
-"""HTTP towards the local backend server."""
+"""Requests to one server over a bounded set of connections."""
 
 from collections import deque
 from collections.abc import AsyncIterator, Callable
@@ -10,17 +10,15 @@
 
 from ..model import Headers
 from ..settings import Address
-from ._http import (
-    BackendConnection,
-    BackendCut,
+from ._connection import (
+    ConnectionCut,
+    HttpConnection,
     ResponseParser,
-    connect_backend,
     format_head,
+    open_connection,
     read_keep_alive_s,
 )
 
-__all__ = ["BackendAnswer", "BackendClient", "BackendCut", "BackendUnreachable"]
-
 CONNECT_TIMEOUT_S = 1.0
 KEEP_ALIVE_MARGIN = 0.3
 """Share of the stated idle time that is not used: the server may close it meanwhile."""
@@ -33,13 +31,13 @@
 """
 
 
-class BackendUnreachable(Exception):
+class ServerUnreachable(Exception):
     """No connection could be made: the request was not sent."""
 
 
 @dataclass(frozen=True, slots=True)
-class BackendAnswer:
-    """Head and body stream of a backend server's answer.
+class HttpAnswer:
+    """Head and body stream of an answer.
 
     ``trailers`` is complete when the body is.
     """
@@ -59,8 +57,8 @@
     get_trailers: Callable[[], Headers] | None
 
 
-class BackendClient:
-    """Sends requests to one backend server over a bounded set of connections.
+class HttpClient:
+    """Sends requests to one server over a bounded set of connections.
 
     With ``silence_limit_s`` a connection is given up when the server's host has not
     answered for that many seconds; it may have lost track of the connection.
@@ -72,7 +70,7 @@
         self._address = address
         self._silence_limit_s = silence_limit_s
         self._free = anyio.Semaphore(connections)
-        self._idle: deque[BackendConnection] = deque()
+        self._idle: deque[HttpConnection] = deque()
 
     @asynccontextmanager
     async def send(
@@ -83,13 +81,13 @@
         body: AsyncIterator[bytes] | None,
         get_trailers: Callable[[], Headers] | None = None,
         is_stray: Callable[[Headers], bool] = lambda _headers: False,
-    ) -> AsyncIterator[BackendAnswer]:
+    ) -> AsyncIterator[HttpAnswer]:
         """Send one request and give its answer; leaving early cancels it.
 
         ``get_trailers`` is called when the body has ended; answers for which
         ``is_stray`` holds belong to other requests and are skipped. Raises
-        BackendUnreachable if nothing was sent, BackendCut otherwise, and what ``body``
-        raises.
+        ServerUnreachable if nothing was sent, ConnectionCut otherwise, and what
+        ``body`` raises.
         """
         upload = None
         if body is not None:
@@ -102,10 +100,10 @@
         try:
             head = format_head(method, target, headers)
         except ValueError as exc:
-            raise BackendUnreachable(str(exc)) from exc
+            raise ServerUnreachable(str(exc)) from exc
         parser = ResponseParser(has_body=method != "HEAD", is_stray=is_stray)
         await self._acquire()
-        conn: BackendConnection | None = None
+        conn: HttpConnection | None = None
         reusable = False
         try:
             conn = await self._connect()
@@ -132,9 +130,9 @@
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 await self._free.acquire()
         except TimeoutError as exc:
-            raise BackendUnreachable("no connection became free in time") from exc
+            raise ServerUnreachable("no connection became free in time") from exc
 
-    async def _connect(self) -> BackendConnection:
+    async def _connect(self) -> HttpConnection:
         self._close_expired()
         while self._idle:
             conn = self._idle.pop()
@@ -143,9 +141,9 @@
             conn.close()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                return await connect_backend(self._address, self._silence_limit_s)
+                return await open_connection(self._address, self._silence_limit_s)
         except (OSError, TimeoutError) as exc:
-            raise BackendUnreachable(f"cannot reach {self._address}: {exc}") from exc
+            raise ServerUnreachable(f"cannot reach {self._address}: {exc}") from exc
 
     def close(self) -> None:
         """Close the idle connections."""
@@ -159,7 +157,7 @@
 
     def _release(
         self,
-        conn: BackendConnection | None,
+        conn: HttpConnection | None,
         reusable: bool,
         keep_alive_s: float | None,
     ) -> None:
@@ -174,18 +172,14 @@
         self._free.release()
 
 
-async def _read_answer(
-    conn: BackendConnection, parser: ResponseParser
-) -> BackendAnswer:
+async def _read_answer(conn: HttpConnection, parser: ResponseParser) -> HttpAnswer:
     await conn.read_head(parser)
     body = conn.iterate_body(parser)
-    return BackendAnswer(parser.status, parser.headers, body, parser.trailers)
+    return HttpAnswer(parser.status, parser.headers, body, parser.trailers)
 
 
 @asynccontextmanager
-async def _upload(
-    conn: BackendConnection, upload: _Upload
-) -> AsyncIterator[anyio.Event]:
+async def _upload(conn: HttpConnection, upload: _Upload) -> AsyncIterator[anyio.Event]:
     """Send a body while the block reads the answer; the event tells that it is sent.
 
     A server may answer before it has read the whole body. Exceptions leave unwrapped.
@@ -199,9 +193,9 @@
             await _send_body(conn, upload)
             sent.set()
         except _LengthMismatch as exc:
-            fault = BackendCut(str(exc))
+            fault = ConnectionCut(str(exc))
             tg.cancel_scope.cancel()
-        except BackendCut:
+        except ConnectionCut:
             # The answer may have come before; otherwise reading fails as well.
             return
         except Exception as exc:
@@ -219,7 +213,7 @@
         raise fault
 
 
-async def _send_body(conn: BackendConnection, upload: _Upload) -> None:
+async def _send_body(conn: HttpConnection, upload: _Upload) -> None:
     if upload.length is None:
         async for part in upload.parts:
             if part:
--- a/src/berylmast/backends/_http.py
+++ b/src/berylmast/http_client/_connection.py
@@ -1,4 +1,4 @@
-"""One HTTP/1.1 connection to the backend server, on a non-blocking socket.
+"""One HTTP/1.1 connection to a server, on a non-blocking socket.
 
 The socket is read directly, without a buffer in between: bytes that arrive while a
 connection is idle stay visible in the kernel, and the connection is not used again.
@@ -23,7 +23,7 @@
 _KEEP_ALIVE = re.compile(rb"timeout=(\d+)")
 
 
-class BackendCut(Exception):
+class ConnectionCut(Exception):
     """The connection failed after the request may have been sent."""
 
 
@@ -59,7 +59,7 @@
     def feed(self, data: bytes) -> None:
         """Parse bytes; empty ones mean that the server closed the connection.
 
-        Raises BackendCut if the response is invalid or ends early.
+        Raises ConnectionCut if the response is invalid or ends early.
         """
         if not data:
             self._finish()
@@ -71,16 +71,16 @@
             # What follows a whole response concerns no request.
             self.reusable = False
             if not self.complete:
-                raise BackendCut(f"invalid response: {exc}") from exc
+                raise ConnectionCut(f"invalid response: {exc}") from exc
         if self._pending_bytes > MAX_HEAD_BYTES and not self.complete:
             self._fault = f"more than {MAX_HEAD_BYTES} bytes without a header or body"
         if self._fault is not None:
-            raise BackendCut(self._fault)
+            raise ConnectionCut(self._fault)
 
     def _finish(self) -> None:
         self.reusable = False
         if not (self.head_done and self._until_close):
-            raise BackendCut("the response ended early")
+            raise ConnectionCut("the response ended early")
         self.complete = True
 
     def on_message_begin(self) -> None:
@@ -147,7 +147,7 @@
     return None
 
 
-class BackendConnection:
+class HttpConnection:
     """Sends one request at a time and reads its response.
 
     ``usable_until_s`` is the time up to which an idle connection is used again.
@@ -160,7 +160,7 @@
     async def send(self, data: bytes) -> None:
         """Send all bytes.
 
-        Raises BackendCut if the connection fails.
+        Raises ConnectionCut if the connection fails.
         """
         view = memoryview(data)
         while view:
@@ -169,12 +169,12 @@
             except BlockingIOError:
                 await anyio.wait_writable(self._sock)
             except OSError as exc:
-                raise BackendCut(f"sending failed: {exc}") from exc
+                raise ConnectionCut(f"sending failed: {exc}") from exc
 
     async def read_head(self, parser: ResponseParser) -> None:
         """Read until the head is complete.
 
-        Raises BackendCut if the response ends early.
+        Raises ConnectionCut if the response ends early.
         """
         while not parser.head_done:
             await anyio.wait_readable(self._sock)
@@ -183,7 +183,7 @@
     async def iterate_body(self, parser: ResponseParser) -> AsyncIterator[bytes]:
         """Yield the parts of the body, read as they are taken.
 
-        Raises BackendCut if the response ends early.
+        Raises ConnectionCut if the response ends early.
         """
         while True:
             while parser.parts:
@@ -200,7 +200,7 @@
             except BlockingIOError:
                 await anyio.wait_readable(self._sock)
             except OSError as exc:
-                raise BackendCut(f"receiving failed: {exc}") from exc
+                raise ConnectionCut(f"receiving failed: {exc}") from exc
         parser.feed(data)
 
     @property
@@ -228,9 +228,9 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, limit_s * 1000)
 
 
-async def connect_backend(
+async def open_connection(
     address: Address, silence_limit_s: int | None = None
-) -> BackendConnection:
+) -> HttpConnection:
     """Open a connection.
 
     Raises OSError if the server can't be reached.
@@ -251,7 +251,7 @@
     except BaseException:
         sock.close()
         raise
-    return BackendConnection(sock)
+    return HttpConnection(sock)
 
 
 def format_head(method: str, target: str, headers: Headers) -> bytes:
--- a/src/berylmast/backends/tests/server.py
+++ b/src/berylmast/http_client/tests/server.py
@@ -7,7 +7,7 @@
 from anyio.abc import SocketStream
 
 from ...settings import Address
-from ..client import BackendClient
+from .. import HttpClient
 
 Serve = Callable[[SocketStream], Awaitable[None]]
 
@@ -38,7 +38,7 @@
     return serve
 
 
-async def call(client: BackendClient, method: str = "GET") -> tuple[int, bytes, object]:
+async def call(client: HttpClient, method: str = "GET") -> tuple[int, bytes, object]:
     async with client.send(method, "/", [(b"host", b"x")], None) as answer:
         body = b"".join([part async for part in answer.body])
         return answer.status, body, list(answer.trailers)
--- a/src/berylmast/backends/tests/test_client.py
+++ b/src/berylmast/http_client/tests/test_client.py
@@ -7,7 +7,7 @@
 from anyio.abc import SocketStream
 
 from ...settings import Address
-from ..client import BackendClient, BackendCut, BackendUnreachable
+from .. import ConnectionCut, HttpClient, ServerUnreachable
 from .server import OK, answer_with, call, run_server
 
 pytestmark = pytest.mark.anyio
@@ -60,7 +60,7 @@
         await answer_with(raw, requests, close=False)(stream)
 
     async with run_server(serve) as address:
-        client = BackendClient(address, 2)
+        client = HttpClient(address, 2)
         with anyio.fail_after(5):
             for _ in range(3):
                 assert await call(client, method) == (status, body, trailers)
@@ -103,8 +103,8 @@
 )
 async def test_cut_or_invalid_response_never_passes_as_whole(raw: bytes) -> None:
     async with run_server(answer_with(raw, [], close=True)) as address:
-        client = BackendClient(address, 2)
-        with anyio.fail_after(5), pytest.raises(BackendCut):
+        client = HttpClient(address, 2)
+        with anyio.fail_after(5), pytest.raises(ConnectionCut):
             await call(client)
 
 
@@ -124,7 +124,7 @@
             await anyio.sleep(1)
 
     async with run_server(serve) as address:
-        client = BackendClient(address, 1)
+        client = HttpClient(address, 1)
         for target in ("/first", "/second"):
             async with client.send("GET", target, [], None) as answer:
                 body = b"".join([part async for part in answer.body])
@@ -143,7 +143,7 @@
         await answer_with(raw + raw, [], close=False)(stream)
 
     async with run_server(serve) as address:
-        client = BackendClient(address, 1)
+        client = HttpClient(address, 1)
         for _ in range(2):
             assert (await call(client))[0] == 204
         assert connections == 2
@@ -153,5 +153,5 @@
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
         address = Address(host="127.0.0.1", port=sock.getsockname()[1])
-    with pytest.raises(BackendUnreachable):
-        await call(BackendClient(address, 1))
+    with pytest.raises(ServerUnreachable):
+        await call(HttpClient(address, 1))
--- a/src/berylmast/backends/tests/test_requests.py
+++ b/src/berylmast/http_client/tests/test_requests.py
@@ -6,7 +6,7 @@
 import pytest
 from anyio.abc import SocketStream
 
-from ..client import BackendClient, BackendCut, BackendUnreachable
+from .. import ConnectionCut, HttpClient, ServerUnreachable
 from .server import OK, answer_with, run_server
 
 pytestmark = pytest.mark.anyio
@@ -41,7 +41,7 @@
             yield part
 
     async with run_server(serve) as address:
-        client = BackendClient(address, 1)
+        client = HttpClient(address, 1)
         with anyio.fail_after(5):
             async with client.send(
                 "POST", "/", headers, iterate(), lambda: [(b"sum", b"1")]
@@ -64,8 +64,8 @@
         yield body
 
     async with run_server(serve) as address:
-        client = BackendClient(address, 1)
-        with anyio.fail_after(5), pytest.raises(BackendCut):
+        client = HttpClient(address, 1)
+        with anyio.fail_after(5), pytest.raises(ConnectionCut):
             async with client.send("POST", "/", [(b"content-length", b"3")], iterate()):
                 pass
         await anyio.sleep(0.05)
@@ -84,7 +84,7 @@
             yield b"x" * 65_536
 
     async with run_server(serve) as address:
-        client = BackendClient(address, 1)
+        client = HttpClient(address, 1)
         with anyio.fail_after(5):
             async with client.send("POST", "/", [], iterate()) as answer:
                 assert answer.status == 413
@@ -93,8 +93,8 @@
 async def test_head_with_a_line_break_is_not_sent() -> None:
     requests: list[bytes] = []
     async with run_server(answer_with(OK, requests, close=True)) as address:
-        client = BackendClient(address, 1)
-        with pytest.raises(BackendUnreachable):
+        client = HttpClient(address, 1)
+        with pytest.raises(ServerUnreachable):
             async with client.send("GET", "/", [(b"x", b"a\r\nhost: b")], None):
                 pass
     assert requests == []
--- a/src/berylmast/platform/store.py
+++ b/src/berylmast/platform/store.py
@@ -8,7 +8,7 @@
 import anyio
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from ..backends.client import BackendClient, BackendCut, BackendUnreachable
+from ..http_client import ConnectionCut, HttpClient, ServerUnreachable
 from ..settings import Address
 from .objects import (
     Changes,
@@ -73,7 +73,7 @@
     def __init__(self, address: Address) -> None:
         self.calls = 0
         self._host = str(address).encode()
-        self._client = BackendClient(
+        self._client = HttpClient(
             address, MAX_CONNECTIONS, silence_limit_s=SILENCE_LIMIT_S
         )
 
@@ -177,8 +177,8 @@
                 ) as answer:
                     data = b"".join([part async for part in answer.body])
             return answer.status, json.loads(data) if data else None
-        except (BackendUnreachable, BackendCut, TimeoutError, ValueError) as exc:
-            sent = not isinstance(exc, BackendUnreachable)
+        except (ServerUnreachable, ConnectionCut, TimeoutError, ValueError) as exc:
+            sent = not isinstance(exc, ServerUnreachable)
             raise PlatformUnavailable(f"{method} {path}: {exc!r}", sent=sent) from exc
 
 
--- a/src/berylmast/tests/fake_parts.py
+++ b/src/berylmast/tests/fake_parts.py
@@ -10,14 +10,14 @@
 from anyio.streams.memory import MemoryObjectSendStream
 from anyio.streams.stapled import StapledObjectStream
 
-from ..backends.client import (
-    BackendAnswer,
-    BackendClient,
-    BackendCut,
-    BackendUnreachable,
-)
 from ..daemons.codec import FrameReader, encode_frame
 from ..daemons.frames import Frame
+from ..http_client import (
+    ConnectionCut,
+    HttpAnswer,
+    HttpClient,
+    ServerUnreachable,
+)
 from ..model import (
     AttemptId,
     Headers,
@@ -82,7 +82,7 @@
 
 
 @dataclass
-class FakeBackend(BackendClient):
+class FakeBackend(HttpClient):
     """Replaces the HTTP client; ``runs`` is the backend server's own ledger.
 
     ``cut_at`` ends the connection at a step; ``stall_at`` makes the backend server
@@ -112,10 +112,10 @@
         body: AsyncIterator[bytes] | None,
         get_trailers: Callable[[], Headers] | None = None,
         is_stray: Callable[[Headers], bool] = lambda _headers: False,
-    ) -> AsyncIterator[BackendAnswer]:
+    ) -> AsyncIterator[HttpAnswer]:
         """Run a request as a backend server would that answers after its work."""
         if self.cut_at is Step.CONNECT:
-            raise BackendUnreachable("refused")
+            raise ServerUnreachable("refused")
         data = b"".join([part async for part in body]) if body is not None else b""
         values = {key.lower(): value for key, value in headers}
         assert len(values) == len(headers), "a header was set twice"
@@ -126,7 +126,7 @@
         self.received.append((values, data))
         await anyio.sleep(self.run_s)
         await self._fail_at(Step.RUN)
-        yield BackendAnswer(self.status, self.headers, self._iterate_parts(run))
+        yield HttpAnswer(self.status, self.headers, self._iterate_parts(run))
 
     async def _iterate_parts(self, run: FakeRun) -> AsyncIterator[bytes]:
         named = (run.request_id.encode(),) if self.echo else ()
@@ -141,7 +141,7 @@
         if self.stall_at is step:
             await anyio.sleep_forever()
         if self.cut_at is step:
-            raise BackendCut("cut")
+            raise ConnectionCut("cut")
 
 
 OnFrame = Callable[["FakeStream", Frame], bool]
--- a/src/berylmast/tests/golden_log.py
+++ b/src/berylmast/tests/golden_log.py
@@ -7,8 +7,8 @@
 
 import anyio
 
-from ..backends.client import BackendAnswer, BackendCut, BackendUnreachable
 from ..daemons.frames import CONNECTION, Frame
+from ..http_client import ConnectionCut, HttpAnswer, ServerUnreachable
 from ..model import AttemptId, Headers
 from .fake_parts import FakeBackend, FakeStream, OnFrame
 
@@ -116,7 +116,7 @@
         body: AsyncIterator[bytes] | None,
         get_trailers: Callable[[], Headers] | None = None,
         is_stray: Callable[[Headers], bool] = lambda _headers: False,
-    ) -> AsyncIterator[BackendAnswer]:
+    ) -> AsyncIterator[HttpAnswer]:
         """Run a request as the fake does."""
         server = f"{self.name}-server"
         self.log.add(self.name, server, f"{method} {target} {show_headers(headers)}")
@@ -140,6 +140,6 @@
                 shown = show_headers(answer.headers)
                 self.log.add(server, self.name, f"{answer.status} {shown}")
                 yield replace(answer, body=pass_answer(answer.body))
-        except (BackendUnreachable, BackendCut) as exc:
+        except (ServerUnreachable, ConnectionCut) as exc:
             self.log.add(server, self.name, f"{type(exc).__name__}: {exc}")
             raise
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -10,12 +10,12 @@
 from .adapter import Adapter
 from .backends import AttemptLedger, Owner
 from .backends.announced import AnnouncedBackend, BackendReport
-from .backends.client import BackendClient
 from .backends.health import Health, follow_health, make_check
 from .backends.measuring import LoadMeter
 from .backends.reporting import BackendReporting, Place
 from .daemons import Accept, Exchange, Identity, PeerListener
 from .daemons.frames import Compare, OpeningFrame
+from .http_client import HttpClient
 from .lifecycle import LeaveReason, Lifecycle
 from .limits import Admission, Limits, RetryBudget
 from .membership import Directory
@@ -69,7 +69,7 @@
             return None
         announced = AnnouncedBackend()
         get_slice = make_slice_getter(announced, directory)
-        client = BackendClient(cfg.backend, BACKEND_CONNECTIONS)
+        client = HttpClient(cfg.backend, BACKEND_CONNECTIONS)
 
         def get_load_path() -> str:
             found = get_slice()
