Shorten the rest of idle connections after one was lost

Cause: a server may forget an idle connection without notice, sooner than it states (idle_race). What is sent next is reset, and of a request that must not repeat nobody knows whether it ran: it ends with 502. The client went on using connections that had rested as long.

Change: idle connections stand in a module of their own.

Ruled out: a new connection for each request that must not repeat, at all times; new connections are priced, and no server forgets them usually.

--- a/src/berylmast/http_client/_client.py
+++ b/src/berylmast/http_client/_client.py
@@ -1,6 +1,5 @@
 """Requests to one server over a bounded set of connections."""
 
-from collections import deque
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -18,17 +17,9 @@
     open_connection,
     read_keep_alive_s,
 )
+from ._idle import IdleConnections
 
 CONNECT_TIMEOUT_S = 1.0
-KEEP_ALIVE_MARGIN = 0.3
-"""Share of the stated idle time that is not used: the server may close it meanwhile."""
-
-IDLE_LIMIT_S = 4.0
-"""Idle connections are closed after this time where the server states none.
-
-Common servers close them after 5 s. A request that meets such a close is lost, and of a
-non-idempotent one nobody knows whether it ran.
-"""
 
 
 class ServerUnreachable(Exception):
@@ -70,7 +61,7 @@
         self._address = address
         self._silence_limit_s = silence_limit_s
         self._free = anyio.Semaphore(connections)
-        self._idle: deque[HttpConnection] = deque()
+        self._idle = IdleConnections()
 
     @asynccontextmanager
     async def send(
@@ -115,6 +106,10 @@
                 async with _upload(conn, upload) as sent:
                     yield await _read_answer(conn, parser)
                     reusable = parser.complete and parser.reusable and sent.is_set()
+        except ConnectionCut:
+            if conn is not None and not parser.received:
+                self._idle.record_lost(conn)
+            raise
         finally:
             self._release(conn, reusable, read_keep_alive_s(parser.headers))
 
@@ -133,12 +128,9 @@
             raise ServerUnreachable("no connection became free in time") from exc
 
     async def _connect(self) -> HttpConnection:
-        self._close_expired()
-        while self._idle:
-            conn = self._idle.pop()
-            if conn.quiet:
-                return conn
-            conn.close()
+        conn = self._idle.take()
+        if conn is not None:
+            return conn
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 return await open_connection(self._address, self._silence_limit_s)
@@ -147,13 +139,7 @@
 
     def close(self) -> None:
         """Close the idle connections."""
-        while self._idle:
-            self._idle.pop().close()
-
-    def _close_expired(self) -> None:
-        now_s = anyio.current_time()
-        while self._idle and self._idle[0].usable_until_s < now_s:
-            self._idle.popleft().close()
+        self._idle.close()
 
     def _release(
         self,
@@ -162,11 +148,7 @@
         keep_alive_s: float | None,
     ) -> None:
         if conn is not None and reusable:
-            limit_s = IDLE_LIMIT_S
-            if keep_alive_s is not None:
-                limit_s = keep_alive_s * (1 - KEEP_ALIVE_MARGIN)
-            conn.usable_until_s = anyio.current_time() + limit_s
-            self._idle.append(conn)
+            self._idle.put(conn, keep_alive_s)
         elif conn is not None:
             conn.close()
         self._free.release()
--- a/src/berylmast/http_client/_connection.py
+++ b/src/berylmast/http_client/_connection.py
@@ -45,6 +45,7 @@
         self.trailers: list[tuple[bytes, bytes]] = []
         self.parts: deque[bytes] = deque()
         self.head_done = False
+        self.received = False
         self.complete = False
         self.reusable = True
         self._has_body = has_body
@@ -64,6 +65,7 @@
         if not data:
             self._finish()
             return
+        self.received = True
         self._pending_bytes += len(data)
         try:
             self._parser.feed_data(data)
@@ -150,11 +152,14 @@
 class HttpConnection:
     """Sends one request at a time and reads its response.
 
-    ``usable_until_s`` is the time up to which an idle connection is used again.
+    ``resting_since_s`` and ``usable_until_s`` are the times between which an idle
+    connection may be used again; ``rested_s`` is how long it rested before this use.
     """
 
     def __init__(self, sock: socket.socket) -> None:
+        self.resting_since_s = 0.0
         self.usable_until_s = 0.0
+        self.rested_s = 0.0
         self._sock = sock
 
     async def send(self, data: bytes) -> None:
