Keep soak cases that failed, with the faults they drew

A seed draws other faults once the list of faults changes, so a case that failed is kept as its faults, with its cause.

--- a/src/berylmast_dev/soak/__main__.py
+++ b/src/berylmast_dev/soak/__main__.py
@@ -7,48 +7,52 @@
 import anyio
 from cyclopts import App
 
-from .run import Outcome, play_seed
+from .cases import Case, draw_case, list_regressions, load_case
+from .run import Outcome, play_case
 
 cli = App(name="soak", help=__doc__)
 
 
 @cli.default
 def run(
-    *, first: int = 1, count: int = 1, seconds: float = 12.0, keep: Path = Path("soak")
+    *,
+    first: int = 1,
+    count: int = 1,
+    seconds: float = 12.0,
+    replay: tuple[Path, ...] = (),
+    regressions: bool = False,
+    keep: Path = Path("soak"),
 ) -> None:
-    """Play seeds one after the other; status 1 if one broke a promise."""
+    """Play seeds, or kept cases, one after the other; status 1 if a promise broke.
+
+    ``replay`` names files of kept cases; ``regressions`` plays all that failed once.
+    """
     # A soak that is told to end stops the processes that it started.
     signal.signal(signal.SIGTERM, signal.default_int_handler)
-    failed = [
-        seed
-        for seed in range(first, first + count)
-        if not print_outcome(_play(seed, seconds, keep))
-    ]
+    paths = [*replay, *(list_regressions() if regressions else [])]
+    seeds = () if paths else range(first, first + count)
+    cases = [load_case(path) for path in paths]
+    cases += [draw_case(seed, seconds) for seed in seeds]
+    failed = [case for case in cases if not print_outcome(_play(case, keep))]
     if failed:
-        sys.exit(f"seeds that failed: {', '.join(map(str, failed))}")
+        sys.exit(f"{len(failed)} of {len(cases)} cases failed")
 
 
-def _play(seed: int, seconds: float, keep: Path) -> Outcome:
-    return anyio.run(
-        play_seed, seed, seconds, keep, backend_options={"use_uvloop": True}
-    )
+def _play(case: Case, keep: Path) -> Outcome:
+    return anyio.run(play_case, case, keep, backend_options={"use_uvloop": True})
 
 
 def print_outcome(outcome: Outcome) -> bool:
-    """Print what one seed showed; True if all promises were kept."""
-    statuses = dict(sorted(outcome.statuses.items()))
-    print(f"seed {outcome.seed}: {len(outcome.faults)} faults, answers {statuses}")
+    """Print what one case showed; True if all promises were kept."""
+    case, statuses = outcome.case, dict(sorted(outcome.statuses.items()))
+    print(f"seed {case.seed}: {len(case.faults)} faults, answers {statuses}")
     for violation in outcome.violations:
         print(f"  {violation.promise}: {violation.subject}: {violation.detail}")
     for error in outcome.errors:
         print(f"  process: {error}")
-    if outcome.folder is None:
-        return True
-    for fault in outcome.faults:
-        where = f"{fault.member} {fault.link} {fault.how}"
-        print(f"  {fault.at_s:6.2f} {fault.for_s:5.2f} {fault.kind} {where}")
-    print(f"  logs: {outcome.folder}", flush=True)
-    return False
+    if outcome.folder is not None:
+        print(f"  faults and logs: {outcome.folder}", flush=True)
+    return outcome.folder is None
 
 
 if __name__ == "__main__":
--- a/src/berylmast_dev/soak/run.py
+++ b/src/berylmast_dev/soak/run.py
@@ -1,9 +1,9 @@
-"""Plays one seed: starts the layout, lets faults strike, judges what was seen."""
+"""Plays one case: starts the layout, lets faults strike, judges what was seen."""
 
 import shutil
 import tempfile
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from pathlib import Path
 
 import anyio
@@ -17,10 +17,10 @@
     wait_ready,
 )
 from .callers import send_traffic
+from .cases import Case, save_case
 from .configurations import SERVICES, Configurations
 from .layout import LEAVE_S, SoakFleet
 from .promises import Record, Sent, Violation, find_violations
-from .schedule import Fault, draw_faults
 from .strikes import Striker
 
 ZONES = [("north", "n1"), ("north", "n2"), ("south", "s1")]
@@ -33,41 +33,33 @@
 
 @dataclass(frozen=True, slots=True)
 class Outcome:
-    """What one seed showed; ``folder`` is kept if a promise was broken."""
+    """What one case showed; ``folder`` is kept if a promise was broken."""
 
-    seed: int
-    faults: list[Fault]
+    case: Case
     statuses: Counter[int]
     violations: list[Violation]
     folder: Path | None = None
     errors: list[str] = field(default_factory=list)
 
 
-async def play_seed(seed: int, seconds: float, keep: Path) -> Outcome:
-    """Play one seed with ``seconds`` of faults; logs of a failure go to ``keep``."""
+async def play_case(case: Case, keep: Path) -> Outcome:
+    """Play one case; its faults and logs go to ``keep`` if it fails."""
     with tempfile.TemporaryDirectory(prefix="berylmast-soak-") as name:
         folder = Path(name)
-        outcome = await _play(seed, seconds, folder)
+        outcome = await _play(case, folder)
         if not outcome.violations and not outcome.errors:
             return outcome
-        kept = keep / f"seed-{seed}"
+        kept = keep / f"seed-{case.seed}"
         shutil.copytree(folder, kept, dirs_exist_ok=True)
-    return Outcome(
-        seed,
-        outcome.faults,
-        outcome.statuses,
-        outcome.violations,
-        kept,
-        outcome.errors,
-    )
+        await save_case(case, kept / "case.json")
+    return replace(outcome, folder=kept)
 
 
-async def _play(seed: int, seconds: float, folder: Path) -> Outcome:
+async def _play(case: Case, folder: Path) -> Outcome:
     members = [
         _with_call(member)
         for member in make_layout(dict.fromkeys(SERVICES, MEAN_MS), ZONES)
     ]
-    faults = draw_faults(seed, len(members), seconds)
     fleet = SoakFleet(folder, find_ports(1), members)
     sent: list[Sent] = []
     try:
@@ -75,19 +67,17 @@
             async with anyio.create_task_group() as tg:
                 for link in fleet.links.values():
                     await tg.start(link.run)
-                record = await _strike_and_judge(fleet, faults, seed, seconds, sent)
+                record = await _strike_and_judge(fleet, case, sent)
                 tg.cancel_scope.cancel()
         fleet.note_own_ends()
     finally:
         fleet.stop_all()
     errors = [*fleet.ended_by_themselves, *_find_tracebacks(fleet)]
     statuses = Counter(item.status for item in sent)
-    return Outcome(seed, faults, statuses, find_violations(record), errors=errors)
+    return Outcome(case, statuses, find_violations(record), errors=errors)
 
 
-async def _strike_and_judge(
-    fleet: SoakFleet, faults: list[Fault], seed: int, seconds: float, sent: list[Sent]
-) -> Record:
+async def _strike_and_judge(fleet: SoakFleet, case: Case, sent: list[Sent]) -> Record:
     fleet.start_platform()
     await fleet.wait_platform()
     configurations = Configurations(fleet.put_configuration)
@@ -103,12 +93,12 @@
     striker = Striker(fleet, configurations)
     start_s = anyio.current_time()
     async with anyio.create_task_group() as tg:
-        tg.start_soon(_send_all, fleet, seed, start_s + seconds, sent)
-        for fault in faults:
+        tg.start_soon(_send_all, fleet, case.seed, start_s + case.seconds, sent)
+        for fault in case.faults:
             tg.start_soon(striker.strike, fault, start_s)
     await anyio.sleep(SETTLE_S)
     calm_from_s = anyio.current_time()
-    await _send_all(fleet, seed, calm_from_s + CALM_S, sent)
+    await _send_all(fleet, case.seed, calm_from_s + CALM_S, sent)
     return Record(
         sent=sent,
         runs=fleet.read_runs(),
--- a/src/berylmast_dev/soak/tests/test_seeds.py
+++ b/src/berylmast_dev/soak/tests/test_seeds.py
@@ -3,9 +3,18 @@
 from pathlib import Path
 from typing import Any
 
+import anyio
 import pytest
 
-from ..run import play_seed
+from ..cases import (
+    REGRESSIONS,
+    Case,
+    draw_case,
+    list_regressions,
+    load_case,
+    save_case,
+)
+from ..run import play_case
 from ..schedule import draw_faults
 
 pytestmark = pytest.mark.anyio
@@ -24,9 +33,27 @@
     assert draw_faults(7, 6, 12.0) != draw_faults(8, 6, 12.0)
 
 
-@pytest.mark.parametrize("seed", [1, 2])
-async def test_promises_hold_under_random_faults(seed: int, tmp_path: Path) -> None:
-    outcome = await play_seed(seed, SECONDS, tmp_path)
+def test_a_kept_case_is_the_same_when_loaded(tmp_path: Path) -> None:
+    """Guards regressions against a change of what seeds draw."""
+    case = draw_case(7, SECONDS)
+    path = tmp_path / "case.json"
+    anyio.run(save_case, case, path)
+    assert load_case(path) == case
+
+
+@pytest.mark.parametrize("path", list_regressions(), ids=lambda path: path.stem)
+def test_regressions_name_their_cause(path: Path) -> None:
+    """Guards against kept cases that nobody can place; they are played by hand."""
+    assert load_case(path).cause
+
+
+@pytest.mark.parametrize(
+    "case",
+    [draw_case(1, SECONDS), load_case(REGRESSIONS / "seed-2.json")],
+    ids=["seed-1", "cut-body"],
+)
+async def test_promises_hold_under_random_faults(case: Case, tmp_path: Path) -> None:
+    outcome = await play_case(case, tmp_path)
     assert outcome.violations == []
     assert outcome.errors == []
     assert outcome.statuses[200] > 100
