Count an instance as disturbed until its daemon serves again

Ruled out: requests cut by the stop itself (the closed connections were refused after it had ended).

--- a/src/berylmast_dev/soak/strikes.py
+++ b/src/berylmast_dev/soak/strikes.py
@@ -8,7 +8,7 @@
 import httpcore
 
 from ..fleet import HOST
-from ..platform_fleet import PlatformMember
+from ..platform_fleet import PlatformMember, wait_ready
 from .configurations import Configurations
 from .layout import SoakFleet, find_source
 from .links import LinkState, Mode
@@ -18,6 +18,7 @@
 Control = dict[str, object]
 
 CONTROL_S = 1.0
+START_S = 8.0
 LEAVE_POLL_S = 0.05
 LEAVE_WAIT_S = 5.0
 LINK_DELAY_S = 0.15
@@ -85,16 +86,21 @@
         async with self._fleet.locks[name]:
             with self._fleet.disturb(member.name):
                 await self._fleet.kill(name)
-                await anyio.sleep(fault.for_s)
-                self._fleet.start_platform_daemon(member)
+                await self._start_daemon(fault, member)
+
+    async def _start_daemon(self, fault: Fault, member: PlatformMember) -> None:
+        """Start a daemon after the time of a fault; the fault ends once it serves."""
+        await anyio.sleep(fault.for_s)
+        self._fleet.start_platform_daemon(member)
+        with anyio.move_on_after(START_S):
+            await wait_ready(member)
 
     async def _stop_daemon(self, fault: Fault, member: PlatformMember) -> None:
         name = f"daemon-{member.name}"
         async with self._fleet.locks[name]:
             with self._fleet.disturb(member.name):
                 await self._fleet.stop(name)
-                await anyio.sleep(fault.for_s)
-                self._fleet.start_platform_daemon(member)
+                await self._start_daemon(fault, member)
 
     async def _kill_daemons(self, fault: Fault, _member: PlatformMember) -> None:
         async with anyio.create_task_group() as tg:
