Call the stand-ins' peers with the lean client

Their logs end in an AttributeError that anyio raises inside httpcore when a connection is reset while it is being opened; the daemons are not concerned.

Change: reports and nested calls of the stand-in use the lean client of the load processes, whose failures stand in one constant.

--- a/src/berylmast_dev/lean_client.py
+++ b/src/berylmast_dev/lean_client.py
@@ -12,6 +12,14 @@
 from anyio.abc import SocketStream
 
 Address = tuple[str, int]
+CONNECTION_FAILURES = (
+    OSError,
+    anyio.EndOfStream,
+    anyio.BrokenResourceError,
+    anyio.ClosedResourceError,
+)
+"""What a request raises whose connection ends, or can't be opened."""
+
 _READ_BYTES = 65_536
 
 
@@ -53,7 +61,7 @@
     ) -> LeanResponse:
         """Send a request and read the response.
 
-        Raises OSError or an anyio error if the connection fails.
+        Raises one of CONNECTION_FAILURES if the connection fails.
         """
         idle = self._idle[address]
         stream = idle.pop() if idle else await anyio.connect_tcp(*address)
--- a/src/berylmast_dev/platform_backend.py
+++ b/src/berylmast_dev/platform_backend.py
@@ -9,10 +9,10 @@
 from typing import Annotated, Any
 
 import anyio
-import httpcore
 from cyclopts import App, Parameter
 
 from ._http import BodyCut, read_body, send_json, serve_app
+from .lean_client import CONNECTION_FAILURES, Address, LeanClient
 
 HEARTBEAT_S = 0.5
 ACKNOWLEDGE_S = 1.0
@@ -25,6 +25,7 @@
 class Call:
     """A nested call that each request makes through the daemon of its own machine."""
 
+    entry: Address
     host: str
     path: str
 
@@ -67,6 +68,7 @@
         self._running = 0
         self._mean_s = mean_ms / 1000
         self._call = call
+        self._calls = LeanClient()
         self._rng = Random(name)
 
     async def app(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
@@ -141,15 +143,15 @@
     async def _call_on(self, attempt: bytes, deadline_ms: int) -> bool:
         """Make the nested call; True if it was answered with success."""
         assert self._call is not None
-        headers = [
-            ("host", self._call.host),
-            ("x-attempt-id", f"{attempt.decode()}-call"),
-            ("x-deadline-ms", str(deadline_ms)),
-        ]
+        headers = {
+            "host": self._call.host,
+            "x-attempt-id": f"{attempt.decode()}-call",
+            "x-deadline-ms": str(deadline_ms),
+        }
+        call = self._call
         try:
-            async with httpcore.AsyncConnectionPool() as pool:
-                res = await pool.request("GET", self._call.path, headers=headers)
-        except (httpcore.NetworkError, httpcore.ProtocolError):
+            res = await self._calls.request(call.entry, "GET", call.path, headers, b"")
+        except CONNECTION_FAILURES:
             # The daemon restarts; the request fails as after any failed call.
             return False
         return res.status == 200
@@ -186,32 +188,39 @@
         """Send heartbeats until the process ends."""
         sequence = 0
         born = int(anyio.current_time() * 1000)
-        url = f"http://{control}/v1/rpc?call=instances.heartbeat&of={self.name}"
-        async with httpcore.AsyncConnectionPool() as pool:
-            while True:
-                sequence += 1
-                state = "draining" if self.state.draining else "ready"
-                body = {
-                    "address": address,
-                    "born": born,
-                    "info": {
-                        "service": self._service,
-                        "version": "v1",
-                        "zone": "",
-                        "slots": self._slots,
-                    },
-                    "status": {"state": state, "sequence": sequence, "coldLeft": "0ms"},
-                }
-                try:
-                    with anyio.move_on_after(ACKNOWLEDGE_S):
-                        content = json.dumps(body).encode()
-                        res = await pool.request("POST", url, content=content)
-                        if state == "draining" and res.status == 200:
-                            self.state.acknowledged = True
-                except (httpcore.NetworkError, httpcore.ProtocolError):
-                    # The daemon beside it restarts; the next report reaches it.
-                    pass
-                await anyio.sleep(HEARTBEAT_S)
+        path = f"/v1/rpc?call=instances.heartbeat&of={self.name}"
+        target = _parse_address(control)
+        headers = {"host": control, "content-type": "application/json"}
+        client = LeanClient()
+        while True:
+            sequence += 1
+            state = "draining" if self.state.draining else "ready"
+            body = {
+                "address": address,
+                "born": born,
+                "info": {
+                    "service": self._service,
+                    "version": "v1",
+                    "zone": "",
+                    "slots": self._slots,
+                },
+                "status": {"state": state, "sequence": sequence, "coldLeft": "0ms"},
+            }
+            try:
+                with anyio.move_on_after(ACKNOWLEDGE_S):
+                    content = json.dumps(body).encode()
+                    res = await client.request(target, "POST", path, headers, content)
+                    if state == "draining" and res.status == 200:
+                        self.state.acknowledged = True
+            except CONNECTION_FAILURES:
+                # The daemon beside it restarts; the next report reaches it.
+                pass
+            await anyio.sleep(HEARTBEAT_S)
+
+
+def _parse_address(text: str) -> Address:
+    host, _, port = text.rpartition(":")
+    return host, int(port)
 
 
 cli = App(name="platform_backend", help=__doc__)
@@ -235,7 +244,7 @@
     nested = None
     if call:
         entry, call_host, path = call.split()
-        nested = Call(call_host, f"http://{entry}{path}")
+        nested = Call(_parse_address(entry), call_host, path)
     backend = PlatformBackend(name, service, slots, mean_ms, nested, ledger)
     report = backend.report(control, address or f"{host}:{port}")
     serve_app(backend.app, host, port, report)
--- a/src/berylmast_dev/soak/callers.py
+++ b/src/berylmast_dev/soak/callers.py
@@ -7,7 +7,7 @@
 import anyio
 
 from ..fleet import HOST
-from ..lean_client import LeanClient, LeanResponse
+from ..lean_client import CONNECTION_FAILURES, LeanClient, LeanResponse
 from ..platform_fleet import ENTRY_HOST, TIMEOUT_MS, PlatformMember
 from .configurations import MOVED, READ, WRITE
 from .layout import SoakFleet
@@ -21,13 +21,6 @@
 TIMEOUT_S = TIMEOUT_MS / 1000
 GIVE_UP_S = TIMEOUT_S + 2.0
 
-_FAILURES = (
-    OSError,
-    anyio.EndOfStream,
-    anyio.BrokenResourceError,
-    anyio.ClosedResourceError,
-)
-
 
 async def send_traffic(
     fleet: SoakFleet, member: PlatformMember, seed: int, until_s: float
@@ -68,7 +61,7 @@
         with anyio.move_on_after(patience_s):
             res = await client.request(address, method, path, headers, body)
             status, whole = res.status, _is_whole(res, attempt, body)
-    except _FAILURES:
+    except CONNECTION_FAILURES:
         # What callers see as a closed connection.
         status = CLOSED
     found.append(
