Open a new connection for each nested call of the stand-in

The missing answers are 500s of the stand-in in the first tenth of a second of the calm phase: its nested calls went out on connections that were kept over the restart of a daemon. The daemons' logs show every one of these requests as answered by the server.

--- a/src/berylmast_dev/platform_backend.py
+++ b/src/berylmast_dev/platform_backend.py
@@ -68,7 +68,6 @@
         self._running = 0
         self._mean_s = mean_ms / 1000
         self._call = call
-        self._calls = LeanClient()
         self._rng = Random(name)
 
     async def app(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
@@ -149,11 +148,15 @@
             "x-deadline-ms": str(deadline_ms),
         }
         call = self._call
+        # A connection that is kept may have been closed by a daemon that restarted.
+        client = LeanClient()
         try:
-            res = await self._calls.request(call.entry, "GET", call.path, headers, b"")
+            res = await client.request(call.entry, "GET", call.path, headers, b"")
         except CONNECTION_FAILURES:
             # The daemon restarts; the request fails as after any failed call.
             return False
+        finally:
+            await client.aclose()
         return res.status == 200
 
     async def _refuse(self, send: Any, status: int) -> None:
