--- a/src/berylmast_dev/soak/__main__.py
+++ b/src/berylmast_dev/soak/__main__.py
@@ -27,8 +27,6 @@
 
     ``replay`` names files of kept cases; ``regressions`` plays all that failed once.
     """
-    # A soak that is told to end stops the processes that it started.
-    signal.signal(signal.SIGTERM, signal.default_int_handler)
     paths = [*replay, *(list_regressions() if regressions else [])]
     seeds = () if paths else range(first, first + count)
     cases = [load_case(path) for path in paths]
@@ -39,7 +37,28 @@
 
 
 def _play(case: Case, keep: Path) -> Outcome:
-    return anyio.run(play_case, case, keep, backend_options={"use_uvloop": True})
+    outcome = anyio.run(
+        _play_until_signal, case, keep, backend_options={"use_uvloop": True}
+    )
+    if outcome is None:
+        sys.exit("stopped by a signal")
+    return outcome
+
+
+async def _play_until_signal(case: Case, keep: Path) -> Outcome | None:
+    """Play a case; None if a signal ends it, after its processes were stopped."""
+    outcome = None
+
+    async def wait_signal() -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for _ in signals:
+                tg.cancel_scope.cancel()
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(wait_signal)
+        outcome = await play_case(case, keep)
+        tg.cancel_scope.cancel()
+    return outcome
 
 
 def print_outcome(outcome: Outcome) -> bool:
