--- a/src/berylmast_dev/soak/links.py
+++ b/src/berylmast_dev/soak/links.py
@@ -127,12 +127,26 @@
 
     def __init__(self, stream: SocketStream) -> None:
         self.stream = stream
-        self._sock = stream.extra(SocketAttribute.raw_socket)
+        self._sock = _get_socket(stream)
 
     async def reset(self) -> None:
         try:
-            self._sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+            if self._sock is not None:
+                self._sock.setsockopt(
+                    socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+                )
         except (OSError, ValueError):
             # It is closed already: a closed socket has no file descriptor.
             pass
         await anyio.aclose_forcefully(self.stream)
+
+
+def _get_socket(stream: SocketStream) -> socket.socket | None:
+    """Return the socket of a connection; None if it was reset at once.
+
+    anyio asks a closed socket for its peer and fails with AttributeError.
+    """
+    try:
+        return stream.extra(SocketAttribute.raw_socket)
+    except AttributeError:
+        return None
