--- a/src/berylmast_dev/soak/cases.py
+++ b/src/berylmast_dev/soak/cases.py
@@ -6,10 +6,12 @@
 import anyio
 from pydantic import TypeAdapter
 
+from .configurations import SERVICES
+from .layout import ZONES
 from .schedule import Fault, draw_faults
 
 REGRESSIONS = Path(__file__).parent / "regressions"
-INSTANCES = 6
+INSTANCES = len(SERVICES) * len(ZONES)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/berylmast_dev/soak/layout.py
+++ b/src/berylmast_dev/soak/layout.py
@@ -18,6 +18,9 @@
 from .promises import STORE, Run
 from .schedule import LINKS
 
+ZONES = [("north", "n1"), ("north", "n2"), ("south", "s1")]
+"""Region and failure domain of the instances of each service."""
+
 SKEW_FILE = "BERYLMAST_SOAK_SKEW_FILE"
 LEAVE_S = 2.0
 STOP_S = 6.0
--- a/src/berylmast_dev/soak/run.py
+++ b/src/berylmast_dev/soak/run.py
@@ -19,11 +19,10 @@
 from .callers import send_traffic
 from .cases import Case, save_case
 from .configurations import SERVICES, Configurations
-from .layout import LEAVE_S, SoakFleet
+from .layout import LEAVE_S, ZONES, SoakFleet
 from .promises import Record, Sent, Violation, find_violations
 from .strikes import Striker
 
-ZONES = [("north", "n1"), ("north", "n2"), ("south", "s1")]
 MEAN_MS = 12.0
 MAX_ATTEMPTS = 2
 SETTLE_S = 6.0
