Ignore SIGHUP until the daemon handles it

Cause: the soak had to wait before it sent SIGHUP to a daemon that had just started, because the signal ends a Python process that has no handler yet.

Change: the deployed entry point ignores the signal before anything else is imported; the settings are read after that, so no reload is lost. What is left is the start of the interpreter itself. The test sends SIGHUP from the moment at which it no longer ends the process until the daemon answers, and checks that no package was loaded before that moment; it failed before.

--- a/deploy/berylmastd.py
+++ b/deploy/berylmastd.py
@@ -1,9 +1,14 @@
 """Starts the daemon on the platform, with the settings that the platform names."""
 
 import os
+import signal
 import sys
 from pathlib import Path
 
+# A reload asked for while the modules below are loaded would end the process. The
+# settings are read after that.
+signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
 ROOT = Path(__file__).resolve().parent.parent
 sys.path.insert(0, str(ROOT / "src"))
 
--- a/src/berylmast_dev/tests/test_platform.py
+++ b/src/berylmast_dev/tests/test_platform.py
@@ -1,12 +1,18 @@
 """Guards the whole path on the platform's protocol, with real processes."""
 
+import os
 import signal
+import subprocess
+import sys
 from collections import Counter
+from pathlib import Path
 from typing import Any
 
 import anyio
+import httpcore
 import pytest
 
+from ..fleet import START_TIMEOUT_S, find_ports
 from ..platform_fleet import (
     PlatformFleet,
     PlatformLoad,
@@ -23,6 +29,9 @@
 
 pytestmark = pytest.mark.anyio
 
+DEPLOYED = Path(__file__).parents[3] / "deploy" / "berylmastd.py"
+PACKAGES = os.pathsep.join(path for path in sys.path if path)
+
 READS = PlatformLoad("/orders/", 60)
 WRITES = PlatformLoad("/pay/", 40, "POST", b"x" * 400)
 ZONES = [("n", "n1"), ("s", "s1")]
@@ -153,3 +162,45 @@
         log = fleet.describe()
     assert set(seen["/orders/"].statuses) | set(seen["/pay/"].statuses) == {200}
     assert "event=reload cause=signal outcome=applied" in log
+
+
+async def test_reload_during_the_start_does_not_end_the_daemon(tmp_path: Path) -> None:
+    """Guards the time before the daemon's own handler is set: its imports."""
+    member = make_layout({"orders": 10.0}, ZONES[:1])[0]
+    fleet = PlatformFleet(tmp_path, find_ports(1))
+    path = fleet.write_settings(member.name, fleet.make_settings(member))
+    process = subprocess.Popen(
+        [sys.executable, "-S", str(DEPLOYED)],
+        env={**os.environ, "BERYLMAST_SETTINGS": str(path), "PYTHONPATH": PACKAGES},
+    )
+    try:
+        with anyio.fail_after(START_TIMEOUT_S):
+            while not reads_hangup(process.pid):
+                await anyio.sleep(0.001)
+            loaded = Path(f"/proc/{process.pid}/maps").read_text()
+            process.send_signal(signal.SIGHUP)
+            async with httpcore.AsyncConnectionPool() as pool:
+                while not await answers(pool, member):
+                    assert process.poll() is None
+                    process.send_signal(signal.SIGHUP)
+                    await anyio.sleep(0.02)
+    finally:
+        process.terminate()
+        process.wait()
+    assert "pydantic_core" not in loaded, "the modules were loaded before"
+
+
+def reads_hangup(pid: int) -> bool:
+    """Tell whether a process ignores SIGHUP or has a handler for it."""
+    lines = Path(f"/proc/{pid}/status").read_text().splitlines()
+    masks = [line.split()[1] for line in lines if line.startswith(("SigIgn", "SigCgt"))]
+    return any(int(mask, 16) & (1 << (signal.SIGHUP - 1)) for mask in masks)
+
+
+async def answers(pool: httpcore.AsyncConnectionPool, member: PlatformMember) -> bool:
+    """Tell whether a daemon answers at its ready address, ready or not."""
+    try:
+        await pool.request("GET", f"http://{member.ready}/v1/ready")
+    except (httpcore.NetworkError, httpcore.ProtocolError):
+        return False
+    return True
