--- a/src/berylmast_dev/soak/callers.py
+++ b/src/berylmast_dev/soak/callers.py
@@ -13,7 +13,6 @@
 from .layout import SoakFleet
 from .promises import CLOSED, LEFT, Sent
 
-RATE_PER_ENTRY = 12.0
 PATHS = (READ, READ, READ, WRITE, WRITE, MOVED)
 BODY_BYTES = (400, 400, 400, 400, 80_000)
 LEAVING_SHARE = 0.04
@@ -23,16 +22,19 @@
 
 
 async def send_traffic(
-    fleet: SoakFleet, member: PlatformMember, seed: int, until_s: float
+    fleet: SoakFleet, member: PlatformMember, rate: float, seed: int, until_s: float
 ) -> list[Sent]:
-    """Send requests to one entry until a time, and wait for their ends."""
+    """Send requests to one entry until a time, and wait for their ends.
+
+    ``rate`` is in requests a second.
+    """
     rng = Random(f"{seed} {member.name}")
     client = LeanClient()
     found: list[Sent] = []
     async with anyio.create_task_group() as tg:
         while anyio.current_time() < until_s:
             tg.start_soon(_send_one, client, fleet, member, rng, found)
-            await anyio.sleep(rng.expovariate(RATE_PER_ENTRY))
+            await anyio.sleep(rng.expovariate(rate))
     await client.aclose()
     return found
 
--- a/src/berylmast_dev/soak/cases.py
+++ b/src/berylmast_dev/soak/cases.py
@@ -11,6 +11,7 @@
 from .schedule import Fault, draw_faults
 
 REGRESSIONS = Path(__file__).parent / "regressions"
+RATE_PER_ENTRY = 12.0
 INSTANCES = len(SERVICES) * len(ZONES)
 
 
@@ -18,13 +19,15 @@
 class Case:
     """One run: ``seed`` decides the traffic, ``seconds`` how long faults strike.
 
-    ``cause`` tells what a case that failed has shown; empty for a new one.
+    ``rate`` is in requests a second for each entry. ``cause`` tells what a case that
+    failed has shown; empty for a new one.
     """
 
     seed: int
     seconds: float
     faults: list[Fault]
     cause: str = ""
+    rate: float = RATE_PER_ENTRY
 
 
 _CASE = TypeAdapter(Case)
--- a/src/berylmast_dev/soak/run.py
+++ b/src/berylmast_dev/soak/run.py
@@ -92,12 +92,12 @@
     striker = Striker(fleet, configurations)
     start_s = anyio.current_time()
     async with anyio.create_task_group() as tg:
-        tg.start_soon(_send_all, fleet, case.seed, start_s + case.seconds, sent)
+        tg.start_soon(_send_all, fleet, case, start_s + case.seconds, sent)
         for fault in case.faults:
             tg.start_soon(striker.strike, fault, start_s)
     await anyio.sleep(SETTLE_S)
     calm_from_s = anyio.current_time()
-    await _send_all(fleet, case.seed, calm_from_s + CALM_S, sent)
+    await _send_all(fleet, case, calm_from_s + CALM_S, sent)
     return Record(
         sent=sent,
         runs=fleet.read_runs(),
@@ -112,10 +112,11 @@
 
 
 async def _send_all(
-    fleet: SoakFleet, seed: int, until_s: float, sent: list[Sent]
+    fleet: SoakFleet, case: Case, until_s: float, sent: list[Sent]
 ) -> None:
     async def send(member: PlatformMember) -> None:
-        sent.extend(await send_traffic(fleet, member, seed, until_s))
+        found = await send_traffic(fleet, member, case.rate, case.seed, until_s)
+        sent.extend(found)
 
     async with anyio.create_task_group() as tg:
         for member in fleet.members:
