Use the wait for answers and a changed copy that exist

Cause: wait_ready repeated the loop of wait_answer in fleet.py, and the soak copied a member field by field to change one.

Change: wait_ready calls wait_answer; the copy uses dataclasses.replace. No behaviour changes.

--- a/src/berylmast_dev/platform_fleet.py
+++ b/src/berylmast_dev/platform_fleet.py
@@ -14,7 +14,7 @@
 import anyio
 import httpcore
 
-from .fleet import HOST, START_TIMEOUT_S, Fleet, find_ports
+from .fleet import HOST, Fleet, find_ports, wait_answer
 
 PORTS_PER_MEMBER = 5
 ENTRY_HOST = "shop.example"
@@ -167,17 +167,7 @@
 
 async def wait_ready(member: PlatformMember) -> None:
     """Wait until a daemon says that callers may come."""
-    with anyio.fail_after(START_TIMEOUT_S):
-        async with httpcore.AsyncConnectionPool() as pool:
-            while True:
-                try:
-                    url = f"http://{member.ready}/v1/ready"
-                    if (await pool.request("GET", url)).status == 200:
-                        return
-                except (httpcore.NetworkError, httpcore.ProtocolError):
-                    # It has not opened its port yet.
-                    pass
-                await anyio.sleep(0.05)
+    await wait_answer((HOST, member.port + 2), "/v1/ready")
 
 
 @asynccontextmanager
--- a/src/berylmast_dev/soak/run.py
+++ b/src/berylmast_dev/soak/run.py
@@ -126,15 +126,7 @@
 def _with_call(member: PlatformMember) -> PlatformMember:
     """Let the backend servers of the first service call the second one."""
     call = f"{ENTRY_HOST} /called/item" if member.service == SERVICES[0] else ""
-    return PlatformMember(
-        member.name,
-        member.service,
-        member.region,
-        member.zone,
-        member.port,
-        mean_ms=member.mean_ms,
-        call=call,
-    )
+    return replace(member, call=call)
 
 
 def _find_tracebacks(fleet: SoakFleet) -> list[str]:
