Log and count how attempts end at their owner

Cause: an owner's lines named refusals and failures only.

Change: a line attempt_answered with waiting and running time, requests at the server when it began and the objective that was left, 20 a second at most; the counters attempts_on_time, _late, _failed and _refused.

--- a/src/berylmast/backends/attempt_log.py
+++ b/src/berylmast/backends/attempt_log.py
@@ -1,18 +1,51 @@
-"""Log lines of the attempts that an owner refuses or that fail."""
+"""Log lines and counters of the attempts that reach an owner."""
 
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from ..errors import ErrorKind, Refusal
 from ..model import LoadReport, RequestHead
 from ..telemetry import EventRates
+from .dispatch import DispatchEnd
 from .ledger import Ending
 
 LINES_PER_S = 20.0
-"""Lines a second of each kind of refusal and of failure."""
+"""Lines a second of each kind of refusal and of failure, and of answers."""
+
+_ANSWERED = "answered"
+
+
+@dataclass(slots=True)
+class AttemptCounts:
+    """Attempts that ended at this owner since it started.
+
+    ``on_time`` and ``late`` count answers by what the request's objective left when it
+    arrived; ``failed`` counts server errors, lost answers and attempts that the entry
+    gave up; ``refused`` counts those that were not dispatched, but for the ones that
+    another owner may serve at once.
+    """
+
+    on_time: int = 0
+    late: int = 0
+    failed: int = 0
+    refused: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """An attempt at the backend server: its waiting and running time in seconds.
+
+    ``in_flight`` counts the requests at the backend server when it began, itself
+    included.
+    """
+
+    waited_s: float
+    ran_s: float
+    in_flight: int
 
 
 class AttemptLog:
-    """Writes why an attempt did not come to an answer, with the load that decided it.
+    """Writes how attempts ended, with the load that decided it, and counts them.
 
     ``get_backend`` gives the id of the backend server that runs now.
     """
@@ -20,6 +53,7 @@
     def __init__(
         self, report: Callable[[], LoadReport], get_backend: Callable[[], str]
     ) -> None:
+        self.counts = AttemptCounts()
         self._report = report
         self._get_backend = get_backend
         self._rates = EventRates(LINES_PER_S)
@@ -29,6 +63,7 @@
         if refusal.kind is ErrorKind.BUSY:
             # The entry asks another owner within milliseconds and logs how that ends.
             return
+        self.counts.refused += 1
         load = self._report()
         self._rates.write(
             refusal.kind,
@@ -39,6 +74,7 @@
             reason=refusal.kind,
             detail=refusal.detail,
             waited_ms=waited_s * 1000,
+            target_ms=head.target_ms,
             deadline_ms=head.deadline_ms,
             in_flight=load.in_flight,
             queued=load.queued,
@@ -46,21 +82,38 @@
             slowdown=load.slowdown,
         )
 
-    def ended(self, head: RequestHead, ending: Ending, ran_s: float) -> None:
-        """Log an attempt that failed, or that its entry gave up."""
-        if ending.kind is None:
-            return
+    def ended(
+        self, head: RequestHead, ending: Ending, end: DispatchEnd, run: Run
+    ) -> None:
+        """Log an attempt that was dispatched: its answer, or why there is none."""
+        self._count(head, end, run)
         load = self._report()
+        failed = ending.kind is not None
         self._rates.write(
-            ending.kind,
-            "attempt_failed",
+            ending.kind or _ANSWERED,
+            "attempt_failed" if failed else "attempt_answered",
             request=head.request_id,
             attempt=head.attempt,
             backend=self._get_backend(),
-            reason=ending.kind,
+            reason=ending.kind or "",
             detail=ending.detail,
-            ran_ms=ran_s * 1000,
+            status=end.status or 0,
+            rank=head.rank,
+            waited_ms=run.waited_s * 1000,
+            ran_ms=run.ran_s * 1000,
+            target_ms=head.target_ms,
             deadline_ms=head.deadline_ms,
-            in_flight=load.in_flight,
+            in_flight=run.in_flight,
             slowdown=load.slowdown,
         )
+
+    def _count(self, head: RequestHead, end: DispatchEnd, run: Run) -> None:
+        took_ms = (run.waited_s + run.ran_s) * 1000
+        if end.refused:
+            self.counts.refused += 1
+        elif not end.ok:
+            self.counts.failed += 1
+        elif not head.target_ms or took_ms <= head.target_ms:
+            self.counts.on_time += 1
+        else:
+            self.counts.late += 1
--- a/src/berylmast/backends/owner.py
+++ b/src/berylmast/backends/owner.py
@@ -33,7 +33,7 @@
     RequestHead,
 )
 from ..telemetry import log_event
-from .attempt_log import AttemptLog
+from .attempt_log import AttemptCounts, AttemptLog, Run
 from .dispatch import DispatchEnd, dispatch_request
 from .interface import OWN_INTERFACE, BackendInterface
 from .keys import KeyLedger
@@ -74,6 +74,11 @@
         self._log = AttemptLog(admission.report, get_backend)
         self._tg: TaskGroup | None = None
 
+    @property
+    def counts(self) -> AttemptCounts:
+        """Return how the attempts of this owner ended."""
+        return self._log.counts
+
     async def run(
         self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
     ) -> None:
@@ -204,6 +209,7 @@
             )
             return
         started_s = anyio.current_time()
+        in_flight = self._admission.in_flight
         remaining_ms = head.deadline_ms - int((started_s - arrived_s) * 1000)
         end = DispatchEnd()
         result: AttemptResult | None = None
@@ -236,8 +242,12 @@
                     cut_short=not end.done,
                 )
         finally:
-            ran_s = anyio.current_time() - started_s
-            self._log.ended(head, recorder.ending or _ABANDONED, ran_s)
+            run = Run(
+                waited_s=started_s - arrived_s,
+                ran_s=anyio.current_time() - started_s,
+                in_flight=in_flight,
+            )
+            self._log.ended(head, recorder.ending or _ABANDONED, end, run)
             if end.load is not None:
                 self._on_load(end.load)
             admitted.unwrap().release(result)
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -249,6 +249,13 @@
                 Gauge("backend_slowdown", "1 if work takes as usual", load.slowdown),
                 Count("load_questions", "Questions for load", local.meter.questions),
             ]
+            counts = local.owner.counts
+            values += [
+                Count("attempts_on_time", "Answered on time", counts.on_time),
+                Count("attempts_late", "Answered after the objective", counts.late),
+                Count("attempts_failed", "Failed at the server", counts.failed),
+                Count("attempts_refused", "Refused, not run", counts.refused),
+            ]
         return values
 
     return read_values
