--- /dev/null
+++ b/src/berylmast/limits/tests/two_services.py
@@ -0,0 +1,157 @@
+"""A replay of two services on the paused clock: reads call the orders service.
+
+Every server has an owner's ``SlotAdmission``. A read holds its slot while its calls
+run and fails with them, as the users' servers do; a full server works slowly.
+"""
+
+from collections import defaultdict
+from dataclasses import dataclass, field, replace
+from random import Random
+
+import anyio
+from anyio.abc import TaskGroup
+from result import Err, Ok, Result
+
+from ...errors import ErrorKind, Refusal
+from ...model import AttemptResult, RequestHead
+from ...tests.fake_parts import make_head, make_slice
+from ..slots import SlotAdmission
+
+MAX_SPILLS = 2
+MAX_ASKED = 4
+MAX_TRIES = 3
+SPREAD = 0.3
+"""Standard deviation of the logarithm of service times."""
+
+
+@dataclass(frozen=True, slots=True)
+class Kind:
+    """A kind of request; times in seconds. ``calls`` are made one after the other."""
+
+    path: str
+    rank: int
+    work_s: float
+    target_s: float
+    deadline_s: float
+    calls: int = 0
+    call_share: float = 0.0
+
+
+READ = Kind("/read/", 0, 0.30, 1.0, 6.0, calls=2, call_share=0.7)
+ORDER = Kind("/order/", 1, 0.40, 1.2, 8.0)
+STATUS = Kind("/status/", 1, 0.07, 0.15, 0.9)
+
+
+@dataclass(slots=True)
+class Server:
+    """A backend server with its owner's admission."""
+
+    slots: int
+    full_factor: float
+    admission: SlotAdmission = field(init=False)
+    seed: int = 0
+
+    def __post_init__(self) -> None:
+        found = make_slice(slots=self.slots)
+        self.admission = SlotAdmission("b", 1, lambda: found, rng=Random(self.seed))
+
+    @property
+    def load(self) -> int:
+        """Return the requests at the server and in the owner's queue."""
+        report = self.admission.report()
+        return report.in_flight + report.queued
+
+
+class TwoServices:
+    """Reads at one service, orders and the reads' calls at the other."""
+
+    def __init__(self, tg: TaskGroup, seed: int, full_factor: float) -> None:
+        self.asked: defaultdict[int, int] = defaultdict(int)
+        self.on_time: defaultdict[int, int] = defaultdict(int)
+        self._tg = tg
+        self._rng = Random(seed)
+        self._reads = [Server(3, full_factor, seed=n) for n in range(8)]
+        self._orders = [Server(3, full_factor, seed=n) for n in range(6)]
+
+    async def offer(self, kind: Kind, per_s: float, for_s: float) -> None:
+        """Let callers of a kind arrive at random for some time."""
+        end_s = anyio.current_time() + for_s
+        while True:
+            await anyio.sleep(self._rng.expovariate(per_s))
+            if anyio.current_time() >= end_s:
+                return
+            self._tg.start_soon(self._ask, kind)
+
+    def get_share(self, first_s: int, end_s: int) -> float:
+        """Return the share of reads asked in a span that were answered on time."""
+        asked = sum(self.asked[second] for second in range(first_s, end_s))
+        return sum(self.on_time[second] for second in range(first_s, end_s)) / asked
+
+    async def _ask(self, kind: Kind) -> None:
+        """Be a caller that comes back after refusals and failures."""
+        started_s = anyio.current_time()
+        second = int(started_s)
+        self.asked[second] += kind is READ
+        for _ in range(MAX_TRIES):
+            left_s = started_s + kind.deadline_s - anyio.current_time()
+            result = await self._serve(kind, min(left_s, kind.deadline_s / 2))
+            now_s = anyio.current_time()
+            if result.is_ok():
+                on_time = now_s - started_s <= kind.target_s
+                self.on_time[second] += on_time and kind is READ
+                return
+            left_s = started_s + kind.deadline_s - now_s
+            if left_s <= 0:
+                return
+            await anyio.sleep(min(result.unwrap_err().wait_s, left_s / 3))
+
+    async def _serve(self, kind: Kind, left_s: float) -> Result[None, Refusal]:
+        """Ask owners in turn, as an entry does: two may pass the request on."""
+        servers = self._reads if kind is READ else self._orders
+        deadline_s = anyio.current_time() + left_s
+        refusal = Refusal(ErrorKind.OVERLOADED, "nobody was asked")
+        busy: list[Server] = []
+        for asked in range(MAX_ASKED):
+            spills = asked < MAX_SPILLS
+            left = [s for s in servers if not spills or s not in busy]
+            server = min(left, key=lambda s: (s.load, self._rng.random()))
+            remaining_s = deadline_s - anyio.current_time()
+            if remaining_s <= 0:
+                break
+            head = replace(
+                self._make_head(kind),
+                deadline_ms=int(remaining_s * 1000),
+                may_spill=spills,
+            )
+            permit = await server.admission.acquire(head)
+            if permit.is_err():
+                refusal = permit.unwrap_err()
+                busy.append(server)
+                continue
+            run_started_s = anyio.current_time()
+            ok = False
+            with anyio.move_on_after(remaining_s):
+                ok = await self._run(kind, server)
+            took_s = anyio.current_time() - run_started_s
+            permit.unwrap().release(AttemptResult(ok, False, took_s))
+            return Ok(None) if ok else Err(Refusal(ErrorKind.BACKEND_CUT, "failed"))
+        return Err(refusal)
+
+    async def _run(self, kind: Kind, server: Server) -> bool:
+        full = server.admission.in_flight >= server.slots
+        work_s = kind.work_s * self._rng.lognormvariate(0, SPREAD)
+        await anyio.sleep(work_s * (server.full_factor if full else 1.0))
+        for _ in range(kind.calls):
+            if self._rng.random() >= kind.call_share:
+                continue
+            if (await self._serve(STATUS, STATUS.deadline_s)).is_err():
+                return False
+        return True
+
+    def _make_head(self, kind: Kind) -> RequestHead:
+        return replace(
+            make_head(),
+            target=kind.path,
+            rank=kind.rank,
+            target_ms=int(kind.target_s * 1000),
+        )
