Fill a server only up to where it ends most requests

Cause: owners filled every slot. These servers slow down by 1.7 when the last of three slots is taken (calls of 53 ms take 92 ms, new log lines), so a full server ends 1.76 requests in the time in which one with a slot free ends 2. Calls then wait and run longer while their parents hold slots at the next service: capacity falls as load rises, which keeps the overload alive (class: self-sustaining overload by a capacity that shrinks under load).

Change: an owner learns how much longer short requests, which make no calls, take while its server is nearly full, and reports it; owners that see no such requests use the median of the others. Where the server ends more requests with slots free, only short ones, which other slots wait for, take the last slots.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -66,7 +66,6 @@
     lifecycle = Lifecycle()
     statsd = make_statsd_report(cfg.statsd)
     sight = Sight(statsd)
-    local = LocalBackend.make(cfg, identity, adapter, limits, directory)
     router = Router(
         directory,
         region=cfg.region,
@@ -74,6 +73,9 @@
         rng=rng,
         address=own,
     )
+    local = LocalBackend.make(
+        cfg, identity, adapter, limits, directory, router.get_usual_full_slowdown
+    )
     anchor = Anchor(adapter.make_store(cfg), roster, held, rng)
     async with anyio.create_task_group() as tg:
         if statsd is not None:
--- a/src/berylmast/limits/__init__.py
+++ b/src/berylmast/limits/__init__.py
@@ -11,7 +11,8 @@
 from .slots import Meter, SlotAdmission
 
 MakeAdmission = Callable[
-    [str, int, Callable[[], ServiceSlice | None], Meter], Admission
+    [str, int, Callable[[], ServiceSlice | None], Meter, Callable[[], float]],
+    Admission,
 ]
 
 
@@ -19,11 +20,12 @@
 class Limits:
     """What a daemon limits with; benchmarks replace it by baselines.
 
-    ``admission`` takes the daemon's id and incarnation, a getter of the slice and the
-    meter of the backend server's load.
+    ``admission`` takes the daemon's id and incarnation, a getter of the slice, the
+    meter of the backend server's load and a getter of how much other backend servers
+    usually slow down when they are nearly full.
     """
 
-    admission: MakeAdmission = lambda name, incarnation, get_slice, _meter: (
+    admission: MakeAdmission = lambda name, incarnation, get_slice, _meter, _usual: (
         AdmissionController(name, incarnation, get_slice)
     )
     shedder: Callable[[Random], Shedder] = EntryShedder
@@ -31,7 +33,12 @@
 
 DEFAULT_LIMITS = Limits()
 
-SLOT_LIMITS = Limits(SlotAdmission, lambda _rng: NoShedder())
+SLOT_LIMITS = Limits(
+    lambda name, incarnation, get_slice, meter, usual: SlotAdmission(
+        name, incarnation, get_slice, meter, get_usual_slowdown=usual
+    ),
+    lambda _rng: NoShedder(),
+)
 """For backend servers that report their slots: each owner knows exactly what fits."""
 
 __all__ = [
--- a/src/berylmast/limits/backlog.py
+++ b/src/berylmast/limits/backlog.py
@@ -86,15 +86,30 @@
 
 
 def find_next(
-    waiting: Collection[Waiting], now_s: float, slots: int, in_use: int
+    waiting: Collection[Waiting],
+    now_s: float,
+    slots: int,
+    in_use: int,
+    kept: int = 0,
 ) -> Waiting | None:
-    """Return the request that gets the next slot, None if none may."""
-    if in_use >= slots:
-        return None
-    item = min(waiting, key=lambda item: get_order(item, now_s), default=None)
-    if item is None or not is_late(item, now_s):
-        return item
-    return item if in_use < max(1, LATE_SHARE * slots) else None
+    """Return the request that gets the next slot, None if none may.
+
+    ``kept`` is the number of slots that only short requests may take.
+    """
+    startable = [
+        item for item in waiting if in_use < _count_slots(item, now_s, slots, kept)
+    ]
+    return min(startable, key=lambda item: get_order(item, now_s), default=None)
+
+
+def _count_slots(item: Waiting, now_s: float, slots: int, kept: int) -> float:
+    """Return how many slots may be in use once a request has started."""
+    if item.short:
+        return slots
+    most = max(1, slots - kept)
+    if is_late(item, now_s):
+        return min(most, max(1, LATE_SHARE * slots))
+    return most
 
 
 def plan_turns(
--- a/src/berylmast/limits/slots.py
+++ b/src/berylmast/limits/slots.py
@@ -20,6 +20,7 @@
     plan_turns,
 )
 from .estimate import MovingEstimate, TypicalTime
+from .full_slowdown import UNKNOWN, FullSlowdown
 
 FIRST_WORK_S = 0.1
 """Expected service time before any request of a kind has ended, in seconds."""
@@ -39,6 +40,7 @@
 @dataclass(slots=True, eq=False)
 class _Entry(Waiting):
     granted: bool = False
+    in_flight: int = 0
     refusal: Refusal | None = None
     settled: anyio.Event = field(default_factory=anyio.Event)
 
@@ -78,6 +80,7 @@
         get_slice: Callable[[], ServiceSlice | None],
         meter: Meter | None = None,
         rng: Random | None = None,
+        get_usual_slowdown: Callable[[], float] = lambda: UNKNOWN,
     ) -> None:
         self.draining = False
         self._backend = backend
@@ -91,6 +94,7 @@
         self._latency_ms = MovingEstimate()
         self._error_rate = MovingEstimate(start_from_first=False)
         self._meter = meter or NoMeter()
+        self._full_slowdown = FullSlowdown(get_usual_slowdown)
 
     def rename(self, backend: str, incarnation: int) -> None:
         """Report under the name of the backend server that runs now."""
@@ -99,6 +103,7 @@
         self._backend, self._incarnation = backend, incarnation
         self._seq = 0
         self._error_rate = MovingEstimate(start_from_first=False)
+        self._full_slowdown.forget()
 
     async def acquire(self, head: RequestHead) -> Result[Permit, Refusal]:
         """Wait for a slot, or refuse what would end after its deadline.
@@ -115,7 +120,7 @@
             return _refuse(ErrorKind.NO_BACKEND, detail)
         kind = _find_kind(head)
         item = self._make_entry(head, kind, anyio.current_time())
-        if head.may_spill and await self._is_busy(service.slots):
+        if head.may_spill and await self._is_busy(item, service.slots):
             return _refuse(ErrorKind.BUSY, "another backend server may be free")
         now_s = anyio.current_time()
         self._waiting.append(item)
@@ -124,13 +129,13 @@
             await self._wait(item)
         except anyio.get_cancelled_exc_class():
             if item.granted:
-                self._make_permit(kind).release(None)
+                self._make_permit(kind, item).release(None)
             raise
         finally:
             self._remove(item)
         if item.refusal is not None:
             return Err(item.refusal)
-        return Ok(self._make_permit(kind))
+        return Ok(self._make_permit(kind, item))
 
     def report(self) -> LoadReport:
         """Return the load of the backend server now."""
@@ -147,6 +152,7 @@
             error_rate=self._error_rate.value,
             draining=self.draining or service is None,
             slowdown=self._meter.get_slowdown(SLOWDOWN_AGE_S),
+            full_slowdown=self._full_slowdown.found,
         )
 
     @property
@@ -162,19 +168,26 @@
         short = work_s <= SHORT_SHARE * longest_s
         return _Entry(head.rank, work_s, now_s, target_s, deadline_s, short)
 
-    async def _is_busy(self, slots: int) -> bool:
+    async def _is_busy(self, item: _Entry, slots: int) -> bool:
         """Tell whether a request is better tried elsewhere."""
-        if self._in_flight >= slots or self._waiting:
+        if self._find_next([*self._waiting, item], slots) is not item:
             return True
         await self._meter.refresh()
         return self._meter.get_slowdown(SLOWDOWN_AGE_S) >= SPILL_SLOWDOWN
 
+    def _find_next(self, waiting: list[_Entry], slots: int) -> Waiting | None:
+        """Return the request that may start now, None if none may."""
+        now_s = anyio.current_time()
+        useful = self._full_slowdown.count_useful_slots(slots)
+        return find_next(waiting, now_s, slots, self._in_flight, slots - useful)
+
     def _advance(self, slots: int, now_s: float) -> None:
         """Start what has a free slot, then refuse what has no hope."""
-        while item := find_next(self._waiting, now_s, slots, self._in_flight):
+        while item := self._find_next(self._waiting, slots):
             assert isinstance(item, _Entry)
             self._waiting.remove(item)
             self._in_flight += 1
+            item.in_flight = self._in_flight
             item.granted = True
             item.settled.set()
         mean_s = self._latency_ms.value / 1000 or FIRST_WORK_S
@@ -209,11 +222,11 @@
         if item in self._waiting:
             self._waiting.remove(item)
 
-    def _make_permit(self, kind: str) -> Permit:
+    def _make_permit(self, kind: str, item: _Entry) -> Permit:
         def release(result: AttemptResult | None) -> None:
             self._in_flight -= 1
             if result is not None:
-                self._record(kind, result)
+                self._record(kind, item, result)
             service = self._get_slice()
             if service is not None:
                 self._advance(service.slots, anyio.current_time())
@@ -226,7 +239,7 @@
             return known.value_s
         return self._latency_ms.value / 1000 or FIRST_WORK_S
 
-    def _record(self, kind: str, result: AttemptResult) -> None:
+    def _record(self, kind: str, item: _Entry, result: AttemptResult) -> None:
         if result.cut_short:
             return
         self._error_rate.add(float(not result.ok))
@@ -236,6 +249,11 @@
             kind = _OTHER_KINDS
         self._work.setdefault(kind, TypicalTime()).add(result.latency_s)
         self._latency_ms.add(result.latency_s * 1000)
+        service = self._get_slice()
+        if item.short and service is not None:
+            # The neighbours slow it down too, as the answer has just stated.
+            work_s = result.latency_s / self._meter.get_slowdown(SLOWDOWN_AGE_S)
+            self._full_slowdown.add(work_s, item.in_flight, service.slots)
 
 
 def _find_kind(head: RequestHead) -> str:
--- a/src/berylmast/limits/tests/two_services.py
+++ b/src/berylmast/limits/tests/two_services.py
@@ -5,8 +5,10 @@
 """
 
 from collections import defaultdict
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 from random import Random
+from statistics import median
 
 import anyio
 from anyio.abc import TaskGroup
@@ -48,12 +50,19 @@
 
     slots: int
     full_factor: float
+    get_usual_slowdown: Callable[[], float]
     admission: SlotAdmission = field(init=False)
     seed: int = 0
 
     def __post_init__(self) -> None:
         found = make_slice(slots=self.slots)
-        self.admission = SlotAdmission("b", 1, lambda: found, rng=Random(self.seed))
+        self.admission = SlotAdmission(
+            "b",
+            1,
+            lambda: found,
+            rng=Random(self.seed),
+            get_usual_slowdown=self.get_usual_slowdown,
+        )
 
     @property
     def load(self) -> int:
@@ -70,8 +79,12 @@
         self.on_time: defaultdict[int, int] = defaultdict(int)
         self._tg = tg
         self._rng = Random(seed)
-        self._reads = [Server(3, full_factor, seed=n) for n in range(8)]
-        self._orders = [Server(3, full_factor, seed=n) for n in range(6)]
+        self._orders = [
+            Server(3, full_factor, self._get_usual_slowdown, seed=n) for n in range(6)
+        ]
+        self._reads = [
+            Server(3, full_factor, self._get_usual_slowdown, seed=n) for n in range(8)
+        ]
 
     async def offer(self, kind: Kind, per_s: float, for_s: float) -> None:
         """Let callers of a kind arrive at random for some time."""
@@ -87,6 +100,12 @@
         asked = sum(self.asked[second] for second in range(first_s, end_s))
         return sum(self.on_time[second] for second in range(first_s, end_s)) / asked
 
+    def _get_usual_slowdown(self) -> float:
+        """Return what the reports of the orders servers tell an entry."""
+        reports = [server.admission.report() for server in self._orders]
+        found = [r.full_slowdown for r in reports if r.full_slowdown]
+        return median(found or [0.0])
+
     async def _ask(self, kind: Kind) -> None:
         """Be a caller that comes back after refusals and failures."""
         started_s = anyio.current_time()
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -59,7 +59,8 @@
 
     ``latency_ms`` is a moving estimate of the service time, ``error_rate`` a moving
     ratio from 0 to 1. ``slowdown`` is how long work takes at this moment, 1.0 being
-    usual. Reports of one incarnation are ordered by ``seq``.
+    usual; ``full_slowdown`` how much longer it takes while the server is nearly full,
+    0.0 while that is not known. Reports of one incarnation are ordered by ``seq``.
     """
 
     backend: str
@@ -72,6 +73,7 @@
     error_rate: float
     draining: bool = False
     slowdown: float = 1.0
+    full_slowdown: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/berylmast/routing/load_table.py
+++ b/src/berylmast/routing/load_table.py
@@ -142,6 +142,15 @@
             return False
         return report.draining
 
+    def get_usual_full_slowdown(self) -> float:
+        """Return the median of what owners found, 0.0 if none has found any."""
+        found = [
+            load.report.full_slowdown
+            for load in self._loads.values()
+            if load.report is not None and load.report.full_slowdown
+        ]
+        return median(found or [0.0])
+
     def get_age(self, backend: str, now_s: float) -> float:
         """Return the age of the last report in seconds, infinite if there is none."""
         load = self._get(backend)
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -151,6 +151,14 @@
         age_s = self._loads.get_age(backend, anyio.current_time())
         return -1.0 if age_s == float("inf") else age_s * 1000
 
+    def get_usual_full_slowdown(self) -> float:
+        """Return how much backend servers slow down when nearly full, 0.0 if unknown.
+
+        The median of what their owners found, of all services together: some services
+        get no requests from which their owners could learn it.
+        """
+        return self._loads.get_usual_full_slowdown()
+
     def find_stale(self) -> list[Endpoint]:
         """Return the endpoints of recently called services whose report is too old."""
         now_s = anyio.current_time()
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -63,8 +63,13 @@
         adapter: Adapter,
         limits: Limits,
         directory: Directory,
+        get_usual_slowdown: Callable[[], float],
     ) -> "LocalBackend | None":
-        """Return the parts, None if the settings name no backend server."""
+        """Return the parts, None if the settings name no backend server.
+
+        ``get_usual_slowdown`` returns how much other backend servers slow down when
+        they are nearly full, 0.0 if that is not known.
+        """
         if cfg.backend is None or cfg.service is None:
             return None
         announced = AnnouncedBackend()
@@ -78,7 +83,7 @@
         read_load = adapter.backend.read_load
         meter = LoadMeter(cfg.backend, client, get_load_path, read_load)
         admission = limits.admission(
-            cfg.daemon_id, identity.incarnation, get_slice, meter
+            cfg.daemon_id, identity.incarnation, get_slice, meter, get_usual_slowdown
         )
         owner = Owner(
             admission,
--- a/src/berylmast_dev/fcfs_daemon.py
+++ b/src/berylmast_dev/fcfs_daemon.py
@@ -69,7 +69,7 @@
     """Run one daemon."""
     configure_logs()
     limits = Limits(
-        lambda name, number, get_slice, _meter: FirstComeAdmission(
+        lambda name, number, get_slice, _meter, _usual: FirstComeAdmission(
             name, number, get_slice
         ),
         lambda _rng: NoShedder(),
