Keep a slot of two or more from late work

Cause: late work starts while fewer than 0.7 of the slots are in use. Two of three are fewer than 2.1, so it took the third as well: the reserve vanishes at two and three slots (class: a share of a small whole that rounds to nothing).

Change: late work leaves at least one slot of two or more. From four slots on nothing changes. The rows of two and three slots failed before.

Looked for elsewhere: LATE_PLACES rounds up and is at least one; SPILL_SHARE and the floors compare without rounding; nearly full is at least one slot less than all from two slots on.

--- a/src/berylmast/limits/backlog.py
+++ b/src/berylmast/limits/backlog.py
@@ -24,8 +24,8 @@
 
 LATE_SHARE = 0.7
 """Share of the slots up to which late requests are started. The rest stays free for
-those that can be on time: where both get all slots, a passing overload lasts, because
-callers of late answers come again."""
+those that can be on time, at least one of two or more: where both get all slots, a
+passing overload lasts, because callers of late answers come again."""
 
 LATE_PLACES = 0.5
 """Late requests that may wait, as a share of the slots. New requests pass them by, so
@@ -108,7 +108,7 @@
         return slots
     most = max(1, slots - kept)
     if is_late(item, now_s):
-        return min(most, max(1, LATE_SHARE * slots))
+        return min(most, max(1, min(LATE_SHARE * slots, slots - 1)))
     return most
 
 
--- a/src/berylmast/limits/tests/test_backlog.py
+++ b/src/berylmast/limits/tests/test_backlog.py
@@ -50,18 +50,49 @@
 
 
 @pytest.mark.parametrize(
-    ("late", "in_use", "starts"),
-    [(False, 8, True), (False, 9, False), (True, 6, True), (True, 7, False)],
+    ("late", "slots", "in_use", "starts"),
+    [
+        (False, 9, 8, True),
+        (False, 9, 9, False),
+        (True, 9, 6, True),
+        (True, 9, 7, False),
+        (False, 3, 2, True),
+        (True, 3, 1, True),
+        (True, 3, 2, False),
+        (True, 2, 0, True),
+        (True, 2, 1, False),
+        (True, 1, 0, True),
+    ],
 )
 def test_late_requests_leave_slots_to_those_on_time(
-    late: bool, in_use: int, starts: bool
+    late: bool, slots: int, in_use: int, starts: bool
 ) -> None:
     """Guards against an overload that lasts because late work takes every slot."""
     item = make_waiting(arrived_s=-0.3 if late else 0.0)
-    found = find_next([item], 0.0, 9, in_use)
+    found = find_next([item], 0.0, slots, in_use)
+    assert (found is item) == starts
+
+
+@pytest.mark.parametrize(
+    ("short", "in_use", "starts"),
+    [(False, 1, True), (False, 2, False), (True, 2, True), (True, 3, False)],
+)
+def test_kept_slots_go_to_short_requests(
+    short: bool, in_use: int, starts: bool
+) -> None:
+    """Guards against calls that wait behind work which slows their server down."""
+    item = replace(make_waiting(), short=short)
+    found = find_next([item], 0.0, 3, in_use, kept=1)
     assert (found is item) == starts
 
 
+def test_kept_slot_is_not_blocked_by_what_may_not_take_it() -> None:
+    """Guards against a free slot that nobody gets because a long request is first."""
+    urgent = make_waiting(rank=0)
+    call = replace(make_waiting(rank=1), short=True)
+    assert find_next([urgent, call], 0.0, 3, 2, kept=1) is call
+
+
 def test_short_request_is_served_also_when_it_is_late() -> None:
     """Guards against calls that fail requests which hold slots elsewhere."""
     call = replace(make_waiting(work_s=0.02, arrived_s=-0.3), short=True)
