Count an objective that has run out as run out

Cause: an entry let the remaining objective fall to 0, and the owner took 0 for a request without one, on time until its deadline: the latest requests became the most urgent (class: a value in range that also stands for none).

Change: target_ms is None where there is no objective and falls below 0 once it has passed. The row of 0 ms failed before.

Looked for elsewhere: retry_after_ms 0 in a Refuse also stands for none; the owner never sends less than 50 ms there, so the two can't be confused.

--- a/src/berylmast/backends/attempt_log.py
+++ b/src/berylmast/backends/attempt_log.py
@@ -113,7 +113,7 @@
             self.counts.refused += 1
         elif not end.ok:
             self.counts.failed += 1
-        elif not head.target_ms or took_ms <= head.target_ms:
+        elif head.target_ms is None or took_ms <= head.target_ms:
             self.counts.on_time += 1
         else:
             self.counts.late += 1
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -101,7 +101,7 @@
             # Taken when it is sent: the owner's ledger relies on recent counters.
             attempt=forwarder.next_attempt(),
             deadline_ms=remaining_ms,
-            target_ms=max(0, req.head.target_ms - int((now_s - started_s) * 1000)),
+            target_ms=_subtract(req.head.target_ms, now_s - started_s),
             retry=req.head.retry or search.costs_retry,
             may_spill=placement.may_spill,
         )
@@ -120,6 +120,10 @@
     return Err(verdict or Refusal(ErrorKind.NO_BACKEND, "no attempt was possible"))
 
 
+def _subtract(target_ms: int | None, passed_s: float) -> int | None:
+    return None if target_ms is None else target_ms - int(passed_s * 1000)
+
+
 def _may_retry(req: Classified, refusal: Refusal, body: CallerBody) -> bool:
     """Tell whether another attempt is safe: a retried call is not retried again."""
     if req.head.retry or not body.resendable:
--- a/src/berylmast/limits/slots.py
+++ b/src/berylmast/limits/slots.py
@@ -162,7 +162,9 @@
 
     def _make_entry(self, head: RequestHead, kind: str, now_s: float) -> _Entry:
         deadline_s = now_s + head.deadline_ms / 1000
-        target_s = now_s + head.target_ms / 1000 if head.target_ms else deadline_s
+        target_s = deadline_s
+        if head.target_ms is not None:
+            target_s = now_s + head.target_ms / 1000
         work_s = self._estimate_work_s(kind)
         longest_s = max((known.value_s for known in self._work.values()), default=0.0)
         short = work_s <= SHORT_SHARE * longest_s
--- a/src/berylmast/limits/tests/test_slots.py
+++ b/src/berylmast/limits/tests/test_slots.py
@@ -111,6 +111,22 @@
     assert (isinstance(found, Refusal) and found.kind is ErrorKind.BUSY) == busy
 
 
+@pytest.mark.parametrize(
+    ("target_ms", "starts"),
+    [(None, True), (250, True), (0, False), (-500, False)],
+)
+async def test_request_whose_objective_has_run_out_is_late(
+    target_ms: int | None, starts: bool
+) -> None:
+    """Guards against the latest requests taking the slots kept from late work."""
+    admission = make_admission(slots=2)
+    assert isinstance(await acquire(admission), Permit)
+    permit: Permit | Refusal | None = None
+    with anyio.move_on_after(0.01):
+        permit = await acquire(admission, target_ms=target_ms)
+    assert isinstance(permit, Permit) == starts
+
+
 async def test_what_has_no_hope_is_refused_at_once_with_the_expected_wait() -> None:
     """Guards against a refusal that comes only when the deadline has passed."""
     admission = make_admission(slots=1)
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -30,9 +30,9 @@
 
     ``deadline_ms`` is the time that remains, in milliseconds, when the frame is sent;
     clocks of two machines are never compared. ``target_ms`` is what remains of the time
-    in which an answer is on time, 0 if there is no such time. ``rank`` is the urgency,
-    0 first. With ``may_spill`` an owner whose backend server is busy refuses at once,
-    because another one may be free.
+    in which an answer is on time, below 0 once that has passed, None if there is no
+    such time. ``rank`` is the urgency, 0 first. With ``may_spill`` an owner whose
+    backend server is busy refuses at once, because another one may be free.
     """
 
     request_id: str
@@ -49,7 +49,7 @@
     headers: Headers
     has_body: bool
     rank: int = 0
-    target_ms: int = 0
+    target_ms: int | None = None
     may_spill: bool = False
 
 
