Count the objective of a repeat from the caller's first attempt

Cause: every attempt got the route's whole objective, though it counts from the first one (class: time that is counted anew at each hop or attempt).

Change: a repeat states the deadline of its first attempt less what has passed. An entry keeps the deadlines of the last 50 attempts of each route; what an attempt lacks to their 0.9 quantile is the time that its caller has waited. A few callers that allow more, or callers that allow less from now on, do not make others late.

Evidence: two rows of the classifier's test failed before.

--- a/src/berylmast/callers/routed.py
+++ b/src/berylmast/callers/routed.py
@@ -19,6 +19,7 @@
     read_framing,
     read_host,
 )
+from .waited import CallerWaits
 
 MAX_HEADERS = 200
 
@@ -44,6 +45,7 @@
     get_origin: Callable[[], str],
 ) -> Classify:
     """Return the classification by the routes of the configuration in force."""
+    waits = CallerWaits()
 
     async def classify(scope: dict[str, Any]) -> Result[Classified, Refusal]:
         cfg = held.current
@@ -69,6 +71,10 @@
             return Err(Refusal(ErrorKind.UNKNOWN_SERVICE, detail))
         service = cfg.services[choose_service(route)]
         has_body = length != 0
+        wanted_ms = headers.read_deadline_ms(found)
+        waited_ms = 0
+        if wanted_ms is not None:
+            waited_ms = waits.estimate_ms(route.name, wanted_ms)
         head = RequestHead(
             request_id=headers.read_request_id(found),
             attempt=next_attempt(),
@@ -77,14 +83,14 @@
             tenant="",
             idempotent=route.idempotent,
             idempotency_key=None,
-            deadline_ms=_limit_deadline(headers.read_deadline_ms(found), route),
+            deadline_ms=_limit_deadline(wanted_ms, route),
             retry=False,
             method=scope["method"],
             target=target,
             headers=headers.mark_origin(drop_hop_by_hop(found), get_origin()),
             has_body=has_body,
             rank=route.rank,
-            target_ms=route.target_ms,
+            target_ms=route.target_ms - waited_ms,
         )
         expects = dict(found).get(b"expect", b"").lower() == b"100-continue"
         return Ok(
--- /dev/null
+++ b/src/berylmast/callers/tests/test_routed.py
@@ -0,0 +1,72 @@
+"""Guards against routed requests that reach an owner with a wrong objective."""
+
+from typing import Any
+
+import pytest
+from result import Ok
+
+from ...membership import Directory
+from ...membership.held import HeldDocument
+from ...model import AttemptId, Headers
+from ...routes import CallerLimits, Configuration, HostRoute, RoutePart
+from ...tests.fake_parts import SERVICE, make_slice
+from ..routed import CallerHeaders, make_routed_classifier
+
+pytestmark = pytest.mark.anyio
+
+ROUTE = HostRoute("browse", "/", (RoutePart(SERVICE, 1.0),), True, 0, 3000, 1000, 2)
+CONFIGURATION = Configuration(
+    version=1,
+    routes={"shop.test": (ROUTE,)},
+    services={SERVICE: make_slice()},
+    limits=CallerLimits(10_000, 10_000, 10.0, 10.0),
+)
+
+
+def read_deadline_ms(headers: Headers) -> int | None:
+    value = dict(headers).get(b"deadline")
+    return None if value is None else int(value)
+
+
+def make_scope(deadline_ms: int | None) -> dict[str, Any]:
+    headers = [(b"host", b"shop.test")]
+    if deadline_ms is not None:
+        headers.append((b"deadline", str(deadline_ms).encode()))
+    return {
+        "method": "GET",
+        "path": "/tanks",
+        "raw_path": b"/tanks",
+        "query_string": b"",
+        "headers": headers,
+    }
+
+
+@pytest.mark.parametrize(
+    ("deadlines_ms", "target_ms"),
+    [
+        ([6000], 1000),
+        ([6000, 5600], 600),
+        ([6000, 4000], -1000),
+        ([6000, None], 1000),
+        ([4000, 6000], 1000),
+    ],
+    ids=["first", "repeat", "repeat-after-objective", "no-deadline", "longer"],
+)
+async def test_objective_of_a_repeat_counts_from_the_first_attempt(
+    deadlines_ms: list[int | None], target_ms: int
+) -> None:
+    """Guards against repeats that are served as if they could still be on time."""
+    held = HeldDocument(lambda _spec: Ok(CONFIGURATION), Directory())
+    held.current = CONFIGURATION
+    classify = make_routed_classifier(
+        held,
+        CallerHeaders(lambda _h: "r1", read_deadline_ms, lambda h, _s: list(h)),
+        lambda route: route.parts[0].service,
+        lambda: AttemptId("e", 1, 1),
+        lambda: SERVICE,
+    )
+    heads = [
+        (await classify(make_scope(deadline_ms))).unwrap().head
+        for deadline_ms in deadlines_ms
+    ]
+    assert heads[-1].target_ms == target_ms
--- a/src/berylmast/limits/tests/two_services.py
+++ b/src/berylmast/limits/tests/two_services.py
@@ -113,7 +113,9 @@
         self.asked[second] += kind is READ
         for _ in range(MAX_TRIES):
             left_s = started_s + kind.deadline_s - anyio.current_time()
-            result = await self._serve(kind, min(left_s, kind.deadline_s / 2))
+            left_s = min(left_s, kind.deadline_s / 2)
+            target_s = started_s + kind.target_s
+            result = await self._serve(kind, left_s, target_s)
             now_s = anyio.current_time()
             if result.is_ok():
                 on_time = now_s - started_s <= kind.target_s
@@ -124,7 +126,9 @@
                 return
             await anyio.sleep(min(result.unwrap_err().wait_s, left_s / 3))
 
-    async def _serve(self, kind: Kind, left_s: float) -> Result[None, Refusal]:
+    async def _serve(
+        self, kind: Kind, left_s: float, target_s: float
+    ) -> Result[None, Refusal]:
         """Ask owners in turn, as an entry does: two may pass the request on."""
         servers = self._reads if kind is READ else self._orders
         deadline_s = anyio.current_time() + left_s
@@ -140,6 +144,7 @@
             head = replace(
                 self._make_head(kind),
                 deadline_ms=int(remaining_s * 1000),
+                target_ms=int((target_s - anyio.current_time()) * 1000),
                 may_spill=spills,
             )
             permit = await server.admission.acquire(head)
@@ -163,14 +168,10 @@
         for _ in range(kind.calls):
             if self._rng.random() >= kind.call_share:
                 continue
-            if (await self._serve(STATUS, STATUS.deadline_s)).is_err():
+            target_s = anyio.current_time() + STATUS.target_s
+            if (await self._serve(STATUS, STATUS.deadline_s, target_s)).is_err():
                 return False
         return True
 
     def _make_head(self, kind: Kind) -> RequestHead:
-        return replace(
-            make_head(),
-            target=kind.path,
-            rank=kind.rank,
-            target_ms=int(kind.target_s * 1000),
-        )
+        return replace(make_head(), target=kind.path, rank=kind.rank)
