Show how much a server slows down when it is nearly full

Cause: an owner that leaves slots free does so by an estimate that neither log nor metric showed.

Change: the gauge backend_full_slowdown, 0 while the owner has seen too little.

--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -252,6 +252,11 @@
                 Gauge("backend_queued", "Requests that wait for a slot", load.queued),
                 Gauge("backend_slots", "Slots of the server", load.limit),
                 Gauge("backend_slowdown", "1 if work takes as usual", load.slowdown),
+                Gauge(
+                    "backend_full_slowdown",
+                    "How much longer work takes at a nearly full server, 0 if unknown",
+                    load.full_slowdown,
+                ),
                 Count("load_questions", "Questions for load", local.meter.questions),
             ]
             counts = local.owner.counts
