Read the whole logs where a test looks for a reload

Cause: the test looked for the reload's line in the ends of the logs that are kept for failure messages.

Change: it reads the whole log of each daemon and wants the line in every one, which is stricter.

--- a/src/berylmast_dev/fleet.py
+++ b/src/berylmast_dev/fleet.py
@@ -176,10 +176,14 @@
         for name, process in self.processes.items():
             state = process.poll()
             ended = "runs" if state is None else f"ended with {state}"
-            log = (self._folder / f"{name}.log").read_text()[-LOG_TAIL_CHARS:]
+            log = self.read_log(name)[-LOG_TAIL_CHARS:]
             parts.append(f"{name} {ended}:\n{log}")
         return "\n".join(parts)
 
+    def read_log(self, name: str) -> str:
+        """Return the whole log of a process."""
+        return (self._folder / f"{name}.log").read_text()
+
     def stop_all(self) -> None:
         """Stop every process and wait; one that does not end is killed."""
         for process in self.processes.values():
--- a/src/berylmast_dev/tests/test_platform.py
+++ b/src/berylmast_dev/tests/test_platform.py
@@ -159,9 +159,9 @@
         async with anyio.create_task_group() as tg:
             tg.start_soon(reload, fleet)
             seen = await run_platform_load(members, [READS, WRITES], 2.0)
-        log = fleet.describe()
+        logs = [fleet.read_log(f"daemon-{member.name}") for member in members]
     assert set(seen["/orders/"].statuses) | set(seen["/pay/"].statuses) == {200}
-    assert "event=reload cause=signal outcome=applied" in log
+    assert all("event=reload cause=signal outcome=applied" in log for log in logs)
 
 
 async def test_reload_during_the_start_does_not_end_the_daemon(tmp_path: Path) -> None:
