Report the slots that work gets as a server's limit

Cause: owners reported all slots as their limit, so that entries took a server with one useful slot too few for free, were passed on twice and then waited at a busy one while servers further away were idle (class: two sides count capacity differently).

Change: the reported limit is the number of slots that ordinary work gets. The replay's entries compare requests by useful slot, as the daemon's do.

Where servers do not slow down nothing changes.

--- a/src/berylmast/limits/slots.py
+++ b/src/berylmast/limits/slots.py
@@ -147,7 +147,7 @@
             seq=self._seq,
             in_flight=self._in_flight,
             queued=len(self._waiting),
-            limit=0 if service is None else service.slots,
+            limit=0 if service is None else self._count_useful(service.slots),
             latency_ms=self._latency_ms.value,
             error_rate=self._error_rate.value,
             draining=self.draining or service is None,
@@ -180,8 +180,11 @@
     def _find_next(self, waiting: list[_Entry], slots: int) -> Waiting | None:
         """Return the request that may start now, None if none may."""
         now_s = anyio.current_time()
-        useful = self._full_slowdown.count_useful_slots(slots)
-        return find_next(waiting, now_s, slots, self._in_flight, slots - useful)
+        kept = slots - self._count_useful(slots)
+        return find_next(waiting, now_s, slots, self._in_flight, kept)
+
+    def _count_useful(self, slots: int) -> int:
+        return self._full_slowdown.count_useful_slots(slots)
 
     def _advance(self, slots: int, now_s: float) -> None:
         """Start what has a free slot, then refuse what has no hope."""
--- a/src/berylmast/limits/tests/test_slots.py
+++ b/src/berylmast/limits/tests/test_slots.py
@@ -127,6 +127,18 @@
     assert isinstance(permit, Permit) == starts
 
 
+@pytest.mark.parametrize(("full_slowdown", "limit"), [(0.0, 3), (1.2, 3), (1.7, 2)])
+def test_report_counts_the_slots_that_work_gets(
+    full_slowdown: float, limit: int
+) -> None:
+    """Guards against entries that take a server for free which passes work on."""
+    found = make_slice(slots=3)
+    admission = SlotAdmission(
+        "b1", 1, lambda: found, get_usual_slowdown=lambda: full_slowdown
+    )
+    assert admission.report().limit == limit
+
+
 async def test_what_has_no_hope_is_refused_at_once_with_the_expected_wait() -> None:
     """Guards against a refusal that comes only when the deadline has passed."""
     admission = make_admission(slots=1)
--- a/src/berylmast/limits/tests/two_services.py
+++ b/src/berylmast/limits/tests/two_services.py
@@ -15,7 +15,7 @@
 from result import Err, Ok, Result
 
 from ...errors import ErrorKind, Refusal
-from ...model import AttemptResult, RequestHead
+from ...model import AttemptResult, LoadReport, RequestHead
 from ...tests.fake_parts import make_head, make_slice
 from ..slots import SlotAdmission
 
@@ -52,6 +52,7 @@
     full_factor: float
     get_usual_slowdown: Callable[[], float]
     admission: SlotAdmission = field(init=False)
+    report: LoadReport | None = None
     seed: int = 0
 
     def __post_init__(self) -> None:
@@ -64,11 +65,10 @@
             get_usual_slowdown=self.get_usual_slowdown,
         )
 
-    @property
-    def load(self) -> int:
-        """Return the requests at the server and in the owner's queue."""
-        report = self.admission.report()
-        return report.in_flight + report.queued
+    def read_load(self) -> float:
+        """Keep the owner's report; return the requests there for each useful slot."""
+        self.report = self.admission.report()
+        return (self.report.in_flight + self.report.queued) / self.report.limit
 
 
 class TwoServices:
@@ -102,7 +102,7 @@
 
     def _get_usual_slowdown(self) -> float:
         """Return what the reports of the orders servers tell an entry."""
-        reports = [server.admission.report() for server in self._orders]
+        reports = [server.report for server in self._orders if server.report]
         found = [r.full_slowdown for r in reports if r.full_slowdown]
         return median(found or [0.0])
 
@@ -137,7 +137,7 @@
         for asked in range(MAX_ASKED):
             spills = asked < MAX_SPILLS
             left = [s for s in servers if not spills or s not in busy]
-            server = min(left, key=lambda s: (s.load, self._rng.random()))
+            server = min(left, key=lambda s: (s.read_load(), self._rng.random()))
             remaining_s = deadline_s - anyio.current_time()
             if remaining_s <= 0:
                 break
