--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -101,7 +101,7 @@
             # Taken when it is sent: the owner's ledger relies on recent counters.
             attempt=forwarder.next_attempt(),
             deadline_ms=remaining_ms,
-            target_ms=_subtract(req.head.target_ms, now_s - started_s),
+            target_ms=_get_target_left(req.head.target_ms, now_s - started_s),
             retry=req.head.retry or search.costs_retry,
             may_spill=placement.may_spill,
         )
@@ -120,7 +120,7 @@
     return Err(verdict or Refusal(ErrorKind.NO_BACKEND, "no attempt was possible"))
 
 
-def _subtract(target_ms: int | None, passed_s: float) -> int | None:
+def _get_target_left(target_ms: int | None, passed_s: float) -> int | None:
     return None if target_ms is None else target_ms - int(passed_s * 1000)
 
 
--- a/src/berylmast/limits/full_slowdown.py
+++ b/src/berylmast/limits/full_slowdown.py
@@ -1,9 +1,9 @@
 """How much longer work takes at a backend server that is nearly full.
 
-Some servers slow down when their last slots are taken, so much that they end fewer
-requests than with a slot free. Answers load pattern: an overload in which every owner
-fills its slots, the servers slow down, and what is offered then exceeds what they can
-do also when the cause is gone.
+Some servers slow down so much when their last slots are taken that they end fewer
+requests than with a slot free. The load pattern that this answers: every owner fills
+its slots in an overload, the servers slow down, and what is offered exceeds what they
+can do also after the cause has gone.
 """
 
 import math
@@ -49,10 +49,10 @@
 
 
 class FullSlowdown:
-    """Learns from the service times of one kind of request at two levels of load.
+    """Compares service times of a calm and of a nearly full server.
 
-    Give it only requests that make no calls of their own: a call's time depends on the
-    load of other servers. ``get_usual`` returns what other owners found, UNKNOWN if
+    Give it only requests that make no calls of their own: the time of a call depends on
+    the load of other servers. ``get_usual`` returns what other owners found, UNKNOWN if
     nobody has; it stands in until this one has seen enough.
     """
 
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -250,7 +250,7 @@
             values += [
                 Gauge("backend_in_flight", "Requests at the server", load.in_flight),
                 Gauge("backend_queued", "Requests that wait for a slot", load.queued),
-                Gauge("backend_slots", "Slots of the server", load.limit),
+                Gauge("backend_slots", "Slots that ordinary work gets", load.limit),
                 Gauge("backend_slowdown", "1 if work takes as usual", load.slowdown),
                 Gauge(
                     "backend_full_slowdown",
