--- a/src/berylmast/limits/backlog.py
+++ b/src/berylmast/limits/backlog.py
@@ -96,6 +96,8 @@
 
     ``kept`` is the number of slots that only short requests may take.
     """
+    if in_use >= slots:
+        return None
     startable = [
         item for item in waiting if in_use < _count_slots(item, now_s, slots, kept)
     ]
