Refuse queued requests when a backend server's drain closes admission

Cause: SlotAdmission checked draining only when a request arrived. A daemon that restarted during a drain granted the leave time a second time, and one that restarted after a departure took a delayed report for a running server. Change: setting draining refuses the queue; the check is repeated after the query; a server first seen draining gets nothing; a report older than a GONE record is ignored.

--- a/src/berylmast/backends/report_handler.py
+++ b/src/berylmast/backends/report_handler.py
@@ -41,7 +41,8 @@
     ``publish`` is called with each new record. ``wait_stored`` waits, for at most the
     given seconds, until the latest record is stored. ``get_leave_s`` returns the time
     in seconds that a leaving backend server is given. ``is_known`` returns whether a
-    service is known.
+    service is known. ``get_known_record`` returns the newest record of a backend
+    server that this daemon has, from any daemon or the store.
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         is_known: Callable[[str], bool],
         publish: Callable[[Endpoint], None],
         wait_stored: Callable[[float], Awaitable[bool]],
+        get_known_record: Callable[[str], Endpoint | None],
         tg: TaskGroup,
     ) -> None:
         self._backend_state = backend_state
@@ -64,6 +66,7 @@
         self._is_known = is_known
         self._publish = publish
         self._wait_stored = wait_stored
+        self._get_known_record = get_known_record
         self._tg = tg
         self._record: Endpoint | None = None
         self._leaving = False
@@ -74,6 +77,9 @@
             return Err(f"report is for address {report.address}, not {self._address}")
         if not self._is_known(report.service):
             return Err(f"unknown service {report.service!r}")
+        if self._has_left(report):
+            log_event("report_of_departed", backend=report.backend, order=report.order)
+            return Ok(None)
         if not self._backend_state.apply_report(report):
             log_event("report_outdated", backend=report.backend, order=report.order)
             return Ok(None)
@@ -81,6 +87,16 @@
             await self._wait_stored(STORE_TIMEOUT_S)
         return Ok(None)
 
+    def _has_left(self, report: BackendReport) -> bool:
+        """Return whether a known record states that the sender left after the report.
+
+        A daemon that has restarted knows of the departure only from that record.
+        """
+        known = self._get_known_record(report.backend)
+        if known is None or known.state is not EndpointState.GONE:
+            return False
+        return known.order >= _make_order(report)
+
     async def handle_departure(self, departure: Departure) -> Result[None, str]:
         """Handle the notice that a backend server is shutting down permanently."""
         if (
@@ -114,7 +130,7 @@
         old = self._record
         if old is not None and _is_unchanged(old, report, state):
             return False
-        seq = report.sequence * SEQ_NUMBERS_PER_REPORT
+        _, seq = _make_order(report)
         if old is not None and old.incarnation == report.born_ms:
             seq = max(seq, old.seq + 1)
         record = Endpoint(
@@ -143,7 +159,11 @@
         if state is EndpointState.READY:
             self._admission.draining = False
             return False
-        if not self._leaving:
+        if old is None or old.backend != record.backend:
+            # This daemon may have restarted after it acknowledged the departure, so
+            # the time to accept requests may already be over.
+            self._admission.draining = True
+        elif not self._leaving:
             self._tg.start_soon(self._close_admission, record)
         return True
 
@@ -161,6 +181,11 @@
             self._admission.draining = current.state is not EndpointState.READY
 
 
+def _make_order(report: BackendReport) -> tuple[int, int]:
+    """Return the order of the first record that is published after a report."""
+    return (report.born_ms, report.sequence * SEQ_NUMBERS_PER_REPORT)
+
+
 def _is_unchanged(old: Endpoint, report: BackendReport, state: EndpointState) -> bool:
     return (old.backend, old.service, old.incarnation, old.state) == (
         report.backend,
--- a/src/berylmast/backends/tests/test_report_handler.py
+++ b/src/berylmast/backends/tests/test_report_handler.py
@@ -38,6 +38,7 @@
 @asynccontextmanager
 async def run_report_handler(
     known: frozenset[str] = frozenset({"orders"}),
+    known_record: Endpoint | None = None,
 ) -> AsyncIterator[Parts]:
     admission = SlotAdmission("d1", 1, lambda: None)
     published: list[Endpoint] = []
@@ -59,6 +60,7 @@
             lambda service: service in known,
             published.append,
             wait_stored,
+            lambda backend: known_record,
             tg,
         )
         yield Parts(handler, admission, published, stored)
@@ -132,3 +134,31 @@
     async with run_report_handler() as parts:
         await parts.handler.handle_report(replace(REPORT, sequence=2))
         assert parts.published[-1].order > last.order
+
+
+@pytest.mark.parametrize(
+    ("sequence", "state", "accepted"),
+    [
+        (4, EndpointState.GONE, False),
+        (6, EndpointState.GONE, True),
+        (4, EndpointState.READY, True),
+    ],
+    ids=["older-than-departure", "newer-than-departure", "still-ready"],
+)
+async def test_delayed_report_of_a_departed_server_after_a_restart(
+    sequence: int, state: EndpointState, accepted: bool
+) -> None:
+    """A restarted daemon used a server again whose departure it had acknowledged."""
+    known = Endpoint("i-1", "orders", "h", 7, "n", "n1", REPORT.born_ms, 501, state)
+    async with run_report_handler(known_record=known) as parts:
+        report = replace(REPORT, sequence=sequence)
+        assert (await parts.handler.handle_report(report)).is_ok()
+        assert bool(parts.published) is accepted
+
+
+async def test_server_that_drains_at_the_first_report_gets_no_requests() -> None:
+    """A daemon that restarted during a drain granted the leave time a second time."""
+    async with run_report_handler() as parts:
+        parts.stored.set()
+        await parts.handler.handle_report(replace(REPORT, draining=True))
+        assert parts.admission.draining
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -105,7 +105,13 @@
         if local_backend is not None:
             await tg.start(local_backend.owner.run)
             components = DaemonComponents(
-                identity, active_document, lifecycle, store_sync, publish, listener
+                identity,
+                active_document,
+                lifecycle,
+                store_sync,
+                publish,
+                registry.get,
+                listener,
             )
             local_backend.start_tracking(tg, live, adapter, components)
         tg.start_soon(store_sync.run)
--- a/src/berylmast/limits/slot_admission.py
+++ b/src/berylmast/limits/slot_admission.py
@@ -39,6 +39,7 @@
 MAX_REQUEST_KINDS = 64
 _OTHER_REQUEST_KINDS = ""
 _RETRY_AFTER_JITTER = (0.75, 1.5)
+_DRAINING_REFUSAL = Refusal(ErrorKind.DRAINING, "the backend server is draining")
 
 
 @dataclass(slots=True, eq=False)
@@ -98,7 +99,7 @@
         rng: Random | None = None,
         get_median_full_slowdown: Callable[[], float] = lambda: UNKNOWN_SLOWDOWN,
     ) -> None:
-        self.draining = False
+        self._draining = False
         self._backend = backend
         self._incarnation = incarnation
         self._get_slice = get_slice
@@ -112,6 +113,24 @@
         self._meter = meter or NoSlowdownMeter()
         self._full_slowdown = FullSlowdownEstimator(get_median_full_slowdown)
 
+    @property
+    def draining(self) -> bool:
+        """Return whether all requests are refused."""
+        return self._draining
+
+    @draining.setter
+    def draining(self, draining: bool) -> None:
+        """Refuse all requests from now on, or admit them again.
+
+        Queued requests are refused too: they would reach the backend server at an
+        unknown time after it was announced as leaving.
+        """
+        self._draining = draining
+        if not draining:
+            return
+        for request in list(self._queue):
+            self._settle_refused(request, _DRAINING_REFUSAL)
+
     def set_backend(self, backend: str, incarnation: int) -> None:
         """Report the load of another backend server or incarnation from now on.
 
@@ -132,8 +151,8 @@
         is released.
         """
         service = self._get_slice()
-        if self.draining:
-            return _make_refusal(ErrorKind.DRAINING, "the backend server is draining")
+        if self._draining:
+            return Err(_DRAINING_REFUSAL)
         if service is None:
             return _make_refusal(ErrorKind.NO_BACKEND, "no backend server has reported")
         if service.service != head.service:
@@ -143,6 +162,8 @@
         request = self._make_pending(head, kind, anyio.current_time())
         if head.may_spill and await self._should_spill(request, service.slots):
             return _make_refusal(ErrorKind.BUSY, "backend server busy; try another one")
+        if self._draining:
+            return Err(_DRAINING_REFUSAL)
         now_s = anyio.current_time()
         self._queue.append(request)
         self._dispatch(service.slots, now_s)
@@ -171,7 +192,7 @@
             limit=0 if service is None else self._get_usable_slots(service.slots),
             latency_ms=self._latency_ms.value,
             error_rate=self._error_rate.value,
-            draining=self.draining or service is None,
+            draining=self._draining or service is None,
             slowdown=self._meter.get_slowdown(MAX_SLOWDOWN_AGE_S),
             full_slowdown=self._full_slowdown.estimate,
         )
@@ -262,7 +283,12 @@
         retry_after_s = max(
             MIN_RETRY_AFTER_S, wait_s * self._rng.uniform(*_RETRY_AFTER_JITTER)
         )
-        request.refusal = Refusal(ErrorKind.OVERLOADED, detail, retry_after_s)
+        self._settle_refused(
+            request, Refusal(ErrorKind.OVERLOADED, detail, retry_after_s)
+        )
+
+    def _settle_refused(self, request: _PendingRequest, refusal: Refusal) -> None:
+        request.refusal = refusal
         request.settled.set()
         self._dequeue(request)
 
--- a/src/berylmast/limits/tests/test_slot_admission.py
+++ b/src/berylmast/limits/tests/test_slot_admission.py
@@ -191,3 +191,36 @@
     assert isinstance(permit, Permit)
     permit.release(SUCCESS)
     assert isinstance(await acquire(admission), Permit)
+
+
+async def test_drain_refuses_requests_that_wait() -> None:
+    """A request that started late in a drain reached a server that had to be idle."""
+    admission = make_admission(slots=1)
+    running = await acquire(admission, deadline_ms=60_000, target_ms=60_000)
+    assert isinstance(running, Permit)
+    outcomes: list[Permit | Refusal] = []
+
+    async def wait() -> None:
+        outcomes.append(await acquire(admission, deadline_ms=60_000, target_ms=60_000))
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(wait)
+        await anyio.sleep(0.01)
+        admission.draining = True
+        await anyio.sleep(0.01)
+        assert [getattr(outcome, "kind", None) for outcome in outcomes] == [
+            ErrorKind.DRAINING
+        ]
+        tg.cancel_scope.cancel()
+    assert admission.in_flight == 1
+
+
+async def test_drain_that_begins_during_the_load_query_refuses_the_request() -> None:
+    class DrainingMeter(FakeMeter):
+        async def refresh(self) -> None:
+            admission.draining = True
+
+    admission = make_admission(slots=1, meter=DrainingMeter())
+    outcome = await acquire(admission, may_spill=True)
+    assert isinstance(outcome, Refusal)
+    assert outcome.kind is ErrorKind.DRAINING
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -43,6 +43,7 @@
     lifecycle: Lifecycle
     store_sync: StoreSync
     publish: PublishEndpoint
+    get_record: Callable[[str], Endpoint | None]
     listener: PeerListener
 
 
@@ -124,6 +125,7 @@
             components.active_document.accepts_service,
             components.publish,
             components.store_sync.wait_stored,
+            components.get_record,
             tg,
         )
 
