Let a few watchers read configuration changes and pass them on

Cause: every daemon watched the configuration, so a change cost one call a daemon, and each start made five calls. Change: the first four daemons of a region, in turn by failure domain, watch and pass a newer version on; the others compare with a watcher now and then and look at the store with stale reads, about one a second in the whole fleet. A record of its own that can't be decoded is replaced instead of written in a loop.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -17,8 +17,10 @@
 from .local_exchange import make_exchange_opener
 from .membership import Directory
 from .membership.active_document import ActiveDocument
+from .membership.document_sync import DocumentSync
 from .membership.gossip import Gossip
 from .membership.registry import EndpointRegistry
+from .membership.store_calls import StoreStatus
 from .membership.store_sync import StoreSync
 from .model import Endpoint
 from .operators.daemon_admin import make_daemon_admin
@@ -81,12 +83,31 @@
     local_backend = LocalBackend.make(
         cfg, identity, adapter, limits, directory, router.get_median_full_slowdown
     )
-    store_sync = StoreSync(adapter.make_store(cfg), registry, active_document, rng)
+    store = adapter.make_store(cfg)
+    store_status = StoreStatus()
+    store_sync = StoreSync(store, registry, own_address, store_status, rng)
     async with anyio.create_task_group() as tg:
         if statsd is not None:
             tg.start_soon(statsd.run)
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
-        gossip = Gossip(pool, registry, active_document, own_address, cfg.region, rng)
+        gossip = Gossip(
+            pool,
+            registry,
+            active_document,
+            own_address,
+            cfg.region,
+            cfg.failure_domain,
+            rng,
+        )
+        document_sync = DocumentSync(
+            store,
+            active_document,
+            store_status,
+            rng,
+            gossip.is_watcher,
+            lambda: gossip.fleet_size,
+            gossip.spread_document,
+        )
         owner = local_backend.owner if local_backend else None
         listener = PeerListener(
             cfg.peers,
@@ -115,6 +136,7 @@
             )
             local_backend.start_tracking(tg, live, adapter, components)
         tg.start_soon(store_sync.run)
+        tg.start_soon(document_sync.run)
         tg.start_soon(gossip.run)
         tg.start_soon(follow_settings, live)
         prober = Prober(
@@ -161,7 +183,7 @@
             lifecycle,
             local_backend.admission if local_backend else None,
             router.summarize,
-            make_membership_report(active_document, registry, store_sync),
+            make_membership_report(active_document, registry, store, store_status),
             make_explain_handler(directory, router),
         )
 
@@ -174,7 +196,7 @@
             render = make_metrics_renderer(
                 recorder,
                 make_metrics_reader(
-                    active_document, registry, store_sync, local_backend
+                    active_document, registry, store, store_status, local_backend
                 ),
             )
             tg.start_soon(make_server(make_metrics_app(render), cfg.metrics).serve)
--- /dev/null
+++ b/src/berylmast/membership/document_sync.py
@@ -0,0 +1,156 @@
+"""Keeps the configuration of this daemon up to date from the store.
+
+Watchers (see ``watchers``) wait for changes and pass them on. Every other daemon looks
+at the store now and then, so that a change is noticed even if no watcher can reach the
+store.
+"""
+
+from collections.abc import Callable
+from random import Random
+
+import anyio
+
+from ..platform.objects import PlatformUnavailable, RevisionExpired
+from .active_document import ActiveDocument
+from .store import Store, StoredDocument
+from .store_calls import Backoff, StoreStatus
+
+WATCH_TIMEOUT_S = 30.0
+WATCH_DELAY_S = 0.15
+"""Delay after a configuration change before the next watch, so that several changes in
+quick succession cost one call."""
+
+FLEET_SEARCH_TIME_S = 3.0
+"""Time after which a daemon that knows no other one starts to watch. When a whole fleet
+starts, nobody knows who the watchers are until the first records are stored."""
+
+_FLEET_SEARCH_POLL_S = 0.1
+
+ROLE_CHECK_INTERVAL_S = 1.0
+"""Interval at which a daemon checks whether it has become a watcher."""
+
+LOOK_INTERVAL_PER_DAEMON_S = 1.0
+"""The interval between two looks of a daemon grows with the fleet, so that the fleet
+as a whole looks about once per second."""
+
+MIN_LOOK_INTERVAL_S = 3.0
+MAX_LOOK_INTERVAL_S = 120.0
+
+
+class DocumentSync:
+    """Reads and watches the configuration.
+
+    ``is_watcher`` returns whether this daemon watches now. ``count_daemons`` returns
+    the size of the fleet. ``spread`` is called after a newer configuration was read
+    from the store.
+    """
+
+    def __init__(
+        self,
+        store: Store,
+        active_document: ActiveDocument,
+        store_status: StoreStatus,
+        rng: Random,
+        is_watcher: Callable[[], bool],
+        count_daemons: Callable[[], int],
+        spread: Callable[[], None],
+    ) -> None:
+        self._store = store
+        self._active_document = active_document
+        self._store_status = store_status
+        self._rng = rng
+        self._is_watcher = is_watcher
+        self._count_daemons = count_daemons
+        self._spread = spread
+        self._revision: int | None = None
+
+    async def run(self) -> None:
+        """Keep the configuration up to date until cancelled."""
+        await self._read_first()
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._watch)
+            tg.start_soon(self._look)
+
+    async def _read_first(self) -> None:
+        """Read the configuration, or return once another daemon has sent it.
+
+        A stale read is enough: the watch continues from its revision, and other daemons
+        hold what is newer.
+        """
+        backoff = self._make_backoff()
+        while self._active_document.current is None:
+            try:
+                self._adopt(await self._store.read_document(stale=True))
+            except PlatformUnavailable as exc:
+                await backoff.wait(exc)
+                continue
+            backoff.reset()
+            return
+
+    async def _wait_for_fleet(self) -> None:
+        with anyio.move_on_after(FLEET_SEARCH_TIME_S):
+            while self._count_daemons() == 1:
+                await anyio.sleep(_FLEET_SEARCH_POLL_S)
+
+    async def _watch(self) -> None:
+        await self._wait_for_fleet()
+        backoff = self._make_backoff()
+        while True:
+            if not self._is_watcher():
+                await anyio.sleep(ROLE_CHECK_INTERVAL_S)
+                continue
+            try:
+                changed = await self._wait_for_change()
+            except PlatformUnavailable as exc:
+                await backoff.wait(exc)
+                continue
+            backoff.reset()
+            if changed:
+                await anyio.sleep(WATCH_DELAY_S)
+
+    async def _wait_for_change(self) -> bool:
+        """Wait for one change; return whether there was one."""
+        if self._revision is None:
+            stored = await self._store.read_document()
+        else:
+            try:
+                stored = await self._store.wait_document(
+                    self._revision, WATCH_TIMEOUT_S
+                )
+            except RevisionExpired:
+                self._revision = None
+                return False
+        return self._adopt(stored)
+
+    async def _look(self) -> None:
+        backoff = self._make_backoff()
+        while True:
+            await anyio.sleep(self._get_look_interval_s())
+            if self._is_watcher():
+                continue
+            try:
+                self._adopt(await self._store.read_document(stale=True))
+            except PlatformUnavailable as exc:
+                await backoff.wait(exc)
+                continue
+            backoff.reset()
+
+    def _get_look_interval_s(self) -> float:
+        interval_s = MIN_LOOK_INTERVAL_S
+        if self._active_document.current is not None:
+            interval_s = max(
+                interval_s, self._count_daemons() * LOOK_INTERVAL_PER_DAEMON_S
+            )
+        return min(interval_s, MAX_LOOK_INTERVAL_S) * self._rng.uniform(0.5, 1.5)
+
+    def _adopt(self, stored: StoredDocument) -> bool:
+        """Activate what was read; return whether the store sent a configuration."""
+        self._revision = max(stored.revision, self._revision or 0)
+        if stored.spec is None:
+            return False
+        if self._active_document.adopt(stored.spec, "store"):
+            self._spread()
+        return True
+
+    def _make_backoff(self) -> Backoff:
+        return Backoff(self._store_status, self._rng)
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -7,6 +7,8 @@
 """
 
 import zlib
+from bisect import insort
+from collections.abc import Sequence
 from random import Random
 
 import anyio
@@ -27,8 +29,10 @@
 from ..model import Endpoint
 from ..telemetry import log_event
 from .active_document import ActiveDocument
+from .peers import PeerAddress, PeerIndex, get_address
 from .records import pack_record, split_records, unpack_records
-from .registry import EndpointRegistry, PeerAddress
+from .registry import EndpointRegistry
+from .watchers import choose_watchers, list_locations
 
 COMPARE_INTERVAL_S = 1.0
 MAX_BROADCAST_PEERS = 64
@@ -42,6 +46,17 @@
 volume.
 """
 
+WATCHER_FRACTION = 0.2
+"""Fraction of comparisons whose peer is a watcher of this region, so that every daemon
+notices within seconds that a watcher is dead."""
+
+RELAY_PEERS = 2
+"""Number of daemons of the region to which a configuration is passed on that came from
+another daemon. It reaches those whose failure domain has no working watcher."""
+
+UNREACHABLE_S = 30.0
+"""Time for which a daemon that could not be reached is not counted as a watcher."""
+
 COMPARE_TIMEOUT_S = 2.0
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 
@@ -56,6 +71,7 @@
         active_document: ActiveDocument,
         own_address: PeerAddress,
         region: str,
+        failure_domain: str,
         rng: Random,
     ) -> None:
         self._pool = pool
@@ -63,7 +79,9 @@
         self._active_document = active_document
         self._own_address = own_address
         self._region = region
+        self._failure_domain = failure_domain
         self._rng = rng
+        self._unreachable_until: dict[PeerAddress, float] = {}
         self._tg: TaskGroup | None = None
 
     async def run(self) -> None:
@@ -83,12 +101,33 @@
         frame = Tell(
             CONNECTION_EXCHANGE_ID, tuple(pack_record(record) for record in records)
         )
-        peers = self._registry.peers(self._own_address)
-        if len(peers) > MAX_BROADCAST_PEERS:
-            peers = self._rng.sample(peers, MAX_BROADCAST_PEERS)
-        for peer in peers:
+        for peer in self._sample(self._peers.all, MAX_BROADCAST_PEERS):
             self._tg.start_soon(self._send_to_peer, peer, frame)
 
+    def spread_document(self) -> None:
+        """Pass a configuration from the store on to other daemons in the background.
+
+        It goes to the daemons of this failure domain, and to one of each other domain
+        in case the watchers there cannot reach the store.
+        """
+        if self._tg is None:
+            return
+        by_domain = dict(self._peers.by_domain)
+        own_domain = by_domain.pop(self._failure_domain, ())
+        targets = self._sample(own_domain, MAX_BROADCAST_PEERS)
+        targets += [self._rng.choice(peers) for peers in by_domain.values()]
+        for peer in targets:
+            self._tg.start_soon(self.compare_with, peer)
+
+    def is_watcher(self) -> bool:
+        """Return whether this daemon watches the configuration for its region."""
+        return self._own_address in self._choose_watchers()
+
+    @property
+    def fleet_size(self) -> int:
+        """Return the number of daemons that are known, including this one."""
+        return len(self._peers.all) + 1
+
     def handle_tell(self, records: tuple[EndpointRecord, ...]) -> None:
         """Merge the records of a received ``Tell`` frame."""
         self._registry.merge(unpack_records(records))
@@ -104,9 +143,13 @@
                     )
                     await exchange.send(Compare(exchange.id, version, digest))
                     await self._receive_response(exchange)
-        except (ConnectionLost, ExchangeLost):
+        except ConnectionLost:
+            self._mark_unreachable(peer)
+        except ExchangeLost:
             # A later round compares with this peer or another one.
             return
+        else:
+            self._unreachable_until.pop(get_address(peer), None)
 
     async def serve_comparison(self, exchange: Exchange, frame: Compare) -> None:
         """Serve the exchange that another daemon opened with a ``Compare`` frame."""
@@ -162,7 +205,10 @@
         except zlib.error as exc:
             log_event("document_unreadable", source="peer", reason=repr(exc))
             return
-        self._active_document.adopt_text(text, "peer")
+        if self._active_document.adopt_text(text, "peer") and self._tg is not None:
+            relay_peers = self._peers.by_region.get(self._region, ())
+            for peer in self._sample(relay_peers, RELAY_PEERS):
+                self._tg.start_soon(self.compare_with, peer)
 
     async def _send_document(self, exchange: Exchange) -> None:
         data = zlib.compress(self._active_document.text)
@@ -179,12 +225,47 @@
             return
         conn.write(frame)
 
+    @property
+    def _peers(self) -> PeerIndex:
+        return self._registry.peers(self._own_address)
+
     def _choose_peer(self) -> Endpoint | None:
-        peers = self._registry.peers(self._own_address)
-        regional_peers = [peer for peer in peers if peer.region == self._region]
-        if regional_peers and self._rng.random() >= ANY_REGION_FRACTION:
-            peers = regional_peers
-        return self._rng.choice(peers) if peers else None
+        peers = self._peers
+        if self._rng.random() < WATCHER_FRACTION:
+            watchers = self._list_other_watchers()
+            if watchers:
+                return self._rng.choice(watchers)
+        candidates = peers.by_region.get(self._region, ())
+        if not candidates or self._rng.random() < ANY_REGION_FRACTION:
+            candidates = peers.all
+        return self._rng.choice(candidates) if candidates else None
+
+    def _choose_watchers(self) -> list[PeerAddress]:
+        locations = list_locations(self._peers.by_region.get(self._region, ()))
+        insort(locations, (self._own_address, self._failure_domain))
+        return choose_watchers(locations, self._list_unreachable())
+
+    def _list_other_watchers(self) -> list[Endpoint]:
+        watchers = self._choose_watchers()
+        regional_peers = self._peers.by_region.get(self._region, ())
+        return [peer for peer in regional_peers if get_address(peer) in watchers]
+
+    def _mark_unreachable(self, peer: Endpoint) -> None:
+        self._unreachable_until[get_address(peer)] = (
+            anyio.current_time() + UNREACHABLE_S
+        )
+
+    def _list_unreachable(self) -> set[PeerAddress]:
+        now_s = anyio.current_time()
+        self._unreachable_until = {
+            address: until_s
+            for address, until_s in self._unreachable_until.items()
+            if until_s > now_s
+        }
+        return set(self._unreachable_until)
+
+    def _sample(self, peers: Sequence[Endpoint], size: int) -> list[Endpoint]:
+        return self._rng.sample(peers, min(size, len(peers)))
 
 
 async def _send_records(exchange: Exchange, records: list[Endpoint]) -> None:
--- a/src/berylmast/membership/registry.py
+++ b/src/berylmast/membership/registry.py
@@ -6,10 +6,9 @@
 
 from ..model import Endpoint, EndpointState
 from .directory import Directory
+from .peers import PeerAddress, PeerIndex, index_peers
 from .records import RecordTable
 
-PeerAddress = tuple[str, int]
-
 
 class EndpointRegistry:
     """Keeps the newest record of every backend server and updates the directory.
@@ -23,6 +22,7 @@
         self._table = RecordTable()
         self._backends_by_address: dict[PeerAddress, set[str]] = {}
         self._digest: str | None = None
+        self._peers: tuple[PeerAddress, PeerIndex] | None = None
 
     def get(self, backend: str) -> Endpoint | None:
         """Return the newest record of a backend server, None if there is none."""
@@ -47,6 +47,7 @@
         if not changed:
             return []
         self._digest = None
+        self._peers = None
         for record in changed:
             self._directory.put_endpoint(record)
         return changed
@@ -57,14 +58,11 @@
         given.merge(records)
         return given.merge(self.records())
 
-    def peers(self, own_address: PeerAddress) -> list[Endpoint]:
-        """Return one record for each other daemon, leaving out those that are gone."""
-        peers_by_address: dict[PeerAddress, Endpoint] = {}
-        for record in self.records():
-            address = (record.host, record.port)
-            if record.state is not EndpointState.GONE and address != own_address:
-                peers_by_address[address] = record
-        return list(peers_by_address.values())
+    def peers(self, own_address: PeerAddress) -> PeerIndex:
+        """Return the other daemons, leaving out those that are gone."""
+        if self._peers is None or self._peers[0] != own_address:
+            self._peers = (own_address, index_peers(self.records(), own_address))
+        return self._peers[1]
 
     @property
     def digest(self) -> str:
--- a/src/berylmast/membership/store.py
+++ b/src/berylmast/membership/store.py
@@ -26,6 +26,14 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class UndecodedRecord:
+    """A record in the store that cannot be decoded."""
+
+    revision: int
+    endpoint: None = None
+
+
 class Store(Protocol):
     """The calls of a daemon to the store; each counts against the fleet's rate limits.
 
@@ -37,8 +45,11 @@
     def calls(self) -> int:
         """Return the number of calls made so far."""
 
-    async def read_document(self) -> StoredDocument:
-        """Read the configuration."""
+    async def read_document(self, *, stale: bool = False) -> StoredDocument:
+        """Read the configuration.
+
+        With ``stale``, what is read may be seconds old, which is cheaper.
+        """
 
     async def wait_document(self, revision: int, wait_s: float) -> StoredDocument:
         """Wait at most ``wait_s`` seconds for a change of the configuration.
@@ -46,10 +57,13 @@
         Raises RevisionExpired if the store no longer knows the revision.
         """
 
-    async def list_records(self) -> list[StoredRecord]:
-        """Read all endpoint records; those that cannot be decoded are left out."""
+    async def list_records(self, *, stale: bool = False) -> list[StoredRecord]:
+        """Read all endpoint records; those that cannot be decoded are left out.
+
+        With ``stale``, what is read may be seconds old, which is cheaper.
+        """
 
-    async def read_record(self, backend: str) -> StoredRecord | None:
+    async def read_record(self, backend: str) -> StoredRecord | UndecodedRecord | None:
         """Read one endpoint record; None if there is none."""
 
     async def put_record(self, endpoint: Endpoint, revision: int) -> int:
--- a/src/berylmast/platform/objects.py
+++ b/src/berylmast/platform/objects.py
@@ -71,8 +71,11 @@
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Read one object; None if it does not exist."""
 
-    async def list(self, kind: str) -> Listing:
-        """Read all objects of a kind."""
+    async def list(self, kind: str, *, stale: bool = False) -> Listing:
+        """Read all objects of a kind.
+
+        A ``stale`` read costs a tenth and may return data that is seconds old.
+        """
 
     async def put(
         self, kind: str, name: str, spec: object, revision: int | None
--- a/src/berylmast/platform/platform_store.py
+++ b/src/berylmast/platform/platform_store.py
@@ -1,6 +1,6 @@
 """Implements the daemon's ``Store`` interface with the platform's object store."""
 
-from ..membership.store import StoredDocument, StoredRecord
+from ..membership.store import StoredDocument, StoredRecord, UndecodedRecord
 from ..model import Endpoint
 from ..telemetry import log_event
 from . import records
@@ -20,9 +20,9 @@
         """Return the number of calls made so far."""
         return self._client.calls
 
-    async def read_document(self) -> StoredDocument:
+    async def read_document(self, *, stale: bool = False) -> StoredDocument:
         """Read the configuration object."""
-        listing = await self._client.list(self._kind)
+        listing = await self._client.list(self._kind, stale=stale)
         found = [item for item in listing.items if item.name == self._name]
         return StoredDocument(listing.revision, found[0].spec if found else None)
 
@@ -36,16 +36,18 @@
         ]
         return StoredDocument(changes.revision, specs[-1] if specs else None)
 
-    async def list_records(self) -> list[StoredRecord]:
+    async def list_records(self, *, stale: bool = False) -> list[StoredRecord]:
         """Read all valid endpoint records; log and skip the others."""
-        listing = await self._client.list(records.ENDPOINT_KIND)
+        listing = await self._client.list(records.ENDPOINT_KIND, stale=stale)
         found = [_parse_stored_record(item) for item in listing.items]
         return [record for record in found if record is not None]
 
-    async def read_record(self, backend: str) -> StoredRecord | None:
-        """Read one endpoint record; None if absent or invalid."""
+    async def read_record(self, backend: str) -> StoredRecord | UndecodedRecord | None:
+        """Read one endpoint record; None if absent."""
         item = await self._client.get(records.ENDPOINT_KIND, backend)
-        return None if item is None else _parse_stored_record(item)
+        if item is None:
+            return None
+        return _parse_stored_record(item) or UndecodedRecord(item.revision)
 
     async def put_record(self, endpoint: Endpoint, revision: int) -> int:
         """Write a record if its stored revision matches; return the new revision.
--- a/src/berylmast/platform/store_client.py
+++ b/src/berylmast/platform/store_client.py
@@ -91,12 +91,15 @@
             return None
         return _parse_object(status, data)
 
-    async def list(self, kind: str) -> Listing:
-        """Read all objects of a kind."""
+    async def list(self, kind: str, *, stale: bool = False) -> Listing:
+        """Read all objects of a kind; a ``stale`` read may be seconds old."""
         items: list[StoredObject] = []
         after = ""
         while True:
-            query = f"?{urlencode({'after': after})}" if after else ""
+            options = {"staleOk": "1"} if stale else {}
+            if after:
+                options["after"] = after
+            query = f"?{urlencode(options)}" if options else ""
             status, data = await self._call("GET", _make_path(kind) + query)
             if status != 200:
                 raise PlatformUnavailable(f"the store responded with status {status}")
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -22,6 +22,8 @@
 from .membership.active_document import ActiveDocument
 from .membership.gossip import Gossip
 from .membership.registry import EndpointRegistry
+from .membership.store import Store
+from .membership.store_calls import StoreStatus
 from .membership.store_sync import StoreSync
 from .model import AttemptId, Endpoint, ServiceSlice
 from .routing import Router
@@ -231,7 +233,10 @@
 
 
 def make_membership_report(
-    active_document: ActiveDocument, registry: EndpointRegistry, store_sync: StoreSync
+    active_document: ActiveDocument,
+    registry: EndpointRegistry,
+    store: Store,
+    store_status: StoreStatus,
 ) -> Callable[[], object]:
     """Return a function that builds the membership section of the status report."""
 
@@ -239,8 +244,8 @@
         return {
             "version": active_document.version,
             "records": len(registry.records()),
-            "store_up": store_sync.store_status.up,
-            "store_calls": store_sync.calls,
+            "store_up": store_status.up,
+            "store_calls": store.calls,
         }
 
     return report
@@ -249,7 +254,8 @@
 def make_metrics_reader(
     active_document: ActiveDocument,
     registry: EndpointRegistry,
-    store_sync: StoreSync,
+    store: Store,
+    store_status: StoreStatus,
     local_backend: LocalBackend | None,
 ) -> Callable[[], list[Gauge | Counter]]:
     """Return a function that reads the current metric values of this daemon."""
@@ -261,9 +267,9 @@
             Gauge(
                 "store_up",
                 "1 if the store answered last",
-                int(bool(store_sync.store_status.up)),
+                int(bool(store_status.up)),
             ),
-            Counter("store_calls", "Calls to the store", store_sync.calls),
+            Counter("store_calls", "Calls to the store", store.calls),
         ]
         if local_backend is not None:
             load = local_backend.admission.report()
@@ -322,7 +328,7 @@
 
     def get_burst() -> float:
         retries = live.cfg.retries
-        daemons = len(registry.peers(own_address)) + 1
+        daemons = len(registry.peers(own_address).all) + 1
         return 0.0 if retries is None else retries.slack / (2 * daemons)
 
     def get_ratio() -> float:
