Log a field whose name the logging library reserves

Cause: log_event passed its fields as attributes of the log record; a field called name raises KeyError there. One endpoint record in the store that could not be decoded ended every daemon that listed it, at each start. Change: reserved names get a trailing underscore; the event names the backend.

--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -3,6 +3,7 @@
 The causes are store outages, lost messages, lost responses of the store and restarts.
 """
 
+import logging
 import time
 from dataclasses import replace
 
@@ -160,8 +161,22 @@
         assert "put" not in [call[0] for call in restarted.platform.call_log]
 
 
-async def test_undecodable_record_of_this_daemon_is_replaced() -> None:
+async def test_undecodable_records_of_others_end_no_daemon(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Logging such a record raised an error that ended every daemon that listed it."""
+    caplog.set_level(logging.INFO, "berylmast")
+    async with run_fleet() as fleet:
+        fleet.table.put(records.ENDPOINT_KIND, "x0", {"backend": 5}, None)
+        await start_all(fleet)
+    assert "record_unreadable" in caplog.messages
+
+
+async def test_undecodable_record_of_this_daemon_is_replaced(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
     """The daemon wrote and read without a pause, hundreds of times a second."""
+    caplog.set_level(logging.INFO, "berylmast")
     async with run_fleet() as fleet:
         fleet.apply(1, orders=6)
         fleet.table.put(records.ENDPOINT_KIND, "a0", {"backend": 5}, None)
--- a/src/berylmast/platform/platform_store.py
+++ b/src/berylmast/platform/platform_store.py
@@ -68,6 +68,6 @@
 def _parse_stored_record(item: StoredObject) -> StoredRecord | None:
     parsed = records.parse_record(item.spec)
     if parsed.is_err():
-        log_event("record_unreadable", name=item.name, reason=parsed.unwrap_err())
+        log_event("record_unreadable", backend=item.name, reason=parsed.unwrap_err())
         return None
     return StoredRecord(parsed.unwrap(), item.revision)
--- a/src/berylmast/telemetry/logs.py
+++ b/src/berylmast/telemetry/logs.py
@@ -23,6 +23,9 @@
 """Values that need no quoting; a fast path, as checking each character is slower."""
 
 
+_RESERVED_NAMES = frozenset(vars(logging.makeLogRecord({}))) | {"message", "asctime"}
+"""Attributes of a log record that ``extra`` must not set."""
+
 MAX_QUEUED_LINES = 5_000
 """Maximum number of queued lines; lines beyond it are dropped."""
 
@@ -100,14 +103,19 @@
 
 
 def log_event(event: str, *, level: int = logging.INFO, **fields: object) -> None:
-    """Log one event with its fields."""
+    """Log one event with its fields.
+
+    A field whose name the logging library reserves gets a trailing underscore.
+    """
     # Logger.log would walk the stack for the caller's file and line, which are not
     # logged.
     if _logger.isEnabledFor(level):
+        extra = {
+            f"{name}_" if name in _RESERVED_NAMES else name: value
+            for name, value in fields.items()
+        }
         _logger.handle(
-            _logger.makeRecord(
-                _logger.name, level, "", 0, event, (), None, extra=fields
-            )
+            _logger.makeRecord(_logger.name, level, "", 0, event, (), None, extra=extra)
         )
 
 
--- a/src/berylmast/telemetry/tests/test_telemetry.py
+++ b/src/berylmast/telemetry/tests/test_telemetry.py
@@ -7,7 +7,7 @@
 import pytest
 
 from ..histograms import MAX_LATENCY_US, MAX_TENANTS, OTHER_TENANTS, LatencyHistograms
-from ..logs import BoundedHandler, EventRateLimiter, KeyValueFormatter
+from ..logs import BoundedHandler, EventRateLimiter, KeyValueFormatter, log_event
 from ..request_recorder import RequestLogEntry, RequestRecorder
 from ..statsd_reporter import StatsdReporter
 
@@ -33,6 +33,16 @@
     assert len(shlex.split(line)) == 2
 
 
+@pytest.mark.parametrize("name", ["name", "args", "message", "asctime", "process"])
+def test_field_named_like_an_attribute_of_log_records_is_logged(
+    name: str, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Such a field raised KeyError, which ended the process."""
+    caplog.set_level(logging.INFO, "berylmast")
+    log_event("record_unreadable", **{name: "x"})  # type: ignore[arg-type]
+    assert getattr(caplog.records[0], f"{name}_") == "x"
+
+
 def test_number_of_tenant_histograms_is_bounded() -> None:
     histograms = LatencyHistograms()
     for number in range(3 * MAX_TENANTS):
