Fit a planned stop into the time until the process is killed

Cause: the deployed limits were fixed at 2.6 s and 2.9 s, whatever time the platform grants. Change: drain.kill_after_s; the drain ends at five sixths of it. A stopping daemon accepts requests from others for one second only, then refuses them as not run.

--- a/src/berylmast/backends/report_handler.py
+++ b/src/berylmast/backends/report_handler.py
@@ -16,6 +16,10 @@
 """Fraction of the leave time during which a leaving backend server still accepts
 requests, so that those already sent when the other daemons learn of it are served."""
 
+STOP_ACCEPT_S = 1.0
+"""Time in seconds for which a stopping daemon still accepts requests from others, which
+learn of the stop meanwhile. A request accepted later might be cut off by the stop."""
+
 STORE_TIMEOUT_S = 0.5
 """Longest wait for the record to be stored before a departure is acknowledged. The
 sender treats an acknowledgement that takes a second as lost."""
@@ -110,12 +114,13 @@
         """Announce that this instance is leaving, or is ready again.
 
         With ``at_once``, new requests are refused from now on. Otherwise they are
-        accepted until the daemon stops, since it takes a moment until the other daemons
-        learn of the change.
+        accepted for a moment, until the other daemons have learned of the change.
         """
         self._leaving = leaving
         if at_once:
             self._admission.draining = leaving
+        elif leaving:
+            self._tg.start_soon(self._close_admission_if_leaving)
         self._publish_if_changed()
 
     def _publish_if_changed(self) -> bool:
@@ -174,6 +179,11 @@
             return EndpointState.DRAINING
         return EndpointState.READY
 
+    async def _close_admission_if_leaving(self) -> None:
+        await anyio.sleep(STOP_ACCEPT_S)
+        if self._leaving:
+            self._admission.draining = True
+
     async def _close_admission(self, record: Endpoint) -> None:
         await anyio.sleep(self._get_leave_s() * LEAVE_ACCEPT_FRACTION)
         current = self._record
--- a/src/berylmast/backends/tests/test_report_handler.py
+++ b/src/berylmast/backends/tests/test_report_handler.py
@@ -14,7 +14,12 @@
 from ...limits import SlotAdmission
 from ...model import Endpoint, EndpointState
 from ..backend_state import BackendState, Departure
-from ..report_handler import LEAVE_ACCEPT_FRACTION, BackendReportHandler, DaemonLocation
+from ..report_handler import (
+    LEAVE_ACCEPT_FRACTION,
+    STOP_ACCEPT_S,
+    BackendReportHandler,
+    DaemonLocation,
+)
 from .test_backend_state import make_report
 
 pytestmark = pytest.mark.anyio
@@ -162,3 +167,19 @@
         parts.stored.set()
         await parts.handler.handle_report(replace(REPORT, draining=True))
         assert parts.admission.draining
+
+
+@pytest.mark.parametrize("returns", [False, True], ids=["stops", "is-ready-again"])
+async def test_stopping_daemon_accepts_requests_for_a_moment_only(
+    returns: bool,
+) -> None:
+    """A daemon accepted requests until it stopped, and then cut them off."""
+    async with run_report_handler() as parts:
+        await parts.handler.handle_report(REPORT)
+        parts.handler.set_leaving(True, at_once=False)
+        await anyio.sleep(0.5 * STOP_ACCEPT_S)
+        assert not parts.admission.draining
+        if returns:
+            parts.handler.set_leaving(False, at_once=False)
+        await anyio.sleep(STOP_ACCEPT_S)
+        assert parts.admission.draining is not returns
--- a/src/berylmast/settings/_models.py
+++ b/src/berylmast/settings/_models.py
@@ -57,6 +57,11 @@
     )
 
 
+EXIT_RESERVE_FRACTION = 1 / 6
+"""Part of the time until the process is killed that is reserved for its exit, which
+takes up to a second on a busy machine."""
+
+
 class DrainSettings(_StrictModel):
     """Time limits of a graceful shutdown."""
 
@@ -66,6 +71,30 @@
     timeout_s: Seconds = Field(
         60.0, gt=0, description="seconds after which remaining requests are aborted"
     )
+    kill_after_s: Seconds | None = Field(
+        None,
+        gt=0,
+        description="seconds from the stop signal until the process is killed; "
+        "remaining requests are aborted early enough to exit before that; no such "
+        "limit if absent",
+    )
+
+    @property
+    def accept_s(self) -> float:
+        """Return for how many seconds after the signal callers are still accepted."""
+        return min(self.grace_s, self._end_s)
+
+    @property
+    def finish_s(self) -> float:
+        """Return for how many seconds after that requests may still run."""
+        return self._end_s - self.accept_s
+
+    @property
+    def _end_s(self) -> float:
+        end_s = self.grace_s + self.timeout_s
+        if self.kill_after_s is None:
+            return end_s
+        return min(end_s, self.kill_after_s * (1 - EXIT_RESERVE_FRACTION))
 
 
 class RetrySettings(_StrictModel):
--- a/src/berylmast/shutdown.py
+++ b/src/berylmast/shutdown.py
@@ -59,10 +59,10 @@
     warning.
     """
     lifecycle.add(LeaveReason.SIGNAL)
-    await anyio.sleep(cfg.grace_s)
+    await anyio.sleep(cfg.accept_s)
     server.should_exit = True
-    deadline_s = anyio.current_time() + cfg.timeout_s
-    with anyio.move_on_after(cfg.timeout_s) as scope:
+    deadline_s = anyio.current_time() + cfg.finish_s
+    with anyio.move_on_after(cfg.finish_s) as scope:
         await server_stopped.wait()
     remaining_s = max(0.0, deadline_s - anyio.current_time())
     idle = await wait_until_idle(count_peer_requests, timeout_s=remaining_s)
--- a/src/berylmast/tests/test_lifecycle.py
+++ b/src/berylmast/tests/test_lifecycle.py
@@ -85,3 +85,17 @@
         tg.cancel_scope.cancel()
     assert lifecycle.stopping
     assert anyio.current_time() - started_s == pytest.approx(took_s, abs=0.3)
+
+
+@pytest.mark.parametrize(
+    ("kill_after_s", "accept_s", "end_s"),
+    [(None, 2.6, 62.6), (6.0, 2.6, 5.0), (10.0, 2.6, 10 * 5 / 6), (2.4, 2.0, 2.0)],
+    ids=["no-limit", "short", "long", "shorter-than-the-grace-period"],
+)
+def test_drain_ends_before_the_process_is_killed(
+    kill_after_s: float | None, accept_s: float, end_s: float
+) -> None:
+    """Limits that ignored the kill cut requests off early, or were cut off by it."""
+    cfg = DrainSettings(grace_s=2.6, kill_after_s=kill_after_s)
+    assert cfg.accept_s == pytest.approx(accept_s)
+    assert cfg.accept_s + cfg.finish_s == pytest.approx(end_s)
