Exchange only the differing records in a comparison

Cause: daemons whose digests differed sent all records one way, at 195 daemons about 20 KB for one changed record, in every comparison until the change had reached everyone. Change: the digest has 32 buckets, kept up to date record by record; a comparison names them while a difference is likely, and only records of differing buckets cross. A daemon that expects no difference gets the latest changes.

--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -29,6 +29,7 @@
 from ..model import Endpoint
 from ..telemetry import log_event
 from .active_document import ActiveDocument
+from .digest import Digest, parse_digest
 from .peers import PeerAddress, PeerIndex, get_address
 from .records import pack_record, split_records, unpack_records
 from .registry import EndpointRegistry
@@ -81,6 +82,7 @@
         self._region = region
         self._failure_domain = failure_domain
         self._rng = rng
+        self._agreed_total = ""
         self._unreachable_until: dict[PeerAddress, float] = {}
         self._tg: TaskGroup | None = None
 
@@ -137,11 +139,7 @@
         try:
             with anyio.move_on_after(COMPARE_TIMEOUT_S):
                 async with self._pool.open_exchange(peer) as exchange:
-                    digest, version = (
-                        self._registry.digest,
-                        self._active_document.version,
-                    )
-                    await exchange.send(Compare(exchange.id, version, digest))
+                    await exchange.send(self._make_compare(exchange))
                     await self._receive_response(exchange)
         except ConnectionLost:
             self._mark_unreachable(peer)
@@ -153,22 +151,48 @@
 
     async def serve_comparison(self, exchange: Exchange, frame: Compare) -> None:
         """Serve the exchange that another daemon opened with a ``Compare`` frame."""
-        digest, version = self._registry.digest, self._active_document.version
-        await exchange.send(Compared(exchange.id, version, digest))
-        if digest != frame.digest:
-            await _send_records(exchange, self._registry.records())
+        own, peers = self._registry.digest, parse_digest(frame.digest)
+        version = self._active_document.version
+        equal = own.total == peers.total
+        await exchange.send(
+            Compared(exchange.id, version, own.format(with_buckets=not equal))
+        )
+        if not equal:
+            await _send_records(exchange, self._list_differing(peers))
         if version > frame.version:
             await self._send_document(exchange)
         await exchange.send(End(exchange.id))
         await self._receive_state(exchange)
 
+    def _make_compare(self, exchange: Exchange) -> Compare:
+        # The digests of the buckets are sent only while another daemon may differ.
+        digest = self._registry.digest
+        text = digest.format(with_buckets=digest.total != self._agreed_total)
+        return Compare(exchange.id, self._active_document.version, text)
+
+    def _list_differing(self, peers: Digest) -> list[Endpoint]:
+        """Return the records that a daemon with another digest may lack.
+
+        If it sent only its total, it does not expect a difference. It gets the latest
+        changes then, and sends the digests of its buckets next time.
+        """
+        if not peers.buckets:
+            return self._registry.list_recent()
+        buckets = self._registry.digest.find_differing_buckets(peers)
+        return self._registry.list_buckets(buckets)
+
     async def _receive_response(self, exchange: Exchange) -> None:
         frame = await exchange.receive()
         if not isinstance(frame, Compared):
             return
+        peers = parse_digest(frame.digest)
         records = await self._receive_state(exchange)
-        if frame.digest != self._registry.digest:
-            await _send_records(exchange, self._registry.find_newer(records))
+        own = self._registry.digest
+        if own.total == peers.total:
+            self._agreed_total = own.total
+        else:
+            buckets = own.find_differing_buckets(peers)
+            await _send_records(exchange, self._registry.find_newer(records, buckets))
         if frame.version < self._active_document.version:
             await self._send_document(exchange)
         await exchange.send(End(exchange.id))
--- a/src/berylmast/membership/records.py
+++ b/src/berylmast/membership/records.py
@@ -69,6 +69,11 @@
     def __len__(self) -> int:
         return len(self._records) - len(self._gone)
 
+    @property
+    def total_count(self) -> int:
+        """Return the number of records, including those that are gone."""
+        return len(self._records)
+
     def all(self) -> list[Endpoint]:
         """Return all records, including those of backend servers that are gone."""
         return list(self._records.values())
--- a/src/berylmast/membership/registry.py
+++ b/src/berylmast/membership/registry.py
@@ -1,14 +1,17 @@
 """The endpoint records of the fleet that are known to this daemon."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 from dataclasses import replace
-from hashlib import blake2b
 
 from ..model import Endpoint, EndpointState
+from .digest import Digest, DigestTable, get_bucket
 from .directory import Directory
 from .peers import PeerAddress, PeerIndex, index_peers
 from .records import RecordTable
 
+MAX_RECENT_RECORDS = 32
+"""Changed records that are sent to a daemon that may not have heard of them."""
+
 
 class EndpointRegistry:
     """Keeps the newest record of every backend server and updates the directory.
@@ -21,7 +24,9 @@
         self._directory = directory
         self._table = RecordTable()
         self._backends_by_address: dict[PeerAddress, set[str]] = {}
-        self._digest: str | None = None
+        self._digests = DigestTable()
+        self._digest: Digest | None = None
+        self._recent: dict[str, None] = {}
         self._peers: tuple[PeerAddress, PeerIndex] | None = None
 
     def get(self, backend: str) -> Endpoint | None:
@@ -46,17 +51,19 @@
             changed += self._table.merge(self._list_replaced_as_gone(record))
         if not changed:
             return []
-        self._digest = None
-        self._peers = None
-        for record in changed:
-            self._directory.put_endpoint(record)
+        self._record_changes(changed)
         return changed
 
-    def find_newer(self, records: Iterable[Endpoint]) -> list[Endpoint]:
-        """Return the records that supersede given ones or are missing among them."""
-        given = RecordTable()
-        given.merge(records)
-        return given.merge(self.records())
+    def find_newer(
+        self, given: Iterable[Endpoint], buckets: Container[int]
+    ) -> list[Endpoint]:
+        """Return the records that supersede given ones or are missing among them.
+
+        Only records in the given buckets of the digest are returned.
+        """
+        table = RecordTable()
+        table.merge(given)
+        return table.merge(self.list_buckets(buckets))
 
     def peers(self, own_address: PeerAddress) -> PeerIndex:
         """Return the other daemons, leaving out those that are gone."""
@@ -65,15 +72,35 @@
         return self._peers[1]
 
     @property
-    def digest(self) -> str:
+    def digest(self) -> Digest:
         """Return a digest that is equal on daemons that hold the same records."""
         if self._digest is None:
-            state = blake2b(digest_size=8)
-            for record in sorted(self.records(), key=lambda r: r.backend):
-                state.update(f"{record.backend} {record.order} {record.state}".encode())
-            self._digest = state.hexdigest()
+            self._digest = self._digests.get_digest()
         return self._digest
 
+    def list_recent(self) -> list[Endpoint]:
+        """Return the records that changed last, the newest ones at the end."""
+        recent = [self._table.get(backend) for backend in self._recent]
+        return [record for record in recent if record is not None]
+
+    def list_buckets(self, buckets: Container[int]) -> list[Endpoint]:
+        """Return the records in the given buckets of the digest."""
+        return [r for r in self.records() if get_bucket(r.backend) in buckets]
+
+    def _record_changes(self, changed: list[Endpoint]) -> None:
+        for record in changed:
+            self._directory.put_endpoint(record)
+            self._digests.put(record)
+            self._recent.pop(record.backend, None)
+            self._recent[record.backend] = None
+        while len(self._recent) > MAX_RECENT_RECORDS:
+            del self._recent[next(iter(self._recent))]
+        if len(self._digests) != self._table.total_count:
+            # The table has forgotten the oldest departed backend servers.
+            self._digests = DigestTable(self.records())
+        self._digest = None
+        self._peers = None
+
     def _list_replaced_as_gone(self, new: Endpoint) -> list[Endpoint]:
         if new.state is EndpointState.GONE:
             return []
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -10,6 +10,7 @@
 import anyio
 import pytest
 
+from ...daemons.frames import Endpoints, Frame
 from ...model import Endpoint, EndpointState
 from ...operators.revisions import DOCUMENT_KIND
 from ...platform import records
@@ -188,6 +189,35 @@
         assert len([c for c in daemon.platform.call_log if c[0] == "put"]) == 2
 
 
+async def test_comparison_sends_what_differs_and_not_all_records() -> None:
+    """One changed record made each comparison send all records of the fleet."""
+    sent: list[int] = []
+
+    def count(source: str, target: str, frame: Frame) -> None:
+        if isinstance(frame, Endpoints):
+            sent.append(len(frame.records))
+
+    async with run_fleet() as fleet:
+        await start_domains(fleet, 8)
+        many = [
+            Endpoint(f"x{n}", "orders", f"x{n}", 1, "n", "n1", 1, 1, EndpointState.GONE)
+            for n in range(400)
+        ]
+        for daemon in fleet.daemons.values():
+            daemon.registry.merge(many)
+        await anyio.sleep(5)
+        fleet.on_frame = count
+        fleet.daemons["n1-7"].registry.merge([replace(many[7], seq=2)])
+        await fleet.wait_until(
+            lambda: all(
+                (found := d.registry.get("x7")) is not None and found.seq == 2
+                for d in fleet.daemons.values()
+            ),
+            SPREAD_LIMIT_S,
+        )
+        assert max(sent) < 100
+
+
 @pytest.mark.parametrize("fault", ["cut", "silent"])
 async def test_lost_message_is_repaired_by_comparison(fault: str) -> None:
     async with run_fleet() as fleet:
