Close connections between daemons that carry no traffic

Cause: the pool kept a connection, three tasks and a lock for every address that it had ever dialled; comparisons reach every daemon in time, and departed addresses stayed. Change: a connection without an exchange, a queued frame or traffic between two checks is closed and its address forgotten. Only the dialling side opens exchanges, and only it closes, so no exchange is lost.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -90,6 +90,7 @@
         if statsd is not None:
             tg.start_soon(statsd.run)
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
+        tg.start_soon(pool.run)
         gossip = Gossip(
             pool,
             registry,
--- a/src/berylmast/daemons/connection.py
+++ b/src/berylmast/daemons/connection.py
@@ -152,6 +152,20 @@
         """Return the number of open exchanges."""
         return len(self._exchanges)
 
+    @property
+    def bytes_transferred(self) -> int:
+        """Return the number of bytes sent and received so far."""
+        return self.bytes_sent + self.bytes_received
+
+    @property
+    def in_use(self) -> bool:
+        """Return whether an exchange is open or a frame waits to be sent."""
+        return bool(self._exchanges) or bool(self._send_queue)
+
+    async def close(self) -> None:
+        """Close the connection; ``run`` then returns."""
+        await anyio.aclose_forcefully(self._stream)
+
     def _add_exchange(self, exchange: Exchange) -> None:
         self._exchanges[exchange.id] = exchange
         if len(self._exchanges) == 1:
--- a/src/berylmast/daemons/pool.py
+++ b/src/berylmast/daemons/pool.py
@@ -14,6 +14,10 @@
 
 CONNECT_TIMEOUT_S = 1.0
 
+IDLE_CHECK_INTERVAL_S = 15.0
+"""A connection without traffic from one check to the next is closed. Otherwise every
+daemon would in time hold a connection to every other one."""
+
 
 class PeerPool:
     """Keeps one connection per owner address.
@@ -34,6 +38,31 @@
         self._connections: dict[tuple[str, int], PeerConnection] = {}
         self._locks: dict[tuple[str, int], anyio.Lock] = {}
 
+    async def run(self) -> None:
+        """Close idle connections until cancelled."""
+        transferred_before: dict[PeerConnection, int] = {}
+        while True:
+            await anyio.sleep(IDLE_CHECK_INTERVAL_S)
+            for address, conn in list(self._connections.items()):
+                idle = conn.bytes_transferred == transferred_before.get(conn)
+                if conn.closed or (idle and not conn.in_use):
+                    self._forget(address)
+                    await conn.close()
+            transferred_before = {
+                conn: conn.bytes_transferred for conn in self._connections.values()
+            }
+
+    @property
+    def connection_count(self) -> int:
+        """Return the number of connections that are kept."""
+        return len(self._connections)
+
+    def _forget(self, address: tuple[str, int]) -> None:
+        del self._connections[address]
+        lock = self._locks.get(address)
+        if lock is not None and not lock.locked():
+            del self._locks[address]
+
     @asynccontextmanager
     async def open_exchange(self, endpoint: Endpoint) -> AsyncIterator[Exchange]:
         """Open an exchange with an endpoint's owner.
