Keep requests in their region unless another one halves their delay

Cause: the lowest expected delay of all regions was chosen, plus 40 ms for the link. Change: a request leaves its region only if that halves its expected delay, network cost included (routing/region_choice.py, with its load pattern).

--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -30,6 +30,7 @@
     mark_hot,
 )
 from .probes import STALE_REPORT_AGE_S, ProbeBudget
+from .region_choice import DelayEstimate, choose_lowest_delay
 from .slow_start import SlowStart
 from .unreachable import UnreachableBackends
 
@@ -352,14 +353,20 @@
         )
         location = EntryLocation(self._region, self._failure_domain, self._peer_address)
 
-        def estimate_cost(candidate: Candidate) -> tuple[float, float]:
-            network_cost_ms = estimate_network_cost_ms(
-                location, candidate.endpoint, body_bytes
+        estimates = [
+            DelayEstimate(
+                candidate,
+                estimate_delay_ms(
+                    candidate,
+                    estimate_network_cost_ms(location, candidate.endpoint, body_bytes),
+                ),
             )
-            return (estimate_delay_ms(candidate, network_cost_ms), self._rng.random())
-
-        best = min(candidates, key=estimate_cost)
-        return self._record_choice(best.endpoint)
+            for candidate in candidates
+        ]
+        # Otherwise all entries would choose the first of several equal candidates.
+        self._rng.shuffle(estimates)
+        chosen = choose_lowest_delay(estimates, self._region)
+        return self._record_choice(chosen.endpoint)
 
     def _apply_slow_start(
         self, candidates: Sequence[Candidate], now_s: float
