Stop counting bytes of an abandoned response in the simulated backend server

Cause: uvicorn accepts and drops what an app sends after a disconnect, and the stand-in counted it. Change: the stand-in stops when its client has left.

--- a/src/berylmast_dev/backend.py
+++ b/src/berylmast_dev/backend.py
@@ -5,6 +5,8 @@
 from typing import Any
 
 import anyio
+import anyio.lowlevel
+from anyio.abc import TaskGroup
 from cyclopts import App
 
 from ._asgi import count_body, read_body, send_json, serve_app
@@ -83,13 +85,26 @@
         if requested_size is None:
             await send({"type": "http.response.body", "body": self._response_body})
             return
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(self._cancel_on_disconnect, receive, tg)
+            await self._send_chunks(size, send)
+            tg.cancel_scope.cancel()
+
+    async def _send_chunks(self, size: int, send: Any) -> None:
         while size > 0:
             chunk = b"x" * min(size, _CHUNK_BYTES)
             await send({"type": "http.response.body", "body": chunk, "more_body": True})
             size -= len(chunk)
             self._sent_bytes += len(chunk)
+            # The server accepts and drops what is sent after a disconnect.
+            await anyio.lowlevel.checkpoint()
         await send({"type": "http.response.body", "body": b""})
 
+    async def _cancel_on_disconnect(self, receive: Any, tg: TaskGroup) -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        tg.cancel_scope.cancel()
+
     async def _wait_or_disconnect(self, seconds: float, receive: Any) -> bool:
         """Wait for the service time; return True if the client disconnects first."""
         with anyio.move_on_after(seconds):
