Keep a daemon running after an unexpected error in a task or a connection

Cause: background tasks and connections to other daemons ran in the daemon's own task group, so an error that nobody expected in one of them ended the whole process. Measured: the test of a connection whose frame handler raises failed before.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -2,6 +2,7 @@
 
 import os
 import time
+from functools import partial
 from random import Random
 
 import anyio
@@ -31,6 +32,7 @@
 from .routing import Prober, Router
 from .settings import LiveSettings
 from .shutdown import serve_until_signal
+from .supervision import run_supervised
 from .telemetry import (
     RequestRecorder,
     log_event,
@@ -88,9 +90,9 @@
     store_sync = StoreSync(store, registry, own_address, store_status, rng)
     async with anyio.create_task_group() as tg:
         if statsd is not None:
-            tg.start_soon(statsd.run)
+            tg.start_soon(run_supervised, "statsd", statsd.run)
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
-        tg.start_soon(pool.run)
+        tg.start_soon(run_supervised, "pool", pool.run)
         gossip = Gossip(
             pool,
             registry,
@@ -136,10 +138,10 @@
                 listener,
             )
             local_backend.start_tracking(tg, live, adapter, components)
-        tg.start_soon(store_sync.run)
-        tg.start_soon(document_sync.run)
-        tg.start_soon(gossip.run)
-        tg.start_soon(follow_settings, live)
+        tg.start_soon(run_supervised, "store_sync", store_sync.run)
+        tg.start_soon(run_supervised, "document_sync", document_sync.run)
+        tg.start_soon(run_supervised, "gossip", gossip.run)
+        tg.start_soon(run_supervised, "settings", partial(follow_settings, live))
         prober = Prober(
             pool,
             router.probe_budget,
@@ -147,7 +149,7 @@
             record_load=router.record_load,
             rng=rng,
         )
-        tg.start_soon(prober.run)
+        tg.start_soon(run_supervised, "prober", prober.run)
         forwarding_context = ForwardingContext(
             router=router,
             retries=make_retry_budget(live, registry),
--- a/src/berylmast/daemons/connection.py
+++ b/src/berylmast/daemons/connection.py
@@ -96,6 +96,9 @@
                 )
                 await self._read_frames(tg)
                 tg.cancel_scope.cancel()
+        except Exception as exc:
+            # An unexpected error must end neither the other connections nor the daemon.
+            log_event("fault", peer=self.peer, reason=repr(exc))
         finally:
             self.closed = True
             self._ready.set()
--- a/src/berylmast/daemons/tests/test_connection.py
+++ b/src/berylmast/daemons/tests/test_connection.py
@@ -1,5 +1,6 @@
 """Tests flow control, buffer limits and the detection of silent connections."""
 
+import logging
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 
@@ -96,3 +97,27 @@
             await exchange.receive()
         assert anyio.current_time() - started_s <= 2 * SILENCE_LIMIT_S
         assert conn.closed
+
+
+async def test_unexpected_error_ends_only_its_connection(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """The error of one frame ended the task group, and with it the whole daemon."""
+    caplog.set_level(logging.INFO, "berylmast")
+
+    def fail(records: tuple[frames.EndpointRecord, ...]) -> None:
+        raise RuntimeError("unexpected")
+
+    left, right = make_streams()
+    dialer = PeerConnection(left, Identity("a", 1))  # type: ignore[arg-type]
+    owner = PeerConnection(right, Identity("b", 2), on_records=fail)  # type: ignore[arg-type]
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(dialer.run)
+        tg.start_soon(owner.run)
+        await dialer.wait_ready()
+        dialer.write(frames.Tell(frames.CONNECTION_EXCHANGE_ID, ()))
+        with anyio.fail_after(1):
+            while not owner.closed:
+                await anyio.sleep(0.01)
+        tg.cancel_scope.cancel()
+    assert "fault" in caplog.messages
