Bound and reject malformed documents and store responses

Cause: JSON nested too deeply raises RecursionError, which was not among the errors expected from the store or from a peer's configuration; a compressed configuration could expand without a limit, and a response of the store was read without one.

--- a/src/berylmast/membership/active_document.py
+++ b/src/berylmast/membership/active_document.py
@@ -55,7 +55,7 @@
         """
         try:
             spec = json.loads(text)
-        except ValueError as exc:
+        except (ValueError, RecursionError) as exc:
             log_event("document_rejected", source=source, reason=repr(exc))
             return False
         return self.adopt(spec, source)
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -200,7 +200,7 @@
     async def _receive_state(self, exchange: Exchange) -> list[Endpoint]:
         """Receive and merge records and a document up to the end of the exchange.
 
-        Returns the records. If the document is too long, nothing is merged.
+        Returns the records. A document that is too long ends the exchange.
         """
         records: list[Endpoint] = []
         head: DocumentHead | None = None
@@ -215,7 +215,8 @@
                 case Body():
                     body += frame.data
                     if len(body) > MAX_DOCUMENT_BYTES:
-                        return records
+                        log_event("document_unreadable", source="peer", reason="long")
+                        break
                 case _:
                     break
         self._registry.merge(records)
@@ -225,8 +226,8 @@
 
     def _adopt_document(self, data: bytes) -> None:
         try:
-            text = zlib.decompress(data)
-        except zlib.error as exc:
+            text = _decompress(data)
+        except (zlib.error, ValueError) as exc:
             log_event("document_unreadable", source="peer", reason=repr(exc))
             return
         if self._active_document.adopt_text(text, "peer") and self._tg is not None:
@@ -292,6 +293,15 @@
         return self._rng.sample(peers, min(size, len(peers)))
 
 
+def _decompress(data: bytes) -> bytes:
+    """Decompress a configuration; raise zlib.error, or ValueError if it is too long."""
+    decompressor = zlib.decompressobj()
+    text = decompressor.decompress(data, MAX_DOCUMENT_BYTES)
+    if decompressor.unconsumed_tail or not decompressor.eof:
+        raise ValueError(f"not a configuration of at most {MAX_DOCUMENT_BYTES} bytes")
+    return text
+
+
 async def _send_records(exchange: Exchange, records: list[Endpoint]) -> None:
     for part in split_records(records):
         await exchange.send(Endpoints(exchange.id, part))
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -5,6 +5,8 @@
 
 import logging
 import time
+import tracemalloc
+import zlib
 from dataclasses import replace
 
 import anyio
@@ -320,3 +322,30 @@
     took_s = time.process_time() - started_s
     assert took_s < 2.0, "a scan for each record takes ten times as long"
     assert len(registry.peers(("other", 1)).all) == 5000
+
+
+@pytest.mark.parametrize(
+    "data",
+    [zlib.compress(b"x" * 64 * 1024 * 1024), zlib.compress(b"[]")[:-3], b"", b"x" * 99],
+    ids=["expands-too-far", "cut", "empty", "not-compressed"],
+)
+async def test_unreadable_document_from_a_peer_is_dropped(data: bytes) -> None:
+    """A few KB could expand to more memory than the machine has."""
+    async with run_fleet() as fleet:
+        await start_all(fleet)
+        gossip = fleet.daemons["a0"].gossip
+        tracemalloc.start()
+        gossip._adopt_document(data)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert peak_bytes < 16 * 1024 * 1024
+        assert fleet.versions() == {1}
+
+
+async def test_deeply_nested_document_from_a_peer_is_rejected() -> None:
+    """Its error was not one of those expected and ended the daemon."""
+    async with run_fleet() as fleet:
+        await start_all(fleet)
+        document = fleet.daemons["a0"].document
+        assert not document.adopt_text(b"[" * 200_000, "peer")
+        assert fleet.versions() == {1}
--- a/src/berylmast/platform/store_client.py
+++ b/src/berylmast/platform/store_client.py
@@ -33,6 +33,9 @@
 
 MAX_CONNECTIONS = 4
 
+MAX_RESPONSE_BYTES = 8 * 1024 * 1024
+"""A page of a list has about 1 MB, and a single object as much at most."""
+
 
 class _WireModel(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
@@ -185,13 +188,30 @@
                 async with self._client.send(
                     method, BASE_PATH + path, headers, _iterate(content)
                 ) as response:
-                    data = b"".join([part async for part in response.body])
+                    data = await _read_body(response.body)
             return response.status, json.loads(data) if data else None
-        except (ServerUnreachable, ConnectionCut, TimeoutError, ValueError) as exc:
+        except (
+            ServerUnreachable,
+            ConnectionCut,
+            TimeoutError,
+            ValueError,
+            # Raised for JSON that is nested too deeply.
+            RecursionError,
+        ) as exc:
             sent = not isinstance(exc, ServerUnreachable)
             raise PlatformUnavailable(f"{method} {path}: {exc!r}", sent=sent) from exc
 
 
+async def _read_body(body: AsyncIterator[bytes]) -> bytes:
+    """Read a response body; raise ValueError if it is too long."""
+    data = bytearray()
+    async for part in body:
+        data += part
+        if len(data) > MAX_RESPONSE_BYTES:
+            raise ValueError(f"the response exceeds {MAX_RESPONSE_BYTES} bytes")
+    return bytes(data)
+
+
 async def _iterate(content: bytes) -> AsyncIterator[bytes]:
     yield content
 
--- a/src/berylmast/platform/tests/test_store_client.py
+++ b/src/berylmast/platform/tests/test_store_client.py
@@ -173,3 +173,52 @@
         store.control({"hosts": ["127.0.0.1"]})
         with pytest.raises(PlatformUnavailable):
             await client.get("things", "a")
+
+
+def _make_response(body: bytes) -> bytes:
+    return b"HTTP/1.1 200 OK\r\ncontent-length: %d\r\n\r\n" % len(body) + body
+
+
+@pytest.mark.parametrize(
+    "response",
+    [
+        _make_response(b"[" * 200_000),
+        _make_response(b"\xff\xfe"),
+        _make_response(b"[]"),
+        _make_response(b'{"items": [{"metadata": 5}], "at": 1}'),
+        _make_response(b'{"items": [], "at": "\\ud800"}'),
+        b"HTTP/1.1 200 OK\r\n\r\n" + b" " * 9 * 1024 * 1024,
+        b"HTTP/1.1 200 OK\r\nx: " + b"x" * 9 * 1024 * 1024,
+        b"not a response\r\n\r\n",
+        b"HTTP/1.1 abc OK\r\n\r\n",
+    ],
+    ids=[
+        "nested-too-deeply",
+        "not-utf-8",
+        "another-type",
+        "wrong-field",
+        "lone-surrogate",
+        "body-without-end",
+        "head-without-end",
+        "no-http",
+        "wrong-status",
+    ],
+)
+async def test_malformed_response_is_reported_as_unavailable(response: bytes) -> None:
+    """An error of another type ended the daemon's task that called the store."""
+
+    async def serve_response(stream: SocketStream) -> None:
+        async with stream:
+            await stream.receive()
+            with suppress(anyio.BrokenResourceError):
+                await stream.send(response)
+
+    listener = await anyio.create_tcp_listener(local_host="127.0.0.1")
+    port = listener.extra(SocketAttribute.local_port)
+    client = StoreClient(Address(host="127.0.0.1", port=port))
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(listener.serve, serve_response)
+        with pytest.raises(PlatformUnavailable):
+            await client.list("things")
+        await client.aclose()
+        tg.cancel_scope.cancel()
