Move the choice of peers out of the gossip, and pass over silent watchers

Cause: gossip.py held two jobs, and DaemonLocation was about to stand twice. A watcher that accepted a comparison and never answered counted as reachable. Change: FleetView chooses peers, watchers and targets; a comparison without a response counts like a failed dial; DaemonLocation stands in model.

--- a/src/berylmast/backends/report_handler.py
+++ b/src/berylmast/backends/report_handler.py
@@ -1,14 +1,13 @@
 """Handles reports of the local backend server and publishes its endpoint record."""
 
 from collections.abc import Awaitable, Callable
-from dataclasses import dataclass
 
 import anyio
 from anyio.abc import TaskGroup
 from result import Err, Ok, Result
 
 from ..limits import Admission
-from ..model import Endpoint, EndpointState
+from ..model import DaemonLocation, Endpoint, EndpointState
 from ..telemetry import log_event
 from .backend_state import BackendReport, BackendState, Departure
 
@@ -29,16 +28,6 @@
 continues from the next report, so its records sort after those of its previous run."""
 
 
-@dataclass(frozen=True, slots=True)
-class DaemonLocation:
-    """The location of this daemon and the address at which other daemons reach it."""
-
-    host: str
-    port: int
-    region: str
-    failure_domain: str
-
-
 class BackendReportHandler:
     """Updates admission control and this daemon's endpoint record from the reports.
 
--- a/src/berylmast/backends/tests/test_report_handler.py
+++ b/src/berylmast/backends/tests/test_report_handler.py
@@ -12,13 +12,12 @@
 import pytest
 
 from ...limits import SlotAdmission
-from ...model import Endpoint, EndpointState
+from ...model import DaemonLocation, Endpoint, EndpointState
 from ..backend_state import BackendState, Departure
 from ..report_handler import (
     LEAVE_ACCEPT_FRACTION,
     STOP_ACCEPT_S,
     BackendReportHandler,
-    DaemonLocation,
 )
 from .test_backend_state import make_report
 
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -19,11 +19,12 @@
 from .membership import Directory
 from .membership.active_document import ActiveDocument
 from .membership.document_sync import DocumentSync
+from .membership.fleet_view import FleetView
 from .membership.gossip import Gossip
 from .membership.registry import EndpointRegistry
 from .membership.store_calls import StoreStatus
 from .membership.store_sync import StoreSync
-from .model import Endpoint
+from .model import DaemonLocation, Endpoint
 from .operators.daemon_admin import make_daemon_admin
 from .operators.explain import make_explain_handler
 from .operators.metrics_app import make_metrics_app
@@ -85,6 +86,8 @@
     local_backend = LocalBackend.make(
         cfg, identity, adapter, limits, directory, router.get_median_full_slowdown
     )
+    location = DaemonLocation(*own_address, cfg.region, cfg.failure_domain)
+    fleet_view = FleetView(registry, location, rng)
     store = adapter.make_store(cfg)
     store_status = StoreStatus()
     store_sync = StoreSync(store, registry, own_address, store_status, rng)
@@ -93,22 +96,13 @@
             tg.start_soon(run_supervised, "statsd", statsd.run)
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
         tg.start_soon(run_supervised, "pool", pool.run)
-        gossip = Gossip(
-            pool,
-            registry,
-            active_document,
-            own_address,
-            cfg.region,
-            cfg.failure_domain,
-            rng,
-        )
+        gossip = Gossip(pool, registry, active_document, fleet_view, rng)
         document_sync = DocumentSync(
             store,
             active_document,
             store_status,
             rng,
-            gossip.is_watcher,
-            lambda: gossip.fleet_size,
+            fleet_view,
             gossip.spread_document,
         )
         owner = local_backend.owner if local_backend else None
@@ -135,6 +129,7 @@
                 store_sync,
                 publish,
                 registry.get,
+                location,
                 listener,
             )
             local_backend.start_tracking(tg, live, adapter, components)
--- a/src/berylmast/membership/document_sync.py
+++ b/src/berylmast/membership/document_sync.py
@@ -12,6 +12,7 @@
 
 from ..platform.objects import PlatformUnavailable, RevisionExpired
 from .active_document import ActiveDocument
+from .fleet_view import FleetView
 from .store import Store, StoredDocument
 from .store_calls import Backoff, StoreStatus
 
@@ -40,9 +41,7 @@
 class DocumentSync:
     """Reads and watches the configuration.
 
-    ``is_watcher`` returns whether this daemon watches now. ``count_daemons`` returns
-    the size of the fleet. ``spread`` is called after a newer configuration was read
-    from the store.
+    ``spread`` is called after a newer configuration was read from the store.
     """
 
     def __init__(
@@ -51,16 +50,14 @@
         active_document: ActiveDocument,
         store_status: StoreStatus,
         rng: Random,
-        is_watcher: Callable[[], bool],
-        count_daemons: Callable[[], int],
+        fleet: FleetView,
         spread: Callable[[], None],
     ) -> None:
         self._store = store
         self._active_document = active_document
         self._store_status = store_status
         self._rng = rng
-        self._is_watcher = is_watcher
-        self._count_daemons = count_daemons
+        self._fleet = fleet
         self._spread = spread
         self._revision: int | None = None
 
@@ -89,14 +86,14 @@
 
     async def _wait_for_fleet(self) -> None:
         with anyio.move_on_after(FLEET_SEARCH_TIME_S):
-            while self._count_daemons() == 1:
+            while self._fleet.size == 1:
                 await anyio.sleep(_FLEET_SEARCH_POLL_S)
 
     async def _watch(self) -> None:
         await self._wait_for_fleet()
         backoff = self._make_backoff()
         while True:
-            if not self._is_watcher():
+            if not self._fleet.is_watcher():
                 await anyio.sleep(ROLE_CHECK_INTERVAL_S)
                 continue
             try:
@@ -126,7 +123,7 @@
         backoff = self._make_backoff()
         while True:
             await anyio.sleep(self._get_look_interval_s())
-            if self._is_watcher():
+            if self._fleet.is_watcher():
                 continue
             try:
                 self._adopt(await self._store.read_document(stale=True))
@@ -138,9 +135,7 @@
     def _get_look_interval_s(self) -> float:
         interval_s = MIN_LOOK_INTERVAL_S
         if self._active_document.current is not None:
-            interval_s = max(
-                interval_s, self._count_daemons() * LOOK_INTERVAL_PER_DAEMON_S
-            )
+            interval_s = max(interval_s, self._fleet.size * LOOK_INTERVAL_PER_DAEMON_S)
         return min(interval_s, MAX_LOOK_INTERVAL_S) * self._rng.uniform(0.5, 1.5)
 
     def _adopt(self, stored: StoredDocument) -> bool:
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -7,8 +7,7 @@
 """
 
 import zlib
-from bisect import insort
-from collections.abc import Sequence
+from collections.abc import Iterable
 from random import Random
 
 import anyio
@@ -30,34 +29,11 @@
 from ..telemetry import log_event
 from .active_document import ActiveDocument
 from .digest import Digest, parse_digest
-from .peers import PeerAddress, PeerIndex, get_address
+from .fleet_view import FleetView
 from .records import pack_record, split_records, unpack_records
 from .registry import EndpointRegistry
-from .watchers import choose_watchers, list_locations
 
 COMPARE_INTERVAL_S = 1.0
-MAX_BROADCAST_PEERS = 64
-"""Maximum number of daemons that a changed record is sent to directly; in larger fleets
-the others receive it through comparisons."""
-
-ANY_REGION_FRACTION = 0.1
-"""Fraction of comparisons whose peer is drawn from the daemons of all regions.
-
-The others stay in this daemon's region, because the link between regions is billed by
-volume.
-"""
-
-WATCHER_FRACTION = 0.2
-"""Fraction of comparisons whose peer is a watcher of this region, so that every daemon
-notices within seconds that a watcher is dead."""
-
-RELAY_PEERS = 2
-"""Number of daemons of the region to which a configuration is passed on that came from
-another daemon. It reaches those whose failure domain has no working watcher."""
-
-UNREACHABLE_S = 30.0
-"""Time for which a daemon that could not be reached is not counted as a watcher."""
-
 COMPARE_TIMEOUT_S = 2.0
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 
@@ -70,20 +46,15 @@
         pool: PeerPool,
         registry: EndpointRegistry,
         active_document: ActiveDocument,
-        own_address: PeerAddress,
-        region: str,
-        failure_domain: str,
+        fleet: FleetView,
         rng: Random,
     ) -> None:
         self._pool = pool
         self._registry = registry
         self._active_document = active_document
-        self._own_address = own_address
-        self._region = region
-        self._failure_domain = failure_domain
+        self._fleet = fleet
         self._rng = rng
         self._agreed_total = ""
-        self._unreachable_until: dict[PeerAddress, float] = {}
         self._tg: TaskGroup | None = None
 
     async def run(self) -> None:
@@ -92,7 +63,7 @@
             self._tg = tg
             while True:
                 await anyio.sleep(COMPARE_INTERVAL_S * self._rng.uniform(0.75, 1.25))
-                peer = self._choose_peer()
+                peer = self._fleet.choose_comparison_peer()
                 if peer is not None:
                     await self.compare_with(peer)
 
@@ -103,32 +74,12 @@
         frame = Tell(
             CONNECTION_EXCHANGE_ID, tuple(pack_record(record) for record in records)
         )
-        for peer in self._sample(self._peers.all, MAX_BROADCAST_PEERS):
+        for peer in self._fleet.choose_record_targets():
             self._tg.start_soon(self._send_to_peer, peer, frame)
 
     def spread_document(self) -> None:
-        """Pass a configuration from the store on to other daemons in the background.
-
-        It goes to the daemons of this failure domain, and to one of each other domain
-        in case the watchers there cannot reach the store.
-        """
-        if self._tg is None:
-            return
-        by_domain = dict(self._peers.by_domain)
-        own_domain = by_domain.pop(self._failure_domain, ())
-        targets = self._sample(own_domain, MAX_BROADCAST_PEERS)
-        targets += [self._rng.choice(peers) for peers in by_domain.values()]
-        for peer in targets:
-            self._tg.start_soon(self.compare_with, peer)
-
-    def is_watcher(self) -> bool:
-        """Return whether this daemon watches the configuration for its region."""
-        return self._own_address in self._choose_watchers()
-
-    @property
-    def fleet_size(self) -> int:
-        """Return the number of daemons that are known, including this one."""
-        return len(self._peers.all) + 1
+        """Pass a configuration from the store on to other daemons in the background."""
+        self._compare_soon(self._fleet.choose_document_targets())
 
     def handle_tell(self, records: tuple[EndpointRecord, ...]) -> None:
         """Merge the records of a received ``Tell`` frame."""
@@ -136,18 +87,17 @@
 
     async def compare_with(self, peer: Endpoint) -> None:
         """Exchange differences with another daemon so that both have the same state."""
+        responded = False
         try:
             with anyio.move_on_after(COMPARE_TIMEOUT_S):
                 async with self._pool.open_exchange(peer) as exchange:
                     await exchange.send(self._make_compare(exchange))
                     await self._receive_response(exchange)
-        except ConnectionLost:
-            self._mark_unreachable(peer)
-        except ExchangeLost:
+                    responded = True
+        except (ConnectionLost, ExchangeLost):
             # A later round compares with this peer or another one.
-            return
-        else:
-            self._unreachable_until.pop(get_address(peer), None)
+            pass
+        self._fleet.record_contact(peer, responded=responded)
 
     async def serve_comparison(self, exchange: Exchange, frame: Compare) -> None:
         """Serve the exchange that another daemon opened with a ``Compare`` frame."""
@@ -230,10 +180,14 @@
         except (zlib.error, ValueError) as exc:
             log_event("document_unreadable", source="peer", reason=repr(exc))
             return
-        if self._active_document.adopt_text(text, "peer") and self._tg is not None:
-            relay_peers = self._peers.by_region.get(self._region, ())
-            for peer in self._sample(relay_peers, RELAY_PEERS):
-                self._tg.start_soon(self.compare_with, peer)
+        if self._active_document.adopt_text(text, "peer"):
+            self._compare_soon(self._fleet.choose_relay_targets())
+
+    def _compare_soon(self, peers: Iterable[Endpoint]) -> None:
+        if self._tg is None:
+            return
+        for peer in peers:
+            self._tg.start_soon(self.compare_with, peer)
 
     async def _send_document(self, exchange: Exchange) -> None:
         data = zlib.compress(self._active_document.text)
@@ -250,48 +204,6 @@
             return
         conn.write(frame)
 
-    @property
-    def _peers(self) -> PeerIndex:
-        return self._registry.peers(self._own_address)
-
-    def _choose_peer(self) -> Endpoint | None:
-        peers = self._peers
-        if self._rng.random() < WATCHER_FRACTION:
-            watchers = self._list_other_watchers()
-            if watchers:
-                return self._rng.choice(watchers)
-        candidates = peers.by_region.get(self._region, ())
-        if not candidates or self._rng.random() < ANY_REGION_FRACTION:
-            candidates = peers.all
-        return self._rng.choice(candidates) if candidates else None
-
-    def _choose_watchers(self) -> list[PeerAddress]:
-        locations = list_locations(self._peers.by_region.get(self._region, ()))
-        insort(locations, (self._own_address, self._failure_domain))
-        return choose_watchers(locations, self._list_unreachable())
-
-    def _list_other_watchers(self) -> list[Endpoint]:
-        watchers = self._choose_watchers()
-        regional_peers = self._peers.by_region.get(self._region, ())
-        return [peer for peer in regional_peers if get_address(peer) in watchers]
-
-    def _mark_unreachable(self, peer: Endpoint) -> None:
-        self._unreachable_until[get_address(peer)] = (
-            anyio.current_time() + UNREACHABLE_S
-        )
-
-    def _list_unreachable(self) -> set[PeerAddress]:
-        now_s = anyio.current_time()
-        self._unreachable_until = {
-            address: until_s
-            for address, until_s in self._unreachable_until.items()
-            if until_s > now_s
-        }
-        return set(self._unreachable_until)
-
-    def _sample(self, peers: Sequence[Endpoint], size: int) -> list[Endpoint]:
-        return self._rng.sample(peers, min(size, len(peers)))
-
 
 def _decompress(data: bytes) -> bytes:
     """Decompress a configuration; raise zlib.error, or ValueError if it is too long."""
--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -14,7 +14,7 @@
 
 from ...daemons import ConnectionLost, Exchange, ExchangeLost
 from ...daemons.frames import Compare, Frame, Tell
-from ...model import Endpoint, EndpointState
+from ...model import DaemonLocation, Endpoint, EndpointState
 from ...operators.revisions import DOCUMENT_KIND
 from ...own_interface import parse_revision
 from ...platform.platform_store import PlatformStore
@@ -22,6 +22,7 @@
 from .. import Directory
 from ..active_document import ActiveDocument
 from ..document_sync import DocumentSync
+from ..fleet_view import FleetView
 from ..gossip import Gossip
 from ..registry import EndpointRegistry
 from ..store_calls import StoreStatus
@@ -208,15 +209,16 @@
         store = PlatformStore(platform, DOCUMENT_KIND, ENVIRONMENT)
         pool: Any = FakePool(self, name)
         status = StoreStatus()
-        gossip = Gossip(pool, registry, document, (name, 1), domain[0], domain, rng)
+        location = DaemonLocation(name, 1, domain[0], domain)
+        fleet_view = FleetView(registry, location, rng)
+        gossip = Gossip(pool, registry, document, fleet_view, rng)
         store_sync = StoreSync(store, registry, (name, 1), status, rng)
         document_sync = DocumentSync(
             store,
             document,
             status,
             rng,
-            gossip.is_watcher,
-            lambda: gossip.fleet_size,
+            fleet_view,
             gossip.spread_document,
         )
         daemon = Daemon(
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -126,7 +126,11 @@
 
 @pytest.mark.parametrize(
     ("fault", "limit_s"),
-    [("dead", APPLY_LIMIT_S), ("cut-off", APPLY_LIMIT_S + STORE_UNSTABLE_S)],
+    [
+        ("dead", APPLY_LIMIT_S),
+        ("partitioned", APPLY_LIMIT_S),
+        ("no-store", APPLY_LIMIT_S + STORE_UNSTABLE_S),
+    ],
 )
 @pytest.mark.parametrize("domains", [("n1",), ("n1", "n2")], ids=["half", "all"])
 async def test_change_is_applied_in_time_without_watchers(
@@ -138,16 +142,22 @@
     """
     async with run_fleet() as fleet:
         await start_domains(fleet, 8)
-        for domain in domains:
-            for name in (f"{domain}-0", f"{domain}-1"):
-                if fault == "dead":
-                    fleet.stop(name)
-                else:
-                    fleet.daemons[name].platform.down = True
-        if fault == "dead":
+        watchers = {f"{domain}-{number}" for domain in domains for number in (0, 1)}
+        for name in watchers:
+            if fault == "dead":
+                fleet.stop(name)
+                continue
+            fleet.daemons[name].platform.down = True
+            if fault == "partitioned":
+                fleet.cut |= {frozenset({name, other}) for other in fleet.daemons}
+        if fault != "no-store":
             await anyio.sleep(REPLACEMENT_TIME_S)
         fleet.apply(2, orders=9)
-        await fleet.wait_until(lambda: fleet.versions() == {2}, limit_s)
+        unreachable = watchers if fault == "partitioned" else set()
+        others = [d for name, d in fleet.daemons.items() if name not in unreachable]
+        await fleet.wait_until(
+            lambda: all(d.directory.document_version == 2 for d in others), limit_s
+        )
 
 
 async def test_restart_with_the_same_backend_server_writes_nothing() -> None:
--- a/src/berylmast/membership/tests/test_sockets.py
+++ b/src/berylmast/membership/tests/test_sockets.py
@@ -16,7 +16,7 @@
 from ..._http_server import make_server
 from ...daemons import Exchange, Identity, PeerListener, PeerPool
 from ...daemons.frames import Compare, OpeningFrame
-from ...model import Endpoint, EndpointState
+from ...model import DaemonLocation, Endpoint, EndpointState
 from ...operators.revisions import DOCUMENT_KIND
 from ...own_interface import parse_revision
 from ...platform import StoreClient
@@ -25,6 +25,7 @@
 from .. import Directory
 from ..active_document import ActiveDocument
 from ..document_sync import DocumentSync
+from ..fleet_view import FleetView
 from ..gossip import Gossip
 from ..registry import EndpointRegistry
 from ..store_calls import StoreStatus
@@ -65,7 +66,9 @@
     pool = PeerPool(tg, identity)
     rng = Random(name)
     own_address = (HOST, port)
-    gossip = Gossip(pool, registry, active_document, own_address, "n", name[0], rng)
+    location = DaemonLocation(HOST, port, "n", name[0])
+    fleet_view = FleetView(registry, location, rng)
+    gossip = Gossip(pool, registry, active_document, fleet_view, rng)
     store = PlatformStore(StoreClient(platform), DOCUMENT_KIND, ENVIRONMENT)
     status = StoreStatus()
     store_sync = StoreSync(store, registry, own_address, status, rng)
@@ -74,8 +77,7 @@
         active_document,
         status,
         rng,
-        gossip.is_watcher,
-        lambda: gossip.fleet_size,
+        fleet_view,
         gossip.spread_document,
     )
     record = Endpoint(name, "orders", HOST, port, "n", name[0], 1, 1)
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -98,6 +98,21 @@
     GONE = "gone"
 
 
+@dataclass(frozen=True, slots=True)
+class DaemonLocation:
+    """Where a daemon runs, and the address at which other daemons reach it."""
+
+    host: str
+    port: int
+    region: str
+    failure_domain: str
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Return the address at which other daemons reach it."""
+        return (self.host, self.port)
+
+
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """A backend server as its daemon announces it to the fleet.
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -12,7 +12,7 @@
 from .backends.backend_state import BackendReport, BackendState
 from .backends.health import Health, make_http_check, monitor_health
 from .backends.load_monitor import LoadMonitor
-from .backends.report_handler import BackendReportHandler, DaemonLocation
+from .backends.report_handler import BackendReportHandler
 from .daemons import Exchange, ExchangeHandler, Identity, PeerListener
 from .daemons.frames import Compare, OpeningFrame
 from .http_client import HttpClient
@@ -25,7 +25,7 @@
 from .membership.store import Store
 from .membership.store_calls import StoreStatus
 from .membership.store_sync import StoreSync
-from .model import AttemptId, Endpoint, ServiceSlice
+from .model import AttemptId, DaemonLocation, Endpoint, ServiceSlice
 from .routing import Router
 from .settings import DaemonSettings, LiveSettings
 from .telemetry import Counter, Gauge, log_event
@@ -46,6 +46,7 @@
     store_sync: StoreSync
     publish: PublishEndpoint
     get_record: Callable[[str], Endpoint | None]
+    location: DaemonLocation
     listener: PeerListener
 
 
@@ -116,12 +117,7 @@
         report_handler = BackendReportHandler(
             self.backend_state,
             self.admission,
-            DaemonLocation(
-                cfg.peer_address.host,
-                cfg.peer_address.port,
-                cfg.region,
-                cfg.failure_domain,
-            ),
+            components.location,
             str(cfg.backend),
             lambda: live.cfg.leave_s,
             components.active_document.accepts_service,
