Store the own record after a failed task, and keep newer revisions than a stale list

Cause: a task that ran again after an unexpected error waited for the next change of the record; a stale list replaced the revision that this daemon had written since, so that the next write met a conflict. Change: the record is stored when the task runs again; only higher revisions are taken. Measured: both tests failed before.

--- a/src/berylmast/membership/store_sync.py
+++ b/src/berylmast/membership/store_sync.py
@@ -15,7 +15,7 @@
 from ..model import Endpoint, EndpointState
 from ..platform.objects import Conflict
 from ..telemetry import log_event
-from .peers import PeerAddress
+from .peers import PeerAddress, get_address
 from .registry import EndpointRegistry
 from .store import Store, StoredRecord
 from .store_calls import Backoff, StoreStatus
@@ -60,6 +60,9 @@
     async def run(self) -> None:
         """Find the other daemons and keep the own record stored until cancelled."""
         await self._retry(self._list_records)
+        if self._own_record is not None and not self._own_record_stored.is_set():
+            # An earlier run failed while it stored the record.
+            self._own_record_changed.set()
         async with anyio.create_task_group() as tg:
             tg.start_soon(self._keep_own_record_stored)
             tg.start_soon(self._find_first_peer)
@@ -133,7 +136,10 @@
         """
         stored_records = await self._store.list_records(stale=True)
         for record in stored_records:
-            if (record.endpoint.host, record.endpoint.port) == self._own_address:
+            known_revision = self._revisions.get(record.endpoint.backend, 0)
+            is_own = get_address(record.endpoint) == self._own_address
+            # A stale list may be older than what this daemon has written since.
+            if is_own and record.revision > known_revision:
                 self._note_stored(record)
         self._registry.merge(record.endpoint for record in stored_records)
 
--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -19,6 +19,7 @@
 from ...own_interface import parse_revision
 from ...platform.platform_store import PlatformStore
 from ...platform.tests.fake_store import FakeStore
+from ...supervision import run_supervised
 from .. import Directory
 from ..active_document import ActiveDocument
 from ..document_sync import DocumentSync
@@ -290,8 +291,8 @@
     with daemon.scope:
         async with anyio.create_task_group() as tg:
             daemon.tg = tg
-            tg.start_soon(daemon.store_sync.run)
-            tg.start_soon(daemon.document_sync.run)
+            tg.start_soon(run_supervised, "store_sync", daemon.store_sync.run)
+            tg.start_soon(run_supervised, "document_sync", daemon.document_sync.run)
             tg.start_soon(daemon.gossip.run)
             # Gossip sends nothing before its task has started.
             await anyio.sleep(0)
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -16,9 +16,11 @@
 from ...model import Endpoint, EndpointState
 from ...operators.revisions import DOCUMENT_KIND
 from ...platform import records
+from ...platform.objects import StoredObject
 from ..directory import Directory
 from ..document_sync import WATCH_TIMEOUT_S
 from ..registry import EndpointRegistry
+from ..store_sync import MIN_LIST_INTERVAL_S
 from .fleet import ENVIRONMENT, Fleet, make_text, run_fleet
 
 pytestmark = pytest.mark.anyio
@@ -359,3 +361,50 @@
         document = fleet.daemons["a0"].document
         assert not document.adopt_text(b"[" * 200_000, "peer")
         assert fleet.versions() == {1}
+
+
+async def test_record_is_stored_although_the_task_failed(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """After an unexpected error the record was not stored until its next change."""
+    async with run_fleet() as fleet:
+        fleet.apply(1, orders=6)
+        daemon = fleet.start("a0")
+        put = daemon.platform.put
+        failures = 0
+
+        async def fail_once(
+            kind: str, name: str, spec: object, revision: int | None
+        ) -> StoredObject:
+            nonlocal failures
+            if not failures:
+                failures += 1
+                raise RuntimeError("unexpected")
+            return await put(kind, name, spec, revision)
+
+        monkeypatch.setattr(daemon.platform, "put", fail_once)
+        await fleet.wait_until(
+            lambda: fleet.table.get(records.ENDPOINT_KIND, "a0") is not None,
+            JOIN_LIMIT_S,
+        )
+
+
+async def test_stale_list_does_not_replace_a_newer_revision() -> None:
+    """The next write then met a conflict, which cost two more calls."""
+    async with run_fleet() as fleet:
+        fleet.apply(1, orders=6)
+        daemon = fleet.start("a0")
+        await anyio.sleep(1)
+        stale = list(fleet.table.list_objects(records.ENDPOINT_KIND))
+        daemon.announce_state(EndpointState.GONE)
+        await anyio.sleep(1)
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(fleet.table, "list_objects", lambda kind: stale)
+            await anyio.sleep(2 * MIN_LIST_INTERVAL_S)
+        assert daemon.record is not None
+        daemon.record = replace(
+            daemon.record, incarnation=9, seq=1, state=EndpointState.READY
+        )
+        daemon.publish()
+        await anyio.sleep(1)
+        assert [c[0] for c in daemon.list_full_price_calls()].count("get") == 0
