Name the synchronization of records after what it does

StoreSync only reads and writes endpoint records since the configuration has DocumentSync; it is RecordSync now. No change in behaviour; tests of membership, backends and sessions pass.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -21,9 +21,9 @@
 from .membership.document_sync import DocumentSync
 from .membership.fleet_view import FleetView
 from .membership.gossip import Gossip
+from .membership.record_sync import RecordSync
 from .membership.registry import EndpointRegistry
 from .membership.store_calls import StoreStatus
-from .membership.store_sync import StoreSync
 from .model import DaemonLocation, Endpoint
 from .operators.daemon_admin import make_daemon_admin
 from .operators.explain import make_explain_handler
@@ -90,7 +90,7 @@
     fleet_view = FleetView(registry, location, rng)
     store = adapter.make_store(cfg)
     store_status = StoreStatus()
-    store_sync = StoreSync(store, registry, own_address, store_status, rng)
+    record_sync = RecordSync(store, registry, own_address, store_status, rng)
     async with anyio.create_task_group() as tg:
         if statsd is not None:
             tg.start_soon(run_supervised, "statsd", statsd.run)
@@ -117,7 +117,7 @@
             registry.merge([record])
             gossip.broadcast([record])
             if not lifecycle.stopping:
-                store_sync.set_own_record(record)
+                record_sync.set_own_record(record)
 
         await tg.start(listener.run)
         if local_backend is not None:
@@ -126,14 +126,14 @@
                 identity,
                 active_document,
                 lifecycle,
-                store_sync,
+                record_sync,
                 publish,
                 registry.get,
                 location,
                 listener,
             )
             local_backend.start_tracking(tg, live, adapter, components)
-        tg.start_soon(run_supervised, "store_sync", store_sync.run)
+        tg.start_soon(run_supervised, "record_sync", record_sync.run)
         tg.start_soon(run_supervised, "document_sync", document_sync.run)
         tg.start_soon(run_supervised, "gossip", gossip.run)
         tg.start_soon(run_supervised, "settings", partial(follow_settings, live))
--- a/src/berylmast/membership/store_sync.py
+++ b/src/berylmast/membership/record_sync.py
@@ -32,7 +32,7 @@
 that do not know each other."""
 
 
-class StoreSync:
+class RecordSync:
     """Runs the tasks of this daemon that read and write endpoint records."""
 
     def __init__(
--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -25,9 +25,9 @@
 from ..document_sync import DocumentSync
 from ..fleet_view import FleetView
 from ..gossip import Gossip
+from ..record_sync import RecordSync
 from ..registry import EndpointRegistry
 from ..store_calls import StoreStatus
-from ..store_sync import StoreSync
 
 ENVIRONMENT = "test"
 ROUTE = '{"idempotent": true, "priority": "normal", "deadline_ms": 1000}'
@@ -48,7 +48,7 @@
 class Daemon:
     """The membership of one daemon, its store and the scope that ends it."""
 
-    store_sync: StoreSync
+    record_sync: RecordSync
     document_sync: DocumentSync
     store_status: StoreStatus
     gossip: Gossip
@@ -76,7 +76,7 @@
         assert self.record is not None
         self.registry.merge([self.record])
         self.gossip.broadcast([self.record])
-        self.store_sync.set_own_record(self.record)
+        self.record_sync.set_own_record(self.record)
 
 
 @dataclass
@@ -213,7 +213,7 @@
         location = DaemonLocation(name, 1, domain[0], domain)
         fleet_view = FleetView(registry, location, rng)
         gossip = Gossip(pool, registry, document, fleet_view, rng)
-        store_sync = StoreSync(store, registry, (name, 1), status, rng)
+        record_sync = RecordSync(store, registry, (name, 1), status, rng)
         document_sync = DocumentSync(
             store,
             document,
@@ -223,7 +223,7 @@
             gossip.spread_document,
         )
         daemon = Daemon(
-            store_sync,
+            record_sync,
             document_sync,
             status,
             gossip,
@@ -291,7 +291,7 @@
     with daemon.scope:
         async with anyio.create_task_group() as tg:
             daemon.tg = tg
-            tg.start_soon(run_supervised, "store_sync", daemon.store_sync.run)
+            tg.start_soon(run_supervised, "record_sync", daemon.record_sync.run)
             tg.start_soon(run_supervised, "document_sync", daemon.document_sync.run)
             tg.start_soon(daemon.gossip.run)
             # Gossip sends nothing before its task has started.
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -19,8 +19,8 @@
 from ...platform.objects import StoredObject
 from ..directory import Directory
 from ..document_sync import WATCH_TIMEOUT_S
+from ..record_sync import MIN_LIST_INTERVAL_S
 from ..registry import EndpointRegistry
-from ..store_sync import MIN_LIST_INTERVAL_S
 from .fleet import ENVIRONMENT, Fleet, make_text, run_fleet
 
 pytestmark = pytest.mark.anyio
--- a/src/berylmast/membership/tests/test_sockets.py
+++ b/src/berylmast/membership/tests/test_sockets.py
@@ -27,9 +27,9 @@
 from ..document_sync import DocumentSync
 from ..fleet_view import FleetView
 from ..gossip import Gossip
+from ..record_sync import RecordSync
 from ..registry import EndpointRegistry
 from ..store_calls import StoreStatus
-from ..store_sync import StoreSync
 from .fleet import ENVIRONMENT, make_text
 
 pytestmark = pytest.mark.anyio
@@ -47,14 +47,14 @@
     directory: Directory
     registry: EndpointRegistry
     gossip: Gossip
-    store_sync: StoreSync
+    record_sync: RecordSync
     record: Endpoint
 
     def publish(self, record: Endpoint) -> None:
         self.record = record
         self.registry.merge([record])
         self.gossip.broadcast([record])
-        self.store_sync.set_own_record(record)
+        self.record_sync.set_own_record(record)
 
 
 async def start_node(tg: TaskGroup, name: str, platform: Address) -> Node:
@@ -71,7 +71,7 @@
     gossip = Gossip(pool, registry, active_document, fleet_view, rng)
     store = PlatformStore(StoreClient(platform), DOCUMENT_KIND, ENVIRONMENT)
     status = StoreStatus()
-    store_sync = StoreSync(store, registry, own_address, status, rng)
+    record_sync = RecordSync(store, registry, own_address, status, rng)
     document_sync = DocumentSync(
         store,
         active_document,
@@ -89,11 +89,11 @@
     address = Address(host=HOST, port=port)
     listener = PeerListener(address, identity, accept, gossip.handle_tell)
     await tg.start(listener.run)
-    tg.start_soon(store_sync.run)
+    tg.start_soon(record_sync.run)
     tg.start_soon(document_sync.run)
     tg.start_soon(gossip.run)
     await anyio.sleep(0.01)
-    node = Node(directory, registry, gossip, store_sync, record)
+    node = Node(directory, registry, gossip, record_sync, record)
     node.publish(record)
     return node
 
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -21,10 +21,10 @@
 from .membership import Directory
 from .membership.active_document import ActiveDocument
 from .membership.gossip import Gossip
+from .membership.record_sync import RecordSync
 from .membership.registry import EndpointRegistry
 from .membership.store import Store
 from .membership.store_calls import StoreStatus
-from .membership.store_sync import StoreSync
 from .model import AttemptId, DaemonLocation, Endpoint, ServiceSlice
 from .routing import Router
 from .settings import DaemonSettings, LiveSettings
@@ -43,7 +43,7 @@
     identity: Identity
     active_document: ActiveDocument
     lifecycle: Lifecycle
-    store_sync: StoreSync
+    record_sync: RecordSync
     publish: PublishEndpoint
     get_record: Callable[[str], Endpoint | None]
     location: DaemonLocation
@@ -122,7 +122,7 @@
             lambda: live.cfg.leave_s,
             components.active_document.accepts_service,
             components.publish,
-            components.store_sync.wait_stored,
+            components.record_sync.wait_stored,
             components.get_record,
             tg,
         )
