Send nothing after the gossip of a daemon has ended

Cause: a daemon that read a new configuration in the moment of its end, or while its gossip was being run again after an error, started a task in a task group that had ended, which raised an error. Change: Gossip forgets its task group when it ends.

--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -61,11 +61,16 @@
         """Compare with a random daemon at intervals until cancelled."""
         async with anyio.create_task_group() as tg:
             self._tg = tg
-            while True:
-                await anyio.sleep(COMPARE_INTERVAL_S * self._rng.uniform(0.75, 1.25))
-                peer = self._fleet.choose_comparison_peer()
-                if peer is not None:
-                    await self.compare_with(peer)
+            try:
+                while True:
+                    interval_s = COMPARE_INTERVAL_S * self._rng.uniform(0.75, 1.25)
+                    await anyio.sleep(interval_s)
+                    peer = self._fleet.choose_comparison_peer()
+                    if peer is not None:
+                        await self.compare_with(peer)
+            finally:
+                # Nothing can be sent in a task group that has ended.
+                self._tg = None
 
     def broadcast(self, records: list[Endpoint]) -> None:
         """Send records to the other daemons in the background."""
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -408,3 +408,14 @@
         daemon.publish()
         await anyio.sleep(1)
         assert [c[0] for c in daemon.list_full_price_calls()].count("get") == 0
+
+
+async def test_change_after_the_gossip_ended_is_no_error() -> None:
+    """A daemon that read a new configuration just as it stopped raised an error."""
+    async with run_fleet() as fleet:
+        await start_all(fleet)
+        daemon = fleet.daemons["a0"]
+        fleet.stop("a0")
+        await anyio.sleep(0.1)
+        daemon.gossip.spread_document()
+        daemon.gossip.broadcast([])
