--- a/review/standins.py
+++ b/review/standins.py
@@ -286,6 +286,14 @@
         self.processes.append(machine.process)
         self.record("daemon_started", machine=machine.name, pid=machine.process.pid)
 
+    async def kill_and_restart(self, machine, delay_s=0.3):
+        """Kill a daemon; the platform starts it again after a short delay."""
+        machine.process.kill()
+        machine.process.wait()
+        self.record("daemon_killed", machine=machine.name, pid=machine.process.pid)
+        await asyncio.sleep(delay_s)
+        self.start_daemon(machine)
+
     async def start(self, configuration):
         await self.store.start()
         self.store.put("config", "main", configuration)
@@ -415,17 +423,28 @@
             task.cancel()
 
     async def beat(self):
+        return await self.post_beat(self.make_beat())
+
+    def make_beat(self):
         self.sequence += 1
-        body = {
+        return {
             "address": self.deployment.address(self.machine, "app"),
             "born": self.born,
             "info": {"service": self.service, "version": "v1",
                      "zone": self.machine.zone, "slots": self.slots},
             "status": {"state": self.state, "sequence": self.sequence, "coldLeft": "0ms"},
         }
+
+    async def post_beat(self, body):
+        return await self._call_control("instances.heartbeat", body)
+
+    async def deregister(self):
+        return await self._call_control("instances.deregister", {"born": self.born})
+
+    async def _call_control(self, call, body):
         return await send(
             self.machine.host, self.deployment.ports["control"], "POST",
-            f"/v1/rpc?call=instances.heartbeat&of={self.name}",
+            f"/v1/rpc?call={call}&of={self.name}",
             {"Content-Type": "application/json"}, json.dumps(body).encode(), timeout_s=1.0,
         )
 
