--- a/review/standins.py
+++ b/review/standins.py
@@ -585,6 +585,8 @@
 def run_case(folder, case):
     """Run ``case(record, trouble)``; exit 1 if it returns False, 2 if it can't run."""
     record = Record(Path(folder) / "record.txt")
+    # So that the processes are ended too if the script is.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record("begin", trouble=trouble)
     try:
