Let other tasks run while a server sends without a pause

Cause: receiving waits only when the socket is empty. A body in small chunks is parsed more slowly than it is sent, so the loop over the body never gave the event loop back, and timeouts are tasks of that loop. Three readers had no limit on a body that nobody needs (rejections, load queries, health checks).

Change: the reader yields before each further read, reads 16 KB at most in one turn, and joins what one read brought, so that a chunk of a byte is no part (and no peer frame) of its own. A discarded body ends after 64 KB or 0.1 s, and its connection is closed.

--- a/src/berylmast/backends/dispatch.py
+++ b/src/berylmast/backends/dispatch.py
@@ -8,7 +8,13 @@
 from ..daemons import Exchange, ExchangeLost
 from ..daemons.frames import Body, Continue, End, Fail, Refuse, Response
 from ..errors import ErrorKind
-from ..http_client import ConnectionCut, HttpClient, HttpResponse, ServerUnreachable
+from ..http_client import (
+    ConnectionCut,
+    HttpClient,
+    HttpResponse,
+    ServerUnreachable,
+    discard_body,
+)
 from ..model import (
     BackendLoad,
     BackendNotice,
@@ -177,8 +183,7 @@
     match interface.classify(response.status, response.headers):
         case ResponseClass.NOT_RUN:
             result.refused = True
-            async for _ in response.body:
-                pass
+            await discard_body(response)
             detail = f"backend server returned {response.status} without running it"
             kind = ErrorKind.BACKEND_REFUSED
             await exchange.send(Refuse(exchange.id, kind, detail, get_load(), 0, True))
--- a/src/berylmast/backends/health.py
+++ b/src/berylmast/backends/health.py
@@ -10,7 +10,7 @@
 
 import anyio
 
-from ..http_client import ConnectionCut, HttpClient, ServerUnreachable
+from ..http_client import ConnectionCut, HttpClient, ServerUnreachable, discard_body
 from ..settings import Address, HealthSettings
 
 
@@ -34,8 +34,7 @@
         try:
             with anyio.fail_after(cfg.timeout_s):
                 async with client.send("GET", cfg.path, headers, None) as response:
-                    async for _ in response.body:
-                        pass
+                    await discard_body(response)
         except (ServerUnreachable, ConnectionCut, TimeoutError):
             return Health.DOWN
         if response.status == 503:
--- a/src/berylmast/backends/load_monitor.py
+++ b/src/berylmast/backends/load_monitor.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from ..http_client import ConnectionCut, HttpClient, ServerUnreachable
+from ..http_client import ConnectionCut, HttpClient, ServerUnreachable, discard_body
 from ..model import BackendLoad, Headers
 from ..settings import Address
 
@@ -89,8 +89,7 @@
                 async with call as response:
                     load = self._read_load(response.headers)
                     self._on_response(response.headers)
-                    async for _ in response.body:
-                        pass
+                    await discard_body(response)
         except (ServerUnreachable, ConnectionCut, TimeoutError):
             # Real requests will report what is wrong with the backend server.
             load = None
--- a/src/berylmast/http_client/_client.py
+++ b/src/berylmast/http_client/_client.py
@@ -22,6 +22,11 @@
 CONNECT_TIMEOUT_S = 1.0
 """Limit on the wait for a free connection slot, and on connecting after it."""
 
+MAX_DISCARDED_BODY_BYTES = 64 * 1024
+DISCARD_TIMEOUT_S = 0.1
+"""Limits on reading a body that nobody needs. Beyond them, a new connection costs less
+than reading on."""
+
 
 class ServerUnreachable(Exception):
     """The request was not sent: its head is invalid or no connection was available."""
@@ -40,6 +45,21 @@
     trailers: Headers = ()
 
 
+async def discard_body(response: HttpResponse) -> None:
+    """Read the rest of a response, so that its connection can be reused.
+
+    Gives up after ``MAX_DISCARDED_BODY_BYTES`` or ``DISCARD_TIMEOUT_S``; the connection
+    is then closed when the context of ``HttpClient.send`` ends. Raises ConnectionCut if
+    the response ends early.
+    """
+    size = 0
+    with anyio.move_on_after(DISCARD_TIMEOUT_S):
+        async for part in response.body:
+            size += len(part)
+            if size > MAX_DISCARDED_BODY_BYTES:
+                return
+
+
 @dataclass(frozen=True, slots=True)
 class _RequestBody:
     """The body of one request; ``content_length`` is None for a chunked body."""
--- a/src/berylmast/http_client/_connection.py
+++ b/src/berylmast/http_client/_connection.py
@@ -8,11 +8,11 @@
 import errno
 import re
 import socket
-from collections import deque
 from collections.abc import AsyncIterator, Callable
 
 import anyio
 import httptools
+from anyio.lowlevel import checkpoint
 
 from ..model import Headers
 from ..settings import Address
@@ -23,7 +23,12 @@
 Also the limit on bytes received without completing a head or adding body data.
 """
 
-_RECEIVE_SIZE_BYTES = 64 * 1024
+_RECEIVE_SIZE_BYTES = 16 * 1024
+"""Limit on the bytes that are parsed in one turn of the event loop.
+
+A body in chunks of one byte takes thousands of parser callbacks for this many bytes.
+"""
+
 _KEEP_ALIVE_TIMEOUT = re.compile(rb"timeout=(\d+)")
 
 
@@ -51,11 +56,11 @@
         self.status = 0
         self.headers: list[tuple[bytes, bytes]] = []
         self.trailers: list[tuple[bytes, bytes]] = []
-        self.chunks: deque[bytes] = deque()
         self.head_complete = False
         self.received_any = False
         self.complete = False
         self.reusable = True
+        self._body_parts: list[bytes] = []
         self._has_body = has_body
         self._body_ends_at_close = False
         self._skipping_response = False
@@ -87,6 +92,15 @@
         if self._error is not None:
             raise ConnectionCut(self._error)
 
+    def take_body(self) -> bytes:
+        """Return the body bytes received since the last call, joined.
+
+        What is passed on does not depend on the size of the server's chunks.
+        """
+        data = b"".join(self._body_parts)
+        self._body_parts.clear()
+        return data
+
     def _handle_eof(self) -> None:
         self.reusable = False
         if not (self.head_complete and self._body_ends_at_close):
@@ -136,7 +150,7 @@
         if self._skipping_response:
             self._bytes_without_progress = 0
             return
-        self.chunks.append(data)
+        self._body_parts.append(data)
         self._bytes_without_progress = 0
 
     def on_message_complete(self) -> None:
@@ -195,15 +209,18 @@
             await self._feed(parser)
 
     async def iterate_body(self, parser: ResponseParser) -> AsyncIterator[bytes]:
-        """Yield the chunks of the body; reads the socket only when one is requested.
+        """Yield parts of the body; reads the socket only when one is requested.
 
         Raises ConnectionCut if the response is invalid or incomplete.
         """
         while True:
-            while parser.chunks:
-                yield parser.chunks.popleft()
+            if data := parser.take_body():
+                yield data
             if parser.complete:
                 return
+            # Receiving does not wait while the server sends without a pause. Other
+            # tasks, and the timeout of this one, must run all the same.
+            await checkpoint()
             await self._feed(parser)
 
     async def _feed(self, parser: ResponseParser) -> None:
