Bound the frames that wait between daemons, not only their bytes

Cause: flow control counts body bytes. A body in frames of one byte keeps the window of 256 KB with 260,000 frames of some 200 bytes each, on the sending and on the receiving side. Frames without a body (Continue, an empty Body, Reset, and the Pong for each Ping of a peer that reads nothing) had no bound at all.

--- a/src/berylmast/daemons/exchange.py
+++ b/src/berylmast/daemons/exchange.py
@@ -6,6 +6,7 @@
 
 import anyio
 
+from ._body_frames import MAX_BODY_FRAME_BYTES, join_body_frames
 from .frames import (
     OPENING_FRAMES,
     Body,
@@ -22,8 +23,9 @@
 """Flow-control window: body bytes that may be sent but not yet consumed, for each
 direction of an exchange."""
 
-MAX_BODY_FRAME_BYTES = 16 * 1024
-"""Longer frames would delay the heads of other requests on the same connection."""
+MAX_UNREAD_FRAMES = 256
+"""Limit on received frames that have not been read. Body frames are joined, so those of
+a whole window are fewer; a fleet's records come in frames of hundreds."""
 
 _CREDIT_BATCH_BYTES = WINDOW_BYTES // 2
 
@@ -65,7 +67,6 @@
         self._reset_scope: anyio.CancelScope | None = None
         self._only_reset = False
         self._write = write
-        # Bounded by the window and by the frames that a peer may send only once.
         self._inbox: deque[Frame] = deque()
         # Events are created only when a task waits, since most requests need few.
         self._frame_arrived: anyio.Event | None = None
@@ -147,9 +148,9 @@
     def deliver(self, frame: Frame) -> None:
         """Process a frame that the connection received for this exchange.
 
-        Raises ExchangeProtocolError if the peer exceeds the flow-control window, sends
-        a frame other than Credit or Reset after its closing frame, or opens the
-        exchange again.
+        Raises ExchangeProtocolError if the peer exceeds the flow-control window or
+        ``MAX_UNREAD_FRAMES``, sends a frame other than Credit or Reset after its
+        closing frame, or opens the exchange again.
         """
         if isinstance(frame, Credit):
             self._send_credit_bytes += frame.size
@@ -171,9 +172,18 @@
         self._opened = True
         self.peer_closed = self.peer_closed or isinstance(frame, CLOSING_FRAMES)
         if not self.lost:
-            self._inbox.append(frame)
+            self._put_in_inbox(frame)
             self._wake_receiver()
 
+    def _put_in_inbox(self, frame: Frame) -> None:
+        joined = join_body_frames(self._inbox[-1] if self._inbox else None, frame)
+        if joined is not None:
+            self._inbox[-1] = joined
+        elif len(self._inbox) >= MAX_UNREAD_FRAMES:
+            raise ExchangeProtocolError(f"too many frames on exchange {self.id}")
+        else:
+            self._inbox.append(frame)
+
     def mark_lost(self) -> None:
         """Mark the connection as lost.
 
