Let other tasks run between the frames of one read

Cause: all frames that one read of a peer connection brings were decoded and handled in one turn of the event loop; 64 KB of short frames are twenty thousand.

Change: the reader yields after 64 frames.

Evidence: the new test fails with the old reader (no turn of another task between 6,400 frames) and passes here.

--- a/src/berylmast/daemons/connection.py
+++ b/src/berylmast/daemons/connection.py
@@ -4,6 +4,7 @@
 
 import anyio
 from anyio.abc import ByteStream
+from anyio.lowlevel import checkpoint
 
 from ..errors import ErrorKind
 from ..telemetry import log_event
@@ -34,6 +35,10 @@
 _WRITE_BATCH_BYTES = 64 * 1024
 _READ_BYTES = 64 * 1024
 
+FRAMES_PER_TURN = 64
+"""Frames that are handled in one turn of the event loop. One read may bring thousands
+of short ones."""
+
 ExchangeHandler = Callable[[Exchange, OpeningFrame], Awaitable[None]]
 """Serves one exchange that the peer opened."""
 
@@ -214,11 +219,16 @@
             self.bytes_received += len(data)
             self._last_received_s = anyio.current_time()
             try:
-                for frame in self._reader.feed(data):
-                    self._handle_frame(frame, tg)
+                await self._handle_frames(data, tg)
             except (ProtocolError, ExchangeProtocolError):
                 return
 
+    async def _handle_frames(self, data: bytes, tg: anyio.abc.TaskGroup) -> None:
+        for count, frame in enumerate(self._reader.feed(data), 1):
+            self._handle_frame(frame, tg)
+            if count % FRAMES_PER_TURN == 0:
+                await checkpoint()
+
     def _handle_frame(self, frame: Frame, tg: anyio.abc.TaskGroup) -> None:
         match frame:
             case Hello():
--- a/src/berylmast/daemons/tests/test_connection.py
+++ b/src/berylmast/daemons/tests/test_connection.py
@@ -6,10 +6,19 @@
 
 import anyio
 import pytest
+from anyio.lowlevel import checkpoint
 from anyio.streams.stapled import StapledObjectStream
 
 from .. import frames
-from ..connection import SILENCE_LIMIT_S, ExchangeHandler, Identity, PeerConnection
+from ..codec import encode_frame
+from ..connection import (
+    FRAMES_PER_TURN,
+    PROTOCOL_VERSION,
+    SILENCE_LIMIT_S,
+    ExchangeHandler,
+    Identity,
+    PeerConnection,
+)
 from ..exchange import WINDOW_BYTES, Exchange, ExchangeLost
 
 pytestmark = pytest.mark.anyio
@@ -121,3 +130,34 @@
                 await anyio.sleep(0.01)
         tg.cancel_scope.cancel()
     assert "fault" in caplog.messages
+
+
+async def test_other_tasks_run_while_a_peer_sends_many_short_frames() -> None:
+    """All frames of one read were handled before any other task ran."""
+    turns = 0
+    turns_at_goaway: list[int] = []
+
+    async def count_turns() -> None:
+        nonlocal turns
+        while True:
+            turns += 1
+            await checkpoint()
+
+    left, right = make_streams()
+    owner = PeerConnection(
+        right,  # type: ignore[arg-type]
+        Identity("b", 2),
+        on_goaway=lambda _peer: turns_at_goaway.append(turns),
+    )
+    hello = frames.Hello(0, PROTOCOL_VERSION, "a", 1)
+    pongs = [frames.Pong()] * 100 * FRAMES_PER_TURN
+    sent: list[frames.Frame] = [hello, frames.GoAway(), *pongs, frames.GoAway()]
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(count_turns)
+        tg.start_soon(owner.run)
+        await left.send(b"".join(encode_frame(frame) for frame in sent))
+        while len(turns_at_goaway) < 2:
+            await checkpoint()
+        tg.cancel_scope.cancel()
+    first, last = turns_at_goaway
+    assert last - first >= 100
