Keep a departed server out when an older report arrives after a restart

Cause: the record of a departure was ordered by the last report that had arrived. A report sent before the departure and received after a restart of the daemon has a higher sequence number, so its record replaced the departure at the daemon, its peers and the store. Only the memory of the process that took the departure held it back.

Change: a departure ends an incarnation, so its record has the highest sequence number that there is (FINAL_SEQ). No report of that incarnation sorts after it, whoever passes it on; a server that starts again under its id has a later birth.

--- a/src/berylmast/backends/report_handler.py
+++ b/src/berylmast/backends/report_handler.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from ..limits import Admission
-from ..model import DaemonLocation, Endpoint, EndpointState
+from ..model import FINAL_SEQ, DaemonLocation, Endpoint, EndpointState
 from ..telemetry import log_event
 from .backend_state import BackendReport, BackendState, Departure
 
@@ -27,7 +27,8 @@
 
 SEQ_NUMBERS_PER_REPORT = 100
 """Sequence numbers reserved for record changes between two reports. A restarted daemon
-continues from the next report, so its records sort after those of its previous run."""
+continues from the next report, so its records sort after those of its previous run. A
+departure has ``FINAL_SEQ``: it sorts after all reports of its backend server."""
 
 
 class BackendReportHandler:
@@ -128,7 +129,7 @@
             and (known.host, known.port) == own_address
             and known.state is not EndpointState.GONE
         ):
-            self._publish(replace(known, seq=known.seq + 1, state=EndpointState.GONE))
+            self._publish(replace(known, seq=FINAL_SEQ, state=EndpointState.GONE))
             await self._wait_stored(STORE_TIMEOUT_S)
 
     def handle_leaving_notice(self) -> None:
@@ -163,6 +164,10 @@
         _, seq = _make_order(report)
         if old is not None and old.incarnation == report.born_ms:
             seq = max(seq, old.seq + 1)
+        if state is EndpointState.GONE:
+            # A report sent before the departure may arrive after it, at a daemon that
+            # has restarted and at the store: it must not replace this record.
+            seq = FINAL_SEQ
         record = Endpoint(
             backend=report.backend,
             service=report.service,
--- a/src/berylmast/backends/tests/test_report_handler.py
+++ b/src/berylmast/backends/tests/test_report_handler.py
@@ -166,6 +166,37 @@
         assert bool(parts.published) is accepted
 
 
+@pytest.mark.parametrize("before_first_report", [False, True])
+@pytest.mark.parametrize("sequence", [2, 500])
+async def test_report_sent_before_a_departure_and_received_after_a_restart_is_ignored(
+    sequence: int, before_first_report: bool
+) -> None:
+    """The server was in use again for as long as it ran, although it had left.
+
+    The record of the departure was ordered by the last report that had arrived, so a
+    report that was still on its way replaced it.
+    """
+    known = None
+    async with run_report_handler() as parts:
+        await parts.handler.handle_report(REPORT)
+        known = parts.published[-1]
+        if not before_first_report:
+            await parts.handler.handle_departure(Departure("i-1", REPORT.born_ms))
+            known = parts.published[-1]
+    if before_first_report:
+        async with run_report_handler(known_record=known) as parts:
+            await parts.handler.handle_departure(Departure("i-1", REPORT.born_ms))
+            known = parts.published[-1]
+    assert known.state is EndpointState.GONE
+    async with run_report_handler(known_record=known) as parts:
+        await parts.handler.handle_report(replace(REPORT, sequence=sequence))
+        assert parts.published == []
+        successor = replace(REPORT, born_ms=REPORT.born_ms + 1)
+        await parts.handler.handle_report(successor)
+        assert parts.states == [EndpointState.READY]
+        assert parts.published[-1].order > known.order
+
+
 async def test_server_that_drains_at_the_first_report_gets_no_requests() -> None:
     """A daemon that restarted during a drain granted the leave time a second time."""
     async with run_report_handler() as parts:
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -138,6 +138,11 @@
         return (self.host, self.port)
 
 
+FINAL_SEQ = 2**53 - 1
+"""Sequence number of the record of a departure, the largest whole number that JSON
+carries exactly. No other record of that incarnation replaces it, whoever sends it."""
+
+
 @dataclass(frozen=True, slots=True)
 class Endpoint:
     """A backend server as its daemon announces it to the fleet.
