Announce a departure that a restarted daemon takes before it has the records

Peers and store kept the server as ready, and a second restart took a late report for that of a server in service. A late departure of an earlier incarnation, in turn, made it give up the running server.

Change: the record is replaced as soon as it arrives, within 30 s, unless another server has reported; a departure older than the known record is ignored.

--- a/src/berylmast/backends/report_handler.py
+++ b/src/berylmast/backends/report_handler.py
@@ -25,6 +25,13 @@
 """Longest wait for the record to be stored before a departure is acknowledged. The
 sender treats an acknowledgement that takes a second as lost."""
 
+RECORD_WAIT_S = 30.0
+RECORD_POLL_S = 0.05
+"""How long, and how often, the record of a server is looked up that left before this
+process had received the records of the fleet."""
+
+MS_PER_S = 1000
+
 SEQ_NUMBERS_PER_REPORT = 100
 """Sequence numbers reserved for record changes between two reports. A restarted daemon
 continues from the next report, so its records sort after those of its previous run. A
@@ -118,19 +125,45 @@
         start time, and reports sent before it may still arrive.
         """
         known = self._get_known_record(departure.backend)
-        born_ms = departure.born_ms or (
-            int(self._unix_time() * 1000) if known is None else known.incarnation
+        known_born_ms = None if known is None else known.incarnation
+        if known_born_ms is not None and 0 < departure.born_ms < known_born_ms:
+            log_event("departure_outdated", backend=departure.backend)
+            return
+        born_ms = (
+            departure.born_ms or known_born_ms or int(self._unix_time() * MS_PER_S)
         )
         self._backend_state.apply_departure(Departure(departure.backend, born_ms))
         log_event("backend_departed", backend=departure.backend, born_ms=born_ms)
+        published = anyio.Event()
+        self._tg.start_soon(
+            self._publish_departure_of_unreported, departure.backend, born_ms, published
+        )
+        with anyio.move_on_after(STORE_TIMEOUT_S):
+            await published.wait()
+            await self._wait_stored(STORE_TIMEOUT_S)
+
+    async def _publish_departure_of_unreported(
+        self, backend: str, born_ms: int, published: anyio.Event
+    ) -> None:
+        """Replace the record of a departed server, once this daemon has received it.
+
+        A daemon that has just restarted may still wait for the records of the others.
+        """
+        known: Endpoint | None = None
+        with anyio.move_on_after(RECORD_WAIT_S):
+            while (known := self._get_known_record(backend)) is None:
+                await anyio.sleep(RECORD_POLL_S)
         own_address = (self._location.host, self._location.port)
         if (
             known is not None
             and (known.host, known.port) == own_address
             and known.state is not EndpointState.GONE
+            and known.incarnation <= born_ms
+            # The record of a server that has reported since replaces it.
+            and self._backend_state.current is None
         ):
             self._publish(replace(known, seq=FINAL_SEQ, state=EndpointState.GONE))
-            await self._wait_stored(STORE_TIMEOUT_S)
+        published.set()
 
     def handle_leaving_notice(self) -> None:
         """Announce that the backend server states its leaving in responses."""
--- a/src/berylmast/backends/tests/test_report_handler.py
+++ b/src/berylmast/backends/tests/test_report_handler.py
@@ -47,6 +47,7 @@
     known: frozenset[str] = frozenset({"orders"}),
     known_record: Endpoint | None = None,
     is_backend_leaving: Callable[[], bool] = lambda: False,
+    get_known_record: Callable[[str], Endpoint | None] | None = None,
 ) -> AsyncIterator[Parts]:
     admission = SlotAdmission("d1", 1, lambda: None)
     published: list[Endpoint] = []
@@ -68,7 +69,7 @@
             lambda service: service in known,
             published.append,
             wait_stored,
-            lambda backend: known_record,
+            get_known_record or (lambda backend: known_record),
             is_backend_leaving,
             tg,
             lambda: REPORT.born_ms / 1000 + UPTIME_S,
@@ -267,3 +268,40 @@
         report = replace(REPORT, sequence=26, born_ms=report_born_ms)
         assert (await parts.handler.handle_report(report)).is_ok()
         assert parts.states == published + [EndpointState.READY] * accepted
+
+
+KNOWN = Endpoint("i-1", "orders", "h", 7, "n", "n1", REPORT.born_ms, 5)
+
+
+async def test_departure_is_published_once_the_record_of_the_server_arrives() -> None:
+    """A daemon had restarted and had not read the records; the fleet kept the server.
+
+    The second restart of the daemon then took a late report for that of a new server.
+    """
+    known: Endpoint | None = None
+    async with run_report_handler(get_known_record=lambda _backend: known) as parts:
+        parts.stored.set()
+        with anyio.fail_after(0.9):
+            await parts.handler.handle_departure(Departure("i-1", REPORT.born_ms))
+        await anyio.sleep(5)
+        assert parts.published == []
+        known = KNOWN
+        await anyio.sleep(0.1)
+        assert parts.states == [EndpointState.GONE]
+        assert parts.published[0].order > KNOWN.order
+
+
+@pytest.mark.parametrize(
+    ("born_ms", "state"),
+    [(REPORT.born_ms - 1, "ready"), (REPORT.born_ms, "gone"), (0, "gone")],
+    ids=["older", "same", "unknown"],
+)
+async def test_late_departure_of_an_older_incarnation_leaves_the_server_in_use(
+    born_ms: int, state: str
+) -> None:
+    """A server had started again under its id; a restarted daemon gave it up."""
+    async with run_report_handler(known_record=KNOWN) as parts:
+        parts.stored.set()
+        await parts.handler.handle_departure(Departure("i-1", born_ms))
+        await parts.handler.handle_report(replace(REPORT, sequence=9))
+        assert parts.states == [EndpointState(state)]
--- a/src/berylmast/membership/record_sync.py
+++ b/src/berylmast/membership/record_sync.py
@@ -81,7 +81,9 @@
         self._own_record_changed.set()
 
     async def wait_stored(self, timeout_s: float) -> bool:
-        """Wait until this daemon's record is stored; return False on timeout."""
+        """Wait until this daemon's record, if any, is stored; False on timeout."""
+        if self._own_record is None:
+            return True
         with anyio.move_on_after(timeout_s):
             await self._own_record_stored.wait()
             return True
