Confirm at a restart that the servers beside this daemon are still in service

If every daemon that knew of a departure was killed after it, nobody corrects the list: the store seemed to hold the server as ready, so its record was not even written, and no conflict showed the departure.

Change: a daemon that finds a record of its own address in service reads that record once more, not stale, at its start; a record in the store that supersedes the own one is kept, also where no write has met a conflict. One full call for each restart beside a running server, none when a fleet starts.

--- a/src/berylmast/membership/record_sync.py
+++ b/src/berylmast/membership/record_sync.py
@@ -16,6 +16,7 @@
 from ..platform.objects import Conflict
 from ..telemetry import log_event
 from .peers import PeerAddress, get_address
+from .records import supersedes
 from .registry import EndpointRegistry
 from .store import Store, StoredRecord
 from .store_calls import Backoff, StoreStatus
@@ -60,6 +61,7 @@
     async def run(self) -> None:
         """Find the other daemons and keep the own record stored until cancelled."""
         await self._retry(self._list_records)
+        await self._retry(self._confirm_own_records)
         if self._own_record is not None and not self._own_record_stored.is_set():
             # An earlier run failed while it stored the record.
             self._own_record_changed.set()
@@ -145,22 +147,40 @@
                 self._note_stored(record)
         self._registry.merge(record.endpoint for record in stored_records)
 
+    async def _confirm_own_records(self) -> None:
+        """Read the records of this daemon's address again, those that are in service.
+
+        The daemon has restarted, and a stale list may lack the departure of a server
+        that it acknowledged before. No other daemon may have lived on to tell of it.
+        """
+        for record in self._registry.records():
+            stored = self._stored.get(record.backend)
+            if stored is None or record.state is EndpointState.GONE:
+                continue
+            await self._read_stored(record.backend)
+            self._merge_stored(record.backend)
+
+    def _merge_stored(self, backend: str) -> None:
+        stored = self._stored.get(backend)
+        if stored is not None:
+            self._registry.merge([stored.endpoint])
+
     async def _store_record(self, record: Endpoint) -> None:
         """Store a record unless the store holds all of it that must last."""
         while True:
             stored = self._stored.get(record.backend)
-            if stored is not None and _is_covered(record, stored.endpoint):
+            if stored is not None and (
+                _is_covered(record, stored.endpoint)
+                or not supersedes(record, stored.endpoint)
+            ):
+                self._registry.merge([stored.endpoint])
                 return
             revision = self._revisions.get(record.backend, 0)
             try:
                 new_revision = await self._store.put_record(record, revision)
             except Conflict:
-                await self._read_conflicting(record.backend)
-                stored = self._stored.get(record.backend)
-                if stored is None or stored.endpoint.order < record.order:
-                    continue
-                self._registry.merge([stored.endpoint])
-                return
+                await self._read_stored(record.backend)
+                continue
             self._note_stored(StoredRecord(record, new_revision))
             return
 
@@ -170,7 +190,7 @@
         A record of a later incarnation is kept.
         """
         if record.backend not in self._revisions:
-            await self._read_conflicting(record.backend)
+            await self._read_stored(record.backend)
         stored = self._stored.pop(record.backend, None)
         revision = self._revisions.pop(record.backend, 0)
         if not revision or (
@@ -187,8 +207,8 @@
         self._stored[record.endpoint.backend] = record
         self._revisions[record.endpoint.backend] = record.revision
 
-    async def _read_conflicting(self, backend: str) -> None:
-        """Read what the store holds of a backend server."""
+    async def _read_stored(self, backend: str) -> None:
+        """Read what the store holds of a backend server now."""
         self._stored.pop(backend, None)
         self._revisions.pop(backend, None)
         current = await self._store.read_record(backend)
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -13,7 +13,7 @@
 import pytest
 
 from ...daemons.frames import Endpoints, Frame
-from ...model import Endpoint, EndpointState
+from ...model import FINAL_SEQ, Endpoint, EndpointState
 from ...operators.revisions import DOCUMENT_KIND
 from ...platform import records
 from ...platform.objects import StoredObject
@@ -410,6 +410,36 @@
         assert [c[0] for c in daemon.list_full_price_calls()].count("get") == 0
 
 
+async def test_departure_outlasts_a_restart_of_all_daemons_and_a_stale_list() -> None:
+    """The server was in use again: the stale list was taken for what the store holds.
+
+    No daemon had lived on to tell of the departure, and a late report of the server
+    arrived after the restart.
+    """
+    async with run_fleet() as fleet:
+        fleet.apply(1, orders=6)
+        daemon = fleet.start("a0")
+        await anyio.sleep(1)
+        stale = list(fleet.table.list_objects(records.ENDPOINT_KIND))
+        assert daemon.record is not None
+        gone = replace(daemon.record, seq=FINAL_SEQ, state=EndpointState.GONE)
+        daemon.record = gone
+        daemon.publish()
+        await anyio.sleep(1)
+        fleet.stop("a0")
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(fleet.table, "list_objects", lambda kind: stale)
+            daemon = fleet.start("a0", service=None)
+            await anyio.sleep(0.5)
+            daemon.record = replace(gone, seq=700, state=EndpointState.READY)
+            daemon.publish()
+            await anyio.sleep(2)
+        assert fleet.known("a0") == set()
+        stored = fleet.table.get(records.ENDPOINT_KIND, "a0")
+        assert stored is not None
+        assert stored["spec"]["state"] == "gone"
+
+
 async def test_change_after_the_gossip_ended_is_no_error() -> None:
     """A daemon that read a new configuration just as it stopped raised an error."""
     async with run_fleet() as fleet:
