Pass a configuration on to every daemon of the region

Callers saw: single daemons, under no disturbance and without a warning in their logs, handled requests as an older configuration allows, although all others followed the change.

Cause: a watcher passes a change on to its own failure domain and to one daemon of each other one, which passes it on to two random daemons of its region. Random relays leave some out; these wait for a comparison of their own, once a second with a random peer. Where only few watchers hear of the change, late by themselves, that is more than the two seconds allowed.

Change: a watcher that adopts a version, from the store or from a peer, compares after 0.25 s with the other failure domains of its region too. Most have the version by then, so that only versions travel.

--- a/src/berylmast/membership/fleet_view.py
+++ b/src/berylmast/membership/fleet_view.py
@@ -88,6 +88,19 @@
         """Choose the daemons to which a configuration from a peer is passed on."""
         return self._sample(self._regional_peers, RELAY_PEERS)
 
+    def choose_regional_targets(self) -> list[Endpoint]:
+        """Choose the daemons that a watcher asks whether they have a configuration.
+
+        These are the daemons of the region's other failure domains, whose own watchers
+        have passed it on unless they cannot reach the store.
+        """
+        others = [
+            peer
+            for peer in self._regional_peers
+            if peer.failure_domain != self._own.failure_domain
+        ]
+        return self._sample(others, MAX_BROADCAST_PEERS)
+
     def record_contact(self, peer: Endpoint, *, responded: bool) -> None:
         """Record whether a daemon responded."""
         address = get_address(peer)
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -32,9 +32,14 @@
 from .fleet_view import FleetView
 from .records import pack_record, split_records, unpack_records
 from .registry import EndpointRegistry
+from .watchers import WatchRole
 
 COMPARE_INTERVAL_S = 1.0
 COMPARE_TIMEOUT_S = 2.0
+REGIONAL_SPREAD_DELAY_S = 0.25
+"""Delay until a watcher also compares with the daemons of other failure domains. By
+then most of them have a new configuration from a nearer daemon, and none is sent."""
+
 MAX_DOCUMENT_BYTES = 4 * 1024 * 1024
 
 
@@ -85,6 +90,7 @@
     def spread_document(self) -> None:
         """Pass a configuration from the store on to other daemons in the background."""
         self._compare_soon(self._fleet.choose_document_targets())
+        self._spread_in_region()
 
     def handle_tell(self, records: tuple[EndpointRecord, ...]) -> None:
         """Merge the records of a received ``Tell`` frame."""
@@ -185,8 +191,24 @@
         except (zlib.error, ValueError) as exc:
             log_event("document_unreadable", source="peer", reason=repr(exc))
             return
-        if self._active_document.adopt_text(text, "peer"):
-            self._compare_soon(self._fleet.choose_relay_targets())
+        if not self._active_document.adopt_text(text, "peer"):
+            return
+        self._compare_soon(self._fleet.choose_relay_targets())
+        if self._fleet.get_watch_role() is not WatchRole.NONE:
+            self._spread_in_region()
+
+    def _spread_in_region(self) -> None:
+        """Reach every daemon of the region in the background.
+
+        Relays to random daemons leave some out, which would wait for their own next
+        comparison.
+        """
+        if self._tg is not None:
+            self._tg.start_soon(self._compare_in_region_later)
+
+    async def _compare_in_region_later(self) -> None:
+        await anyio.sleep(REGIONAL_SPREAD_DELAY_S)
+        self._compare_soon(self._fleet.choose_regional_targets())
 
     def _compare_soon(self, peers: Iterable[Endpoint]) -> None:
         if self._tg is None:
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -17,6 +17,7 @@
 from ...operators.revisions import DOCUMENT_KIND
 from ...platform import records
 from ...platform.objects import StoredObject
+from .. import gossip
 from ..directory import Directory
 from ..document_sync import WATCH_TIMEOUTS_S
 from ..record_sync import MIN_LIST_INTERVAL_S
@@ -196,6 +197,26 @@
         await fleet.wait_until(lambda: fleet.versions() == {2}, IN_FORCE_LIMIT_S)
 
 
+@pytest.mark.parametrize("watcher", ["n1-0", "n2-1", "s1-1", "s2-0"])
+async def test_change_that_one_watcher_hears_reaches_every_daemon(
+    watcher: str, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Single daemons were left out and waited for a comparison of their own."""
+    async with run_fleet() as fleet:
+        fleet.apply(1, orders=6)
+        for domain in ("n1", "n2", "s1", "s2"):
+            for number in range(8):
+                fleet.start(f"{domain}-{number}", domain)
+        await fleet.wait_until(lambda: all_know(fleet, *fleet.daemons), SPREAD_LIMIT_S)
+        await fleet.wait_until(lambda: fleet.versions() == {1}, SPREAD_LIMIT_S)
+        monkeypatch.setattr(gossip, "COMPARE_INTERVAL_S", 3600.0)
+        await anyio.sleep(max(WATCH_TIMEOUTS_S.values()))
+        for name, daemon in fleet.daemons.items():
+            daemon.platform.down = name != watcher
+        fleet.apply(2, orders=9)
+        await fleet.wait_until(lambda: fleet.versions() == {2}, IN_FORCE_LIMIT_S)
+
+
 async def test_restart_with_the_same_backend_server_writes_nothing() -> None:
     """After a power loss every daemon wrote a record that the store already held."""
     async with run_fleet() as fleet:
@@ -379,9 +400,9 @@
     """A few KB could expand to more memory than the machine has."""
     async with run_fleet() as fleet:
         await start_all(fleet)
-        gossip = fleet.daemons["a0"].gossip
+        daemon = fleet.daemons["a0"]
         tracemalloc.start()
-        gossip._adopt_document(data)
+        daemon.gossip._adopt_document(data)
         _, peak_bytes = tracemalloc.get_traced_memory()
         tracemalloc.stop()
         assert peak_bytes < 16 * 1024 * 1024
