Do not let dead peers hold back the next comparison

Cause, on the path of CONFIG: comparisons ran one after another. One with a dead daemon took one to two seconds, so a daemon that had missed a change and met two dead peers was old for longer than the two seconds allowed.

Change: a round starts every second whatever becomes of the one before, asks up to three daemons, the next after 0.3 s without a response; the first round follows as soon as another daemon is known.

--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -7,7 +7,7 @@
 """
 
 import zlib
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 
 import anyio
@@ -36,6 +36,14 @@
 
 COMPARE_INTERVAL_S = 1.0
 COMPARE_TIMEOUT_S = 2.0
+COMPARE_HEDGE_DELAY_S = 0.3
+MAX_PEERS_PER_ROUND = 3
+"""A round asks another daemon if the one before has not responded after the delay. It
+may be dead, and what is missed must be found before the next round is due."""
+
+FIRST_PEER_TIMEOUT_S = 3.0
+_FIRST_PEER_POLL_S = 0.1
+
 REGIONAL_SPREAD_DELAY_S = 0.25
 """Delay until a watcher also compares with the daemons of other failure domains. By
 then most of them have a new configuration from a nearer daemon, and none is sent."""
@@ -67,16 +75,36 @@
         async with anyio.create_task_group() as tg:
             self._tg = tg
             try:
+                await self._wait_for_first_peer()
                 while True:
+                    tg.start_soon(self._run_round, tg)
                     interval_s = COMPARE_INTERVAL_S * self._rng.uniform(0.75, 1.25)
                     await anyio.sleep(interval_s)
-                    peer = self._fleet.choose_comparison_peer()
-                    if peer is not None:
-                        await self.compare_with(peer)
             finally:
                 # Nothing can be sent in a task group that has ended.
                 self._tg = None
 
+    async def _wait_for_first_peer(self) -> None:
+        """Wait until another daemon is known, for a limited time.
+
+        A daemon that restarts may have read an old configuration.
+        """
+        with anyio.move_on_after(FIRST_PEER_TIMEOUT_S):
+            while self._fleet.size == 1:
+                await anyio.sleep(_FIRST_PEER_POLL_S)
+
+    async def _run_round(self, tg: TaskGroup) -> None:
+        """Compare with one daemon, and with others if it does not respond soon."""
+        for _ in range(MAX_PEERS_PER_ROUND):
+            peer = self._fleet.choose_comparison_peer()
+            if peer is None:
+                return
+            responded = anyio.Event()
+            tg.start_soon(self.compare_with, peer, responded.set)
+            with anyio.move_on_after(COMPARE_HEDGE_DELAY_S):
+                await responded.wait()
+                return
+
     def broadcast(self, records: list[Endpoint]) -> None:
         """Send records to the other daemons in the background."""
         if self._tg is None:
@@ -96,8 +124,13 @@
         """Merge the records of a received ``Tell`` frame."""
         self._registry.merge(unpack_records(records))
 
-    async def compare_with(self, peer: Endpoint) -> None:
-        """Exchange differences with another daemon so that both have the same state."""
+    async def compare_with(
+        self, peer: Endpoint, on_response: Callable[[], None] = lambda: None
+    ) -> None:
+        """Exchange differences with another daemon so that both have the same state.
+
+        ``on_response`` is called if the daemon has responded completely.
+        """
         responded = False
         try:
             with anyio.move_on_after(COMPARE_TIMEOUT_S):
@@ -105,6 +138,7 @@
                     await exchange.send(self._make_compare(exchange))
                     await self._receive_response(exchange)
                     responded = True
+                    on_response()
         except (ConnectionLost, ExchangeLost):
             # A later round compares with this peer or another one.
             pass
--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -127,7 +127,7 @@
         fleet.connections.pop(key, None)
         target = fleet.daemons.get(endpoint.host)
         if target is None or target.tg is None or frozenset(key) in fleet.cut:
-            await anyio.sleep(0.5)
+            await anyio.sleep(fleet.dial_failure_s)
             raise ConnectionLost(endpoint.host)
         fleet.connections[key] = Connection(fleet, *key)
         return fleet.connections[key]
@@ -177,7 +177,10 @@
 
 @dataclass
 class Fleet:
-    """All daemons of a test; ``cut`` holds pairs of names that cannot communicate."""
+    """All daemons of a test; ``cut`` holds pairs of names that cannot communicate.
+
+    ``dial_failure_s`` is the time after which connecting to a dead daemon fails.
+    """
 
     tg: TaskGroup
     table: ObjectTable = field(default_factory=ObjectTable)
@@ -191,6 +194,7 @@
         table
     )
     start_count: int = 0
+    dial_failure_s: float = 0.5
 
     def start(
         self, name: str, domain: str = "n1", service: str | None = "orders"
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -13,6 +13,7 @@
 import pytest
 
 from ...daemons.frames import Endpoints, Frame
+from ...daemons.pool import CONNECT_TIMEOUT_S
 from ...model import FINAL_SEQ, Endpoint, EndpointState
 from ...operators.revisions import DOCUMENT_KIND
 from ...platform import records
@@ -217,6 +218,37 @@
         await fleet.wait_until(lambda: fleet.versions() == {2}, IN_FORCE_LIMIT_S)
 
 
+async def test_dead_peers_do_not_hold_back_the_next_comparison(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """A daemon that had missed a change waited for up to two seconds for each of them.
+
+    The others have the change and happen to compare with each other.
+    """
+    async with run_fleet() as fleet:
+        fleet.dial_failure_s = CONNECT_TIMEOUT_S
+        await start_domains(fleet, 8)
+        dead = [fleet.daemons[name].record for name in ("n1-6", "n1-7")]
+        for name in ("n1-6", "n1-7"):
+            fleet.stop(name)
+        live = fleet.daemons["n1-0"]
+        assert live.document.adopt({"version": 2, "text": make_text(orders=9)}, "test")
+        daemon = fleet.daemons.pop("n1-5")
+        for other in fleet.daemons.values():
+            monkeypatch.setattr(
+                other.gossip._fleet, "choose_comparison_peer", lambda: None
+            )
+        peers = iter(dead)
+        monkeypatch.setattr(
+            daemon.gossip._fleet,
+            "choose_comparison_peer",
+            lambda: next(peers, live.record),
+        )
+        fleet.daemons["n1-5"] = daemon
+        await anyio.sleep(IN_FORCE_LIMIT_S)
+        assert daemon.directory.document_version == 2
+
+
 async def test_restart_with_the_same_backend_server_writes_nothing() -> None:
     """After a power loss every daemon wrote a record that the store already held."""
     async with run_fleet() as fleet:
