Begin a watch at what a stale read has shown, not at what it named

Cause, on the path of CONFIG: the first read of a daemon is stale, and the watch began at the revision that its answer named. If the store names its present revision beside old items, the watch misses the changes between, until the next change.

Change: after a stale read the watch begins at the revision of the object that was found; without an object the next read is not stale.

That the users' store does this is not shown.

--- a/src/berylmast/membership/document_sync.py
+++ b/src/berylmast/membership/document_sync.py
@@ -143,7 +143,8 @@
 
     def _adopt(self, stored: StoredDocument) -> bool:
         """Activate what was read; return whether the store sent a configuration."""
-        self._revision = max(stored.revision, self._revision or 0)
+        if stored.revision is not None:
+            self._revision = max(stored.revision, self._revision or 0)
         if stored.spec is None:
             return False
         if self._active_document.adopt(stored.spec, "store"):
--- a/src/berylmast/membership/store.py
+++ b/src/berylmast/membership/store.py
@@ -11,10 +11,11 @@
     """The configuration in the store.
 
     ``spec`` is the decoded JSON, None if there is no configuration or no newer one.
-    ``revision`` is the one from which to wait for the next change.
+    ``revision`` is the one from which to wait for the next change, None if a stale read
+    found no configuration.
     """
 
-    revision: int
+    revision: int | None
     spec: object | None
 
 
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -17,10 +17,11 @@
 from ...model import FINAL_SEQ, Endpoint, EndpointState
 from ...operators.revisions import DOCUMENT_KIND
 from ...platform import records
-from ...platform.objects import StoredObject
+from ...platform.objects import Listing, StoredObject
+from ...platform.tests.fake_store import FakeStore
 from .. import gossip
 from ..directory import Directory
-from ..document_sync import WATCH_TIMEOUTS_S
+from ..document_sync import FLEET_SEARCH_TIME_S, WATCH_TIMEOUTS_S
 from ..record_sync import MIN_LIST_INTERVAL_S
 from ..registry import EndpointRegistry
 from ..watchers import WatchRole
@@ -218,6 +219,22 @@
         await fleet.wait_until(lambda: fleet.versions() == {2}, IN_FORCE_LIMIT_S)
 
 
+@pytest.mark.parametrize("found", [True, False], ids=["old", "none"])
+async def test_watch_after_a_stale_read_misses_no_change(found: bool) -> None:
+    """The stale answer named the present revision, and the watch began there."""
+    async with run_fleet() as fleet:
+        fleet.apply(1, orders=6)
+        listing = await FakeStore(fleet.table).list(DOCUMENT_KIND)
+        fleet.apply(2, orders=9)
+        fleet.table.put("other", "x", {}, None)
+        daemon = fleet.start("a0")
+        daemon.platform.stale_listings[DOCUMENT_KIND] = Listing(
+            fleet.table.revision, listing.items if found else ()
+        )
+        await anyio.sleep(FLEET_SEARCH_TIME_S + IN_FORCE_LIMIT_S)
+        assert fleet.versions() == {2}
+
+
 async def test_dead_peers_do_not_hold_back_the_next_comparison(
     monkeypatch: pytest.MonkeyPatch,
 ) -> None:
--- a/src/berylmast/platform/platform_store.py
+++ b/src/berylmast/platform/platform_store.py
@@ -24,7 +24,12 @@
         """Read the configuration object."""
         listing = await self._client.list(self._kind, stale=stale)
         found = [item for item in listing.items if item.name == self._name]
-        return StoredDocument(listing.revision, found[0].spec if found else None)
+        if not found:
+            return StoredDocument(None if stale else listing.revision, None)
+        # The store may name its present revision beside stale items. A watch from there
+        # would miss the changes between.
+        revision = found[0].revision if stale else listing.revision
+        return StoredDocument(revision, found[0].spec)
 
     async def wait_document(self, revision: int, wait_s: float) -> StoredDocument:
         """Wait for a change of the configuration object."""
