Watch the configuration in a daemon that no other one reaches

Nobody could tell it of a change, and it looked at the store by a stale read only, in turn with the fleet; it became a watcher once it had found each daemon before it in the order unreachable, one by one.

Change: without a completed comparison with any other daemon for 1.5 s, a daemon watches like the first watcher until it has contact again. The log names each change of the role (watch_role).

Cuts between real daemons were not played.

--- a/src/berylmast/membership/document_sync.py
+++ b/src/berylmast/membership/document_sync.py
@@ -11,6 +11,7 @@
 import anyio
 
 from ..platform.objects import PlatformUnavailable, RevisionExpired
+from ..telemetry import log_event
 from .active_document import ActiveDocument
 from .fleet_view import FleetView
 from .store import Store, StoredDocument
@@ -34,6 +35,8 @@
 ROLE_CHECK_INTERVAL_S = 1.0
 """Interval at which a daemon checks whether it has become a watcher."""
 
+ISOLATION_CHECK_INTERVAL_S = 0.25
+
 LOOK_INTERVAL_PER_DAEMON_S = 1.0
 """The interval between two looks of a daemon grows with the fleet, so that the fleet
 as a whole looks about once per second."""
@@ -96,10 +99,15 @@
     async def _watch(self) -> None:
         await self._wait_for_fleet()
         backoff = self._make_backoff()
+        last_role = WatchRole.NONE
         while True:
             role = self._fleet.get_watch_role()
+            if role is not last_role:
+                isolated = self._fleet.is_isolated
+                log_event("watch_role", role=role.value, isolated=isolated)
+                last_role = role
             if role is WatchRole.NONE:
-                await anyio.sleep(ROLE_CHECK_INTERVAL_S)
+                await self._wait_for_role_check()
                 continue
             try:
                 changed = await self._wait_for_change(WATCH_TIMEOUTS_S[role])
@@ -110,6 +118,11 @@
             if changed:
                 await anyio.sleep(WATCH_DELAY_S)
 
+    async def _wait_for_role_check(self) -> None:
+        with anyio.move_on_after(ROLE_CHECK_INTERVAL_S):
+            while not self._fleet.is_isolated:
+                await anyio.sleep(ISOLATION_CHECK_INTERVAL_S)
+
     async def _wait_for_change(self, timeout_s: float) -> bool:
         """Wait for one change; return whether there was one."""
         if self._revision is None:
--- a/src/berylmast/membership/fleet_view.py
+++ b/src/berylmast/membership/fleet_view.py
@@ -25,6 +25,10 @@
 UNREACHABLE_S = 30.0
 """Time for which a daemon that did not respond is not counted as a watcher."""
 
+ISOLATION_LIMIT_S = 1.5
+"""Time without contact to any other daemon after which this one watches by itself. It
+may be cut off from the others and still reach the store."""
+
 MAX_BROADCAST_PEERS = 64
 """Maximum number of daemons that a change is sent to directly; in larger fleets the
 others receive it through comparisons."""
@@ -44,14 +48,23 @@
         self._own = own
         self._rng = rng
         self._unreachable_until: dict[PeerAddress, float] = {}
+        self._last_contact_s = anyio.current_time()
 
     @property
     def size(self) -> int:
         """Return the number of daemons that are known, including this one."""
         return len(self._peers.all) + 1
 
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether no other daemon has been in contact for a while."""
+        silent_s = anyio.current_time() - self._last_contact_s
+        return self.size > 1 and silent_s > ISOLATION_LIMIT_S
+
     def get_watch_role(self) -> WatchRole:
         """Return whether and how this daemon watches the configuration."""
+        if self.is_isolated:
+            return WatchRole.FIRST
         watchers = self._choose_watchers()
         if self._own.address not in watchers:
             return WatchRole.NONE
@@ -105,10 +118,15 @@
         """Record whether a daemon responded."""
         address = get_address(peer)
         if responded:
+            self.record_comparison()
             self._unreachable_until.pop(address, None)
         else:
             self._unreachable_until[address] = anyio.current_time() + UNREACHABLE_S
 
+    def record_comparison(self) -> None:
+        """Record that a comparison with another daemon has been completed."""
+        self._last_contact_s = anyio.current_time()
+
     @property
     def _peers(self) -> PeerIndex:
         return self._registry.peers(self._own.address)
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -158,6 +158,7 @@
             await self._send_document(exchange)
         await exchange.send(End(exchange.id))
         await self._receive_state(exchange)
+        self._fleet.record_comparison()
 
     def _make_compare(self, exchange: Exchange) -> Compare:
         # The digests of the buckets are sent only while another daemon may differ.
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -219,6 +219,26 @@
         await fleet.wait_until(lambda: fleet.versions() == {2}, IN_FORCE_LIMIT_S)
 
 
+@pytest.mark.parametrize("apply_after_s", [0.0, 0.4, 0.8, 1.2, 5.0])
+@pytest.mark.parametrize("silent", [True, False])
+async def test_daemon_that_is_cut_off_from_all_others_follows_the_store(
+    silent: bool, apply_after_s: float
+) -> None:
+    """It reached the store, but nobody told it of the change, and it didn't look."""
+    async with run_fleet() as fleet:
+        await start_domains(fleet, 8)
+        daemon = fleet.daemons["n1-5"]
+        assert daemon.gossip._fleet.get_watch_role() is WatchRole.NONE
+        fleet.cut = {frozenset({"n1-5", other}) for other in fleet.daemons}
+        if not silent:
+            fleet.cut_links("n1-5")
+        listing = await daemon.platform.list(DOCUMENT_KIND)
+        daemon.platform.stale_listings[DOCUMENT_KIND] = listing
+        await anyio.sleep(apply_after_s)
+        fleet.apply(2, orders=9)
+        await fleet.wait_until(lambda: fleet.versions() == {2}, IN_FORCE_LIMIT_S)
+
+
 @pytest.mark.parametrize("found", [True, False], ids=["old", "none"])
 async def test_watch_after_a_stale_read_misses_no_change(found: bool) -> None:
     """The stale answer named the present revision, and the watch began there."""
