Keep the cost of a start independent of the length of the queue

Cause: under a limit each start woke every request that waited, and each of them sorted and checked the whole queue; each also woke by itself at the next start.

Change: requests wait in groups that start one after another, so that the next one is the first of a group. One waiting request grants the next start and passes this on. All requests are checked for whether they can still be served after a fiftieth of the queue's length in changes, which up to fifty requests is every change, as before.

--- a/src/berylmast/limits/scheduling.py
+++ b/src/berylmast/limits/scheduling.py
@@ -17,8 +17,8 @@
 """
 
 import math
-from collections.abc import Collection
-from dataclasses import dataclass
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
 
 MIN_SERVICE_TIME_FRACTION = 0.8
 """Fraction of the typical service time that must remain before the target for a
@@ -63,7 +63,9 @@
     seconds on the event loop's clock. The response is on time until ``target_s`` and
     useless after ``deadline_s``. ``short`` marks a request that takes a small fraction
     of the time that others take at this server: it may be a nested call, whose caller's
-    request holds a slot elsewhere and fails if this one does.
+    request holds a slot elsewhere and fails if this one does. ``late_after_s`` is the
+    time after which a start is too late for ``target_s``. Service times within a factor
+    of about two have the same ``duration_class``.
     """
 
     rank: int
@@ -72,6 +74,14 @@
     target_s: float
     deadline_s: float
     short: bool = False
+    late_after_s: float = field(init=False)
+    duration_class: int = field(init=False)
+
+    def __post_init__(self) -> None:
+        needed_s = MIN_SERVICE_TIME_FRACTION * self.service_time_s
+        self.late_after_s = self.target_s - needed_s
+        shortest_s = max(self.service_time_s, _MIN_SERVICE_TIME_S)
+        self.duration_class = round(math.log2(shortest_s))
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,19 +98,13 @@
     Short requests never count as late: refusing one saves little work and wastes all
     the work that its caller has done.
     """
-    if request.short:
-        return False
-    return now_s + MIN_SERVICE_TIME_FRACTION * request.service_time_s > request.target_s
+    return not request.short and now_s > request.late_after_s
 
 
 def get_sort_key(request: QueuedRequest, now_s: float) -> tuple[bool, int, int, float]:
-    """Return the sort key: on time before late, then by rank, length and newest first.
-
-    Service times within a factor of about two compare as equal.
-    """
+    """Return the sort key: on time first, then by rank, length and newest first."""
     late = is_late(request, now_s)
-    duration_class = round(math.log2(max(request.service_time_s, _MIN_SERVICE_TIME_S)))
-    return (late, request.rank, duration_class, -request.arrived_s)
+    return (late, request.rank, request.duration_class, -request.arrived_s)
 
 
 def select_next(
@@ -155,6 +159,19 @@
     ``min_interval_s`` the least time between two starts under a rate limit.
     """
     ordered = sorted(waiting, key=lambda request: get_sort_key(request, now_s))
+    return sum_up_waits(ordered, slots, next_start_s, min_interval_s)
+
+
+def sum_up_waits(
+    ordered: Iterable[QueuedRequest],
+    slots: int,
+    next_start_s: float,
+    min_interval_s: float,
+) -> list[ExpectedStart]:
+    """Return the expected waits of requests that are in the order of their starts.
+
+    The other arguments are those of ``estimate_starts``.
+    """
     expected_starts = []
     wait_s = next_start_s
     for request in ordered:
@@ -181,10 +198,11 @@
     if rate_limited and len(late) < len(expected_starts):
         max_late = 0
     excess_late = late[max_late:]
+    excess_items = {expected.item for expected in excess_late}
     return excess_late + [
         expected
         for expected in expected_starts
-        if expected not in excess_late
+        if expected.item not in excess_items
         and now_s + expected.wait_s + SERVICE_TIME_MARGIN * expected.item.service_time_s
         > expected.item.deadline_s
     ]
--- a/src/berylmast/limits/slot_admission.py
+++ b/src/berylmast/limits/slot_admission.py
@@ -16,14 +16,15 @@
 from .full_slowdown import UNKNOWN_SLOWDOWN, FullSlowdownEstimator
 from .moving_average import MovingAverage
 from .rate_limiter import RateLimiter
+from .request_queue import RequestQueue
 from .scheduling import (
     SERVICE_TIME_MARGIN,
     SHORT_REQUEST_FRACTION,
     ExpectedStart,
     QueuedRequest,
-    estimate_starts,
     find_requests_to_refuse,
     select_next,
+    sum_up_waits,
 )
 from .service_times import ServiceTimes
 from .slowdown_meter import NoSlowdownMeter, SlowdownMeter
@@ -39,6 +40,12 @@
 """
 
 MIN_RETRY_AFTER_S = 0.05
+
+FULL_CHECK_FRACTION = 1 / 50
+"""Changes of the queue, as a fraction of its length, after which all requests in it are
+checked for whether they can still be served. The check takes time in proportion to the
+length; so a change takes the same time at any length."""
+
 _RETRY_AFTER_JITTER = (0.75, 1.5)
 _DRAINING_REFUSAL = Refusal(ErrorKind.DRAINING, "the backend server is draining")
 
@@ -48,8 +55,8 @@
     """A queued request, until it is granted a slot or refused.
 
     ``in_flight`` is the number of requests at the backend server when this one
-    started, including it. ``changed`` is set when the request is settled, or when the
-    time at which the rate limit allows the next start has changed.
+    started, including it. ``changed`` is set when the request is settled, or when it
+    is its turn to wait for the next start that the rate limit allows.
     """
 
     granted: bool = False
@@ -89,7 +96,10 @@
         self._incarnation = incarnation
         self._get_slice = get_slice
         self._rng = rng or Random()
-        self._queue: list[_PendingRequest] = []
+        self._queue: RequestQueue[_PendingRequest] = RequestQueue()
+        # The request that grants the next start when the rate limit allows it.
+        self._timekeeper: _PendingRequest | None = None
+        self._changes_since_check = 0
         self._in_flight = 0
         self._seq = 0
         self._service_times = ServiceTimes()
@@ -150,7 +160,7 @@
         if self._draining:
             return Err(_DRAINING_REFUSAL)
         now_s = anyio.current_time()
-        self._queue.append(request)
+        self._queue.add(request, now_s)
         self._dispatch(service.slots, now_s)
         try:
             await self._wait_for_decision(request)
@@ -159,7 +169,8 @@
                 self._make_permit(kind, request).release(None)
             raise
         finally:
-            self._dequeue(request)
+            self._queue.discard(request)
+            self._pass_on_timekeeping(request)
         if request.refusal is not None:
             return Err(request.refusal)
         return Ok(self._make_permit(kind, request))
@@ -208,7 +219,8 @@
 
     async def _should_spill(self, request: _PendingRequest, slots: int) -> bool:
         """Return whether the request should be tried on another backend server."""
-        if self._select_next([*self._queue, request], slots) is not request:
+        heads = self._queue.list_heads(anyio.current_time())
+        if self._select_next([*heads, request], slots) is not request:
             return True
         if self._rate_limiter.rate_per_s is not None:
             # Queries of the load would count towards the limit.
@@ -217,15 +229,15 @@
         return self._meter.get_slowdown(MAX_SLOWDOWN_AGE_S) >= SPILL_SLOWDOWN
 
     def _select_next(
-        self, queue: list[_PendingRequest], slots: int
+        self, candidates: list[_PendingRequest], slots: int
     ) -> QueuedRequest | None:
-        """Return the request to start now, or None if none may start."""
+        """Return the candidate to start now, or None if none may start."""
         now_s = anyio.current_time()
         if self._get_rate_wait_s(now_s) > 0:
             return None
         reserved_slots = slots - self._get_usable_slots(slots)
         return select_next(
-            queue,
+            candidates,
             now_s,
             slots,
             self._in_flight,
@@ -244,10 +256,17 @@
     def _dispatch(self, slots: int, now_s: float) -> None:
         """Grant free slots, then refuse requests that cannot meet their deadlines."""
         self._grant_free_slots(slots, now_s)
+        self._changes_since_check += 1
+        if self._changes_since_check < FULL_CHECK_FRACTION * len(self._queue):
+            return
+        self._changes_since_check = 0
+        self._refuse_hopeless(slots, now_s)
+
+    def _refuse_hopeless(self, slots: int, now_s: float) -> None:
+        """Refuse the requests that are not expected to start in time."""
         rate_per_s = self._rate_limiter.rate_per_s
-        expected_starts = estimate_starts(
-            self._queue,
-            now_s,
+        expected_starts = sum_up_waits(
+            self._queue.list_in_order(now_s),
             slots,
             max(self._service_times.mean_s / slots, self._get_rate_wait_s(now_s)),
             0.0 if rate_per_s is None else 1 / rate_per_s,
@@ -262,26 +281,21 @@
             self._refuse_pending(expected.item, detail, backlog_s)
 
     def _grant_free_slots(self, slots: int, now_s: float) -> None:
-        granted = False
-        while request := self._select_next(self._queue, slots):
+        while request := self._select_next(self._queue.list_heads(now_s), slots):
             assert isinstance(request, _PendingRequest)
-            self._queue.remove(request)
+            self._queue.discard(request)
             self._in_flight += 1
             self._rate_limiter.record_start(now_s)
             request.in_flight = self._in_flight
             request.granted = True
             request.changed.set()
-            granted = True
-        if granted and self._rate_limiter.rate_per_s is not None:
-            for waiting in self._queue:
-                waiting.changed.set()
 
     async def _wait_for_decision(self, request: _PendingRequest) -> None:
         """Wait until the request is granted a slot or refused.
 
         The wait estimate may be too low, so a request that has not started by the
-        latest time at which it could still meet its deadline is refused then. Requests
-        that wait for the rate limit grant the next start when it is due.
+        latest time at which it could still meet its deadline is refused then. Under a
+        rate limit one of the waiting requests grants the next start when it is due.
         """
         latest_start_s = (
             request.deadline_s - SERVICE_TIME_MARGIN * request.service_time_s
@@ -292,20 +306,35 @@
                 detail = "no slot became free in time"
                 self._refuse_pending(request, detail, request.service_time_s)
                 return
-            rate_wait_s = self._get_rate_wait_s(now_s)
-            # Late requests wait until no start is spent.
-            rate_wait_s = rate_wait_s or self._rate_limiter.get_full_wait_s(now_s)
-            with anyio.move_on_after(
-                min(latest_start_s - now_s, rate_wait_s or math.inf)
-            ):
+            if self._timekeeper is None:
+                self._timekeeper = request
+            timekeeping = self._timekeeper is request
+            start_wait_s = self._get_start_wait_s(now_s) if timekeeping else math.inf
+            with anyio.move_on_after(min(latest_start_s - now_s, start_wait_s)):
                 await request.changed.wait()
             if request.settled:
                 return
             request.changed = anyio.Event()
             service = self._get_slice()
-            if service is not None:
+            if timekeeping and service is not None:
                 self._dispatch(service.slots, anyio.current_time())
 
+    def _get_start_wait_s(self, now_s: float) -> float:
+        """Return the time in seconds until the rate limit allows another start.
+
+        Late requests wait until no start is spent. Infinite without a limit.
+        """
+        wait_s = self._get_rate_wait_s(now_s)
+        return wait_s or self._rate_limiter.get_full_wait_s(now_s) or math.inf
+
+    def _pass_on_timekeeping(self, request: _PendingRequest) -> None:
+        """Let another waiting request wait for the next start."""
+        if self._timekeeper is not request:
+            return
+        self._timekeeper = next(iter(self._queue), None)
+        if self._timekeeper is not None:
+            self._timekeeper.changed.set()
+
     def _refuse_pending(
         self, request: _PendingRequest, detail: str, wait_s: float
     ) -> None:
@@ -319,11 +348,7 @@
     def _settle_refused(self, request: _PendingRequest, refusal: Refusal) -> None:
         request.refusal = refusal
         request.changed.set()
-        self._dequeue(request)
-
-    def _dequeue(self, request: _PendingRequest) -> None:
-        if request in self._queue:
-            self._queue.remove(request)
+        self._queue.discard(request)
 
     def _make_permit(self, kind: str, request: _PendingRequest) -> Permit:
         def release(result: AttemptResult | None) -> None:
