Keep the body of a request that offers a protocol upgrade

Cause: httptools ends a message at such a head, without the body that it announces, and raises HttpParserUpgrade; uvicorn logs a warning and parses on.

Change: the listener goes on where the parser stopped, with a parser that is told the framing of the body, and reports the end of the message after the body. CONNECT is refused before anything runs.

--- a/src/berylmast/_http_server.py
+++ b/src/berylmast/_http_server.py
@@ -2,13 +2,15 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Sequence
 from contextlib import contextmanager
 from typing import Any, cast
 
+import httptools
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
+from ._declined_upgrade import resume_parsing, select_framing
 from .callers.app import TRAILERS_KEY
 from .callers.response import format_error_body, make_error_response
 from .errors import ErrorKind, Refusal
@@ -74,7 +76,7 @@
     """uvicorn's HTTP protocol with limits on request headers and separate trailers.
 
     httptools buffers a header without a size limit, and uvicorn appends trailers to the
-    request headers.
+    request headers. An upgrade that a request offers is not taken.
     """
 
     max_header_bytes = 0
@@ -83,6 +85,9 @@
     _header_timer: asyncio.TimerHandle | None = None
     _header_bytes = 0
     _refused = False
+    # The headers that announce the body of a request that offers an upgrade, from its
+    # head on until its body is parsed.
+    _offer_framing: Sequence[tuple[bytes, bytes]] = ()
 
     @property  # type: ignore[override]
     def timeout_keep_alive(self) -> float:
@@ -100,11 +105,28 @@
         if self._refused:
             return
         self._header_bytes += len(data)
-        super().data_received(data)
+        self._unset_keepalive_if_required()
+        try:
+            self._parse(data)
+        except httptools.HttpParserError:
+            self.send_400_response("Invalid HTTP request received.")
+            return
         if self._header_bytes > self.max_header_bytes:
             detail = f"more than {self.max_header_bytes} bytes of headers"
             self._refuse(Refusal(ErrorKind.HEADERS_TOO_LARGE, detail))
 
+    def _parse(self, data: bytes) -> None:
+        while True:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as exc:
+                if self._refused:
+                    return
+                data = data[exc.args[0] :]
+                framing, self._offer_framing = self._offer_framing, ()
+                self.parser = resume_parsing(self, framing)
+
     def on_message_begin(self) -> None:
         """Start the size count and the timer of the request headers."""
         super().on_message_begin()
@@ -118,6 +140,11 @@
     def on_headers_complete(self) -> None:
         """Pass the request to the app; headers that follow are trailers."""
         self._stop_header_timer()
+        if self.parser.should_upgrade():
+            if self.parser.get_method() == b"CONNECT":
+                self._refuse(Refusal(ErrorKind.BAD_REQUEST, "CONNECT is not supported"))
+                return
+            self._offer_framing = select_framing(self.headers)
         trailers: list[tuple[bytes, bytes]] = []
         cast(dict[str, Any], self.scope)[TRAILERS_KEY] = trailers
         super().on_headers_complete()
@@ -130,7 +157,12 @@
         self._header_bytes = 0
 
     def on_message_complete(self) -> None:
-        """Reset the size count: the request is complete."""
+        """Reset the size count: the request is complete.
+
+        httptools reports the end of a request that offers an upgrade before its body.
+        """
+        if self._refused or self._offer_framing:
+            return
         super().on_message_complete()
         self._header_bytes = 0
 
--- a/src/berylmast/tests/test_http_server.py
+++ b/src/berylmast/tests/test_http_server.py
@@ -169,6 +169,83 @@
     assert list(head.headers) == [(b"host", b"s"), (b"a", b"1"), (b"a", b"2")]
 
 
+OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: A\r\n"
+SMUGGLED = b"GET /smuggled HTTP/1.1\r\nHost: s\r\n\r\n"
+CHUNKED_SMUGGLED = b"%x\r\n%b\r\n0\r\n\r\n" % (len(SMUGGLED), SMUGGLED)
+NEXT = b"GET /next HTTP/1.1\r\nHost: s\r\nConnection: close\r\n\r\n"
+
+
+@pytest.mark.parametrize(
+    ("head", "body", "expected"),
+    [
+        (b"Content-Length: 2\r\n", b"hi", b"hi"),
+        (b"Content-Length: %d\r\n" % len(SMUGGLED), SMUGGLED, SMUGGLED),
+        (b"Transfer-Encoding: chunked\r\n", CHUNKED_SMUGGLED, SMUGGLED),
+        (b"Transfer-Encoding: chunked\r\n", b"0\r\nA: 1\r\n\r\n", b""),
+        (b"Content-Length: 0\r\n", b"", b""),
+        (b"", b"", b""),
+    ],
+    ids=["length", "request-as-body", "chunks", "trailers", "length-0", "no-body"],
+)
+@pytest.mark.parametrize("expect", [b"", b"Expect: 100-continue\r\n"])
+async def test_body_of_a_request_that_offers_an_upgrade_belongs_to_it(
+    expect: bytes, head: bytes, body: bytes, expected: bytes
+) -> None:
+    """The upload ran without its body, which was read as the next request."""
+    raw = POST + OFFER + expect + head + b"\r\n" + body
+    # One piece, the body apart, cuts at all places of the end of the head, and bytes.
+    end_of_head = len(raw) - len(body)
+    cuts = [[], [end_of_head], *([end_of_head + n] for n in (-3, -2, -1, 1)), [5, 60]]
+    for cut in [*cuts, list(range(1, len(raw)))]:
+        received: list[dict[str, Any]] = []
+        async with connect(received) as stream:
+            begin = 0
+            for end in [*cut, len(raw)]:
+                await stream.send(raw[begin:end])
+                begin = end
+                await anyio.sleep(0 if len(cut) > 5 else 0.002)
+            data = b""
+            while b"HTTP/1.1 200 " not in data:
+                data += await stream.receive()
+            await stream.send(NEXT)
+            await read_all(stream)
+        assert [(item["path"], item["body"]) for item in received] in (
+            [("/", expected)],
+            [("/", expected), ("/next", b"")],
+        )
+        assert received[0][TRAILERS_KEY] in ([], [(b"a", b"1")])
+
+
+@pytest.mark.parametrize(
+    "raw",
+    [
+        b"CONNECT s:80 HTTP/1.1\r\nHost: s\r\n\r\n" + SMUGGLED,
+        b"CONNECT s:80 HTTP/1.1\r\nHost: s\r\nContent-Length: 2\r\n\r\nhi",
+        b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" + SMUGGLED,
+        POST + OFFER + b"Content-Length: 2\r\nTransfer-Encoding: chunked\r\n\r\n",
+        POST + OFFER + b"Content-Length: 2\r\nContent-Length: 3\r\n\r\n" + SMUGGLED,
+    ],
+    ids=["connect", "connect-body", "http2-preface", "two-framings", "two-lengths"],
+)
+@pytest.mark.parametrize("apart", [True, False])
+async def test_tunnel_or_other_protocol_is_refused_and_runs_nothing(
+    raw: bytes, apart: bool
+) -> None:
+    received: list[dict[str, Any]] = []
+    async with connect(received) as stream:
+        end_of_head = raw.index(b"\r\n\r\n") + 4
+        await stream.send(raw[:end_of_head])
+        if apart:
+            await anyio.sleep(0.02)
+        try:
+            await stream.send(raw[end_of_head:])
+            data = await read_all(stream)
+        except anyio.BrokenResourceError:
+            data = b"HTTP/1.1 400"
+    assert data.startswith(b"HTTP/1.1 400")
+    assert received == []
+
+
 async def test_connection_serves_several_requests() -> None:
     received: list[dict[str, Any]] = []
     async with connect(received) as stream:
