Ignore a load header whose slowdown is no positive number

Cause: the fourth figure of the load header was used as it came. With 0 the owner divides by zero when a short request ends, which ends the daemon for a request that is not idempotent; nan and inf spread through the estimates.

Change: such a header counts as malformed. The four new rows of the parser's test fail before.

--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -144,6 +144,8 @@
         percent = float(parts[3]) if len(parts) > 3 else _NORMAL_SLOWDOWN_PERCENT
     except ValueError:
         return None
+    if not (math.isfinite(percent) and percent > 0):
+        return None
     return BackendLoad(running, waiting, slots, percent / _NORMAL_SLOWDOWN_PERCENT)
 
 
--- a/src/berylmast/platform/tests/test_requests.py
+++ b/src/berylmast/platform/tests/test_requests.py
@@ -105,6 +105,11 @@
         (b"3,1,8,500", BackendLoad(3, 1, 8, 5.0)),
         (b"3,1", None),
         (b"a,b,c", None),
+        # A slowdown of 0 ended the daemon with a division by zero.
+        (b"3,0,8,0", None),
+        (b"3,0,8,-100", None),
+        (b"3,0,8,nan", None),
+        (b"3,0,8,inf", None),
     ],
 )
 def test_load_header_is_parsed(value: bytes, expected: BackendLoad | None) -> None:
