Close a peer connection whose dial is cancelled

Cause: a caller's deadline that ended while a connection to a peer was being opened left that connection open and in no pool, with a descriptor on both sides.

Change: the connection is closed on any end of the dial. The new test fails before.

--- a/src/berylmast/daemons/pool.py
+++ b/src/berylmast/daemons/pool.py
@@ -103,9 +103,10 @@
         self._tg.start_soon(conn.run)
         try:
             await conn.wait_ready()
-        except ConnectionLost:
+        except BaseException:
             # Otherwise each attempt would leak a socket to a peer that accepts the
-            # connection and sends nothing.
-            await anyio.aclose_forcefully(stream)
+            # connection and sends nothing, or whose caller's deadline ended meanwhile.
+            with anyio.CancelScope(shield=True):
+                await anyio.aclose_forcefully(stream)
             raise
         return conn
--- a/src/berylmast/daemons/tests/test_pool.py
+++ b/src/berylmast/daemons/tests/test_pool.py
@@ -1,11 +1,12 @@
 """Guards against connections that are kept for ever, or closed while in use."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from typing import Any
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute, SocketStream
 
 from berylmast_dev.fleet import reserve_ports
 
@@ -68,3 +69,26 @@
             await anyio.sleep(5 * CHECK_INTERVAL_S)
             assert not exchange.lost
             assert peer_pool.connection_count == 1
+
+
+async def test_dial_that_its_caller_cancels_leaves_no_connection_open() -> None:
+    """Each request that ended while a connection was opened left a descriptor open."""
+    closed = anyio.Event()
+
+    async def accept_silently(stream: SocketStream) -> None:
+        async with stream:
+            with suppress(anyio.EndOfStream, anyio.BrokenResourceError):
+                while True:
+                    await stream.receive()
+            closed.set()
+
+    listener = await anyio.create_tcp_listener(local_host=HOST)
+    port = listener.extra(SocketAttribute.local_port)
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(listener.serve, accept_silently)
+        peer_pool = PeerPool(tg, Identity("entry", 1))
+        with anyio.move_on_after(0.1):
+            await peer_pool.connect(Endpoint("b", "s", HOST, port, "n", "n1", 1, 1))
+        with anyio.fail_after(2):
+            await closed.wait()
+        tg.cancel_scope.cancel()
