Accept connections of other daemons again after an error

Cause: an error in accepting, as without a free descriptor, left the task group of the listener, ended its connections and the daemon.

Change: the listener logs accept_failed and tries again after 0.2 s; connections that are open stay.

--- a/src/berylmast/daemons/listener.py
+++ b/src/berylmast/daemons/listener.py
@@ -1,12 +1,18 @@
 """Accepts connections from other daemons."""
 
+import logging
+
 import anyio
-from anyio.abc import SocketStream, TaskStatus
+from anyio.abc import Listener, SocketStream, TaskGroup, TaskStatus
 
 from ..settings import Address
+from ..telemetry import log_event
 from .connection import ExchangeHandler, Identity, OnRecords, PeerConnection
 from .frames import GoAway
 
+ACCEPT_RETRY_S = 0.2
+"""Delay after a failed accept, for example without a free file descriptor."""
+
 
 class PeerListener:
     """Serves the connections that other daemons open to this one."""
@@ -31,8 +37,23 @@
         listener = await anyio.create_tcp_listener(
             local_host=self._address.host, local_port=self._address.port
         )
-        task_status.started()
-        await listener.serve(self._serve_stream)
+        async with listener, anyio.create_task_group() as tg:
+            task_status.started()
+            for part in listener.listeners:
+                tg.start_soon(self._accept_connections, part, tg)
+
+    async def _accept_connections(
+        self, listener: Listener[SocketStream], tg: TaskGroup
+    ) -> None:
+        """Accept connections; a failure ends neither the daemon nor open ones."""
+        while True:
+            try:
+                stream = await listener.accept()
+            except OSError as exc:
+                log_event("accept_failed", level=logging.ERROR, reason=repr(exc))
+                await anyio.sleep(ACCEPT_RETRY_S)
+                continue
+            tg.start_soon(self._serve_stream, stream)
 
     async def _serve_stream(self, stream: SocketStream) -> None:
         conn = PeerConnection(
