Take no endpoint record whose fields have other types

Cause: records in the store were validated leniently, numbers as text and true as 1.

Change: strict validation.

--- a/src/berylmast/platform/records.py
+++ b/src/berylmast/platform/records.py
@@ -1,5 +1,6 @@
 """Conversion of endpoint records to and from objects of the store."""
 
+import json
 from typing import Any
 
 from pydantic import TypeAdapter, ValidationError
@@ -20,8 +21,14 @@
 
 
 def parse_record(spec: object) -> Result[Endpoint, str]:
-    """Validate an object's ``spec``; the error says what is invalid."""
+    """Validate an object's ``spec``; the error says what is invalid.
+
+    A field of another JSON type is invalid: the record of another writer must not pass
+    for one of a daemon.
+    """
     try:
-        return Ok(_ENDPOINT_ADAPTER.validate_python(spec))
-    except ValidationError as exc:
+        # Strict validation accepts the text of a state in JSON only.
+        text = json.dumps(spec)
+        return Ok(_ENDPOINT_ADAPTER.validate_json(text, strict=True))
+    except (ValidationError, RecursionError) as exc:
         return Err(str(exc).splitlines()[0])
