--- a/src/berylmast/daemons/listener.py
+++ b/src/berylmast/daemons/listener.py
@@ -3,7 +3,7 @@
 import logging
 
 import anyio
-from anyio.abc import Listener, SocketStream, TaskGroup, TaskStatus
+from anyio.abc import SocketListener, SocketStream, TaskGroup, TaskStatus
 
 from ..settings import Address
 from ..telemetry import log_event
@@ -40,10 +40,11 @@
         async with listener, anyio.create_task_group() as tg:
             task_status.started()
             for part in listener.listeners:
+                assert isinstance(part, SocketListener)
                 tg.start_soon(self._accept_connections, part, tg)
 
     async def _accept_connections(
-        self, listener: Listener[SocketStream], tg: TaskGroup
+        self, listener: SocketListener, tg: TaskGroup
     ) -> None:
         """Accept connections; a failure ends neither the daemon nor open ones."""
         while True:
