Test with real processes that silent watches hide no change

Three daemons, all open watches of the store left without an answer, the change three seconds later, in force two seconds after that.

--- a/src/berylmast_dev/platform_fleet.py
+++ b/src/berylmast_dev/platform_fleet.py
@@ -169,6 +169,12 @@
                 res = await pool.request("PUT", f"{base}/main", content=body)
         return res.status in (200, 201)
 
+    async def control_store(self, **control: object) -> None:
+        """Set the faults of the simulated store."""
+        url = f"http://{HOST}:{self.platform_port}/control"
+        async with httpcore.AsyncConnectionPool() as pool:
+            await pool.request("POST", url, content=json.dumps(control).encode())
+
 
 async def wait_until_ready(member: PlatformMember) -> None:
     """Wait until a daemon reports that it is ready for callers."""
--- a/src/berylmast_dev/tests/test_platform.py
+++ b/src/berylmast_dev/tests/test_platform.py
@@ -132,11 +132,19 @@
     assert set(results["/orders/"].statuses) | set(results["/pay/"].statuses) == {200}
 
 
-async def test_new_configuration_is_in_force_within_two_seconds() -> None:
+@pytest.mark.parametrize("watches", ["heard", "silent"])
+async def test_new_configuration_is_in_force_within_two_seconds(watches: str) -> None:
+    """Watches that had gone silent hid the change from all daemons for half a minute.
+
+    The daemons count as undisturbed three seconds after the watches went silent.
+    """
     members = make_platform_members({"orders": 10.0}, ZONES)
     new_load = PlatformLoad("/new/", 20)
     async with run_platform_fleet(members, make_spec(1)) as fleet:
         before = await run_platform_load(members, [new_load], 0.5)
+        if watches == "silent":
+            await fleet.control_store(silent_watches=True)
+            await anyio.sleep(3.0)
         spec = make_spec(5)
         route = make_route("orders", "/new/", idempotent=True)
         spec["virtualHosts"][0]["routePaths"].append(route)
