--- a/src/berylmast/membership/document_sync.py
+++ b/src/berylmast/membership/document_sync.py
@@ -18,9 +18,10 @@
 from .store_calls import Backoff, StoreStatus
 from .watchers import WatchRole
 
-WATCH_TIMEOUTS_S = {WatchRole.FIRST: 2.0, WatchRole.BACKUP: 15.0}
+WATCH_TIMEOUTS_S = {WatchRole.FIRST: 3.5, WatchRole.BACKUP: 15.0}
 """How long a watch waits for a change. A watch whose connection has died silently hears
-nothing for this long."""
+nothing for this long. For the first watcher, this leaves time to hear of and pass on a
+change that is made three seconds later and must be in force after two more."""
 
 WATCH_DELAY_S = 0.15
 """Delay after a configuration change before the next watch, so that several changes in
