--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -12,6 +12,7 @@
 import math
 import os
 import random
+import re
 import signal
 import sys
 import tempfile
@@ -46,6 +47,12 @@
 }
 
 
+def is_telling(line):
+    """Return whether a line of a daemon's log is more than one on a request."""
+    frequent = ("request", "attempt_answered", "attempt_failed", "refused", "left_out")
+    return not any(f"event={event} " in line for event in frequent)
+
+
 class Message:
     """One HTTP request or response."""
 
@@ -95,10 +102,11 @@
     body = b""
     while True:
         size = int((await reader.readuntil(b"\r\n")).split(b";")[0], 16)
-        data = await reader.readexactly(size + 2)
         if size == 0:
+            while await reader.readuntil(b"\r\n") != b"\r\n":
+                pass
             return body
-        body += data[:-2]
+        body += (await reader.readexactly(size + 2))[:-2]
 
 
 def format_message(first, headers, body=b""):
@@ -172,9 +180,7 @@
         return 200
 
     def _note(self, kind, obj, deleted):
-        self.events.append(
-            (self.revision, kind, {"object": obj, "deleted": deleted})
-        )
+        self.events.append((self.revision, kind, {"object": obj, "deleted": deleted}))
         self.changed.set()
         self.changed = asyncio.Event()
 
@@ -352,7 +358,9 @@
         elif self._waiting >= self.slots:
             refusal = 503
         if refusal is not None:
-            self.case.note("server refuses", id=self.id, attempt=attempt, status=refusal)
+            self.case.note(
+                "server refuses", id=self.id, attempt=attempt, status=refusal
+            )
             return format_message(
                 f"HTTP/1.1 {refusal} X",
                 [
@@ -387,7 +395,6 @@
             body,
         )
 
-
     async def _make_calls(self, req):
         """Make the calls of a request through the own machine; return if they succeed."""
         if self.calls is None or random.random() >= self.calls[2]:
@@ -747,8 +754,11 @@
                 if keep := os.environ.get("REVIEW_LOGS"):
                     (Path(keep) / log.name).write_bytes(log.read_bytes())
                 self._record.write(f"--- last lines of daemon {machine.name}\n")
-                lines = log.read_text(errors="replace").splitlines()[-25:]
-                self._record.write("\n".join(lines) + "\n")
+                text = log.read_text(errors="replace").replace(str(ROOT), ".")
+                # The folder of an installation says nothing.
+                text = re.sub(r'File "/[^"]*/', 'File "', text)
+                lines = [line for line in text.splitlines() if is_telling(line)]
+                self._record.write("\n".join(lines[-60:]) + "\n")
         self._record.close()
         self._temp.cleanup()
 
