--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -396,7 +396,7 @@
         )
 
     async def _make_calls(self, req):
-        """Make the calls of a request through the own machine; return if they succeed."""
+        """Make the calls of a request by the own machine; return if they succeed."""
         if self.calls is None or random.random() >= self.calls[2]:
             return True
         path, number, _ = self.calls
