--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -144,6 +144,8 @@
         self.objects = {}
         self.events = []
         self.changed = asyncio.Event()
+        # While it is busy, the store answers each call with 503: nothing was done.
+        self.busy = False
 
     def put(self, kind, name, spec, expected=None):
         """Write an object; return it, or None if its revision is not ``expected``."""
@@ -188,7 +190,7 @@
         """Serve one connection."""
         try:
             while (req := await read_message(reader)) is not None:
-                status, data = await self._answer(req)
+                status, data = (503, {}) if self.busy else await self._answer(req)
                 writer.write(
                     format_message(
                         f"HTTP/1.1 {status} X",
@@ -273,10 +275,14 @@
         if beats:
             self._beats = asyncio.create_task(self._send_beats())
 
-    def stop_listening(self):
-        """Close the listener and end the heartbeats; open connections stay."""
+    def stop_beats(self):
+        """Send no further heartbeats."""
         if self._beats is not None:
             self._beats.cancel()
+
+    def stop_listening(self):
+        """Close the listener and end the heartbeats; open connections stay."""
+        self.stop_beats()
         if self._listener is not None:
             self._listener.close()
             self._listener = None
@@ -302,6 +308,13 @@
             return None
         return res.status
 
+    async def deregister(self):
+        """Say that this server leaves for good; return the status."""
+        path = f"/v1/rpc?call=instances.deregister&of={self.id}"
+        data = json.dumps({"born": self.born}).encode()
+        res = await call(self.ip, CONTROL, "POST", path, data, JSON, 1.0)
+        return res.status
+
     async def _send_beats(self):
         while True:
             await self.beat()
