--- a/review/7/case.py
+++ b/review/7/case.py
@@ -12,7 +12,7 @@
 from harness_2 import CONTROL, JSON, Client, call, make_beat, make_route, run_case
 
 UNREADABLE_ID = "i-%FF%FE93c1"
-BEATS, GAP_S = 4, 6.0
+BEATS, GAP_S = 6, 4.5
 
 
 async def send_unreadable_beats(case, machine, server):
--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -513,7 +513,8 @@
             self.own_ends += 1
             self.case.note("process ends by itself", machine=self.name, code=code)
             await asyncio.sleep(0.5)
-            await self.start()
+            # The end of the case must not fall between the start and its note.
+            await asyncio.shield(asyncio.ensure_future(self.start()))
 
     def kill(self):
         """Kill the daemon (SIGKILL)."""
@@ -798,6 +799,9 @@
     """
 
     async def run():
+        # Ended from outside, the case still ends its processes.
+        task = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         case = Case(folder)
         try:
             async with asyncio.timeout(112):
@@ -809,7 +813,7 @@
 
     try:
         broken = asyncio.run(run())
-    except Exception as exc:
+    except (Exception, asyncio.CancelledError) as exc:
         print(f"the case could not run: {exc!r}")
         sys.exit(2)
     print(f"broken: {broken}" if broken else "the rule held")
