Reject reports whose id or numbers can't be passed on

A heartbeat's id was decoded with replacement characters and accepted; make_backend_head encodes it as latin-1 for x-target-instance, which raised UnicodeEncodeError with the next order. Numbers had no upper bound either: a start time or slots beyond 64 bits can't be packed into a frame, a sequence number near 2**53 passes for that of a departure. JSON that is nested too deeply raised RecursionError.

Ids, numbers and durations now have checked types at this border (identifiers.py): printable ASCII of at most 128 characters, whole numbers that JSON carries exactly. Such a report gets 400 and a log line in which id and reason are escaped and shortened.

--- a/src/berylmast/backends/report_handler.py
+++ b/src/berylmast/backends/report_handler.py
@@ -37,6 +37,9 @@
 continues from the next report, so its records sort after those of its previous run. A
 departure has ``FINAL_SEQ``: it sorts after all reports of its backend server."""
 
+MAX_REPORT_SEQUENCE = FINAL_SEQ // SEQ_NUMBERS_PER_REPORT - 1
+"""Maximum sequence number of a report: its records sort before a departure."""
+
 
 class BackendReportHandler:
     """Updates admission control and this daemon's endpoint record from the reports.
--- /dev/null
+++ b/src/berylmast/identifiers.py
@@ -0,0 +1,23 @@
+"""Checked types of the names and numbers that other programs send.
+
+They go on into headers, paths, frames and records. A value that passes here can be
+encoded in each of them.
+"""
+
+from typing import Annotated
+
+from pydantic import Field, StringConstraints
+
+MAX_ID_LENGTH = 128
+"""Maximum number of characters of an id."""
+
+MAX_EXACT_INT = 2**53 - 1
+"""The largest whole number that JSON carries exactly; frames carry up to 64 bits."""
+
+Identifier = Annotated[
+    str, StringConstraints(min_length=1, max_length=MAX_ID_LENGTH, pattern=r"^[!-~]+$")
+]
+"""An id of printable ASCII characters without spaces."""
+
+ExactInt = Annotated[int, Field(ge=0, le=MAX_EXACT_INT)]
+"""A whole number from 0 on that JSON carries exactly."""
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 
 from .errors import ErrorKind
+from .identifiers import MAX_EXACT_INT
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -138,9 +139,9 @@
         return (self.host, self.port)
 
 
-FINAL_SEQ = 2**53 - 1
-"""Sequence number of the record of a departure, the largest whole number that JSON
-carries exactly. No other record of that incarnation replaces it, whoever sends it."""
+FINAL_SEQ = MAX_EXACT_INT
+"""Sequence number of the record of a departure. No other record of that incarnation
+replaces it, whoever sends it."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/berylmast/platform/backend_reports.py
+++ b/src/berylmast/platform/backend_reports.py
@@ -2,13 +2,15 @@
 
 import json
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import parse_qs
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, TypeAdapter, ValidationError
 from result import Err, Ok, Result
 
 from ..backends.backend_state import BackendReport, Departure
+from ..backends.report_handler import MAX_REPORT_SEQUENCE
+from ..identifiers import MAX_ID_LENGTH, ExactInt, Identifier
 from ..settings import Seconds
 
 RPC_PATH = "/v1/rpc"
@@ -17,6 +19,12 @@
 
 MAX_BODY_BYTES = 64 * 1024
 
+MAX_SLOTS = 1_000_000
+"""Far above the requests that one backend server can process at once."""
+
+MAX_REASON_LENGTH = 200
+"""Maximum number of characters of a logged reason, which may quote the message."""
+
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
 
 ASGIApp = Callable[[dict[str, Any], Any, Any], Awaitable[None]]
@@ -31,14 +39,14 @@
     # Version of the backend server's software.
     version: str = ""
     zone: str = ""
-    slots: int = Field(ge=1)
+    slots: int = Field(ge=1, le=MAX_SLOTS)
 
 
 class _BackendStatus(_WireModel):
     state: str
     # Number of the call since the backend server started.
-    sequence: int = Field(ge=0)
-    cold_left: Seconds = Field(0.0, alias="coldLeft")
+    sequence: int = Field(ge=0, le=MAX_REPORT_SEQUENCE)
+    cold_left: Seconds = Field(0.0, alias="coldLeft", ge=0, allow_inf_nan=False)
 
 
 class _HeartbeatBody(_WireModel):
@@ -47,21 +55,46 @@
     status: _BackendStatus
     # Start time of the backend server in Unix milliseconds; 0 in deployments that do
     # not send it.
-    born: int = Field(0, ge=0)
+    born: ExactInt = 0
 
 
 class _DeregisterBody(_WireModel):
-    born: int = Field(0, ge=0)
+    born: ExactInt = 0
+
+
+_Body = TypeVar("_Body", bound=_WireModel)
+
+_ID_ADAPTER: TypeAdapter[str] = TypeAdapter(Identifier)
+
+
+def _check_id(backend: str) -> Result[None, str]:
+    try:
+        _ID_ADAPTER.validate_python(backend)
+    except ValidationError as exc:
+        return Err(f"invalid backend server id: {exc.errors()[0]['msg']}")
+    return Ok(None)
+
+
+def _parse_body(model: type[_Body], body: bytes) -> Result[_Body, str]:
+    try:
+        return Ok(model.model_validate(json.loads(body)))
+    except ValidationError as exc:
+        error = exc.errors()[0]
+        return Err(f"invalid request body: {error['loc']}: {error['msg']}")
+    # RecursionError: JSON that is nested too deeply.
+    except (ValueError, RecursionError) as exc:
+        return Err(f"invalid request body: {exc}")
 
 
 def parse_heartbeat(backend: str, body: bytes) -> Result[BackendReport, str]:
     """Parse a heartbeat; the error says what is invalid."""
-    if not backend:
-        return Err("backend server id is missing")
-    try:
-        heartbeat = _HeartbeatBody.model_validate(json.loads(body))
-    except (ValidationError, ValueError) as exc:
-        return Err(f"invalid request body: {str(exc).splitlines()[0]}")
+    checked = _check_id(backend)
+    if checked.is_err():
+        return Err(checked.unwrap_err())
+    parsed = _parse_body(_HeartbeatBody, body)
+    if parsed.is_err():
+        return Err(parsed.unwrap_err())
+    heartbeat = parsed.unwrap()
     draining = _DRAINING_BY_STATE.get(heartbeat.status.state)
     if draining is None:
         return Err(f"unknown backend server state {heartbeat.status.state!r}")
@@ -81,15 +114,13 @@
 
 def parse_departure(backend: str, body: bytes) -> Result[Departure, str]:
     """Parse a deregistration; its body may be empty."""
-    if not backend:
-        return Err("backend server id is missing")
-    try:
-        parsed = _DeregisterBody.model_validate(
-            json.loads(body) if body.strip() else {}
-        )
-    except (ValidationError, ValueError) as exc:
-        return Err(f"invalid request body: {str(exc).splitlines()[0]}")
-    return Ok(Departure(backend, parsed.born))
+    checked = _check_id(backend)
+    if checked.is_err():
+        return Err(checked.unwrap_err())
+    parsed = _parse_body(_DeregisterBody, body if body.strip() else b"{}")
+    if parsed.is_err():
+        return Err(parsed.unwrap_err())
+    return Ok(Departure(backend, parsed.unwrap().born))
 
 
 def make_report_app(
@@ -100,7 +131,8 @@
     """Return the ASGI app that the local backend server calls.
 
     A call gets 200 once its handler has returned Ok, and 400 if it is invalid or its
-    handler rejects it. ``on_invalid`` then receives the backend id and the reason.
+    handler rejects it. ``on_invalid`` then receives the backend id and the reason,
+    both escaped and shortened for a log.
     """
 
     async def handle_call(call: str, backend: str, body: bytes) -> Result[None, str]:
@@ -123,12 +155,17 @@
             return
         result = await handle_call(call, backend, body)
         if result.is_err():
-            on_invalid(backend, result.unwrap_err())
+            reason = _escape(result.unwrap_err(), MAX_REASON_LENGTH)
+            on_invalid(_escape(backend, MAX_ID_LENGTH), reason)
         await _send_response(send, 200 if result.is_ok() else 400)
 
     return app
 
 
+def _escape(text: str, max_length: int) -> str:
+    return text.encode("ascii", "backslashreplace").decode()[:max_length]
+
+
 async def _read_body(receive: Any) -> bytes:
     parts = bytearray()
     while True:
--- a/src/berylmast/platform/tests/test_backend_reports.py
+++ b/src/berylmast/platform/tests/test_backend_reports.py
@@ -7,6 +7,8 @@
 from result import Err, Ok, Result
 
 from ...backends.backend_state import BackendReport, Departure
+from ...identifiers import MAX_ID_LENGTH
+from ...model import FINAL_SEQ
 from ..backend_reports import make_report_app, parse_departure, parse_heartbeat
 
 pytestmark = pytest.mark.anyio
@@ -48,12 +50,42 @@
         ("i-1", replace_value("info", "service", 7)),
         ("i-1", replace_value(None, "born", 17.5)),
         ("i-1", replace_value(None, "address", None)),
+        ("i-1", replace_value(None, "born", 2**53)),
+        ("i-1", replace_value("status", "sequence", FINAL_SEQ)),
+        ("i-1", replace_value("info", "slots", 2**64)),
+        ("i-1", replace_value("status", "coldLeft", float("inf"))),
+        ("i-1", replace_value("status", "coldLeft", "9" * 400 + "s")),
+        ("i-1", replace_value("status", "coldLeft", "1" * 5_000)),
+        ("i-1", b"[" * 60_000),
     ],
 )
 def test_malformed_report_is_rejected(backend: str, body: bytes) -> None:
     assert parse_heartbeat(backend, body).is_err()
 
 
+UNENCODABLE_IDS = [
+    pytest.param("i-\ufffd\ufffd93c1", id="bytes-that-are-no-text"),
+    pytest.param("i-\ud800", id="lone-surrogate"),
+    pytest.param("i-é", id="not-ascii"),
+    pytest.param("i 1", id="space"),
+    pytest.param("i-1\r\nx-a: b", id="line-break"),
+    pytest.param("i-1\n", id="line-break-at-the-end"),
+    pytest.param("i" * 129, id="too-long"),
+]
+
+
+@pytest.mark.parametrize("backend", UNENCODABLE_IDS)
+def test_id_that_no_header_can_carry_is_rejected(backend: str) -> None:
+    """Guards against a daemon that ends with the first request for such a server."""
+    assert parse_heartbeat(backend, json.dumps(HEARTBEAT_BODY).encode()).is_err()
+    assert parse_departure(backend, b"{}").is_err()
+
+
+@pytest.mark.parametrize("body", [b"[" * 60_000, b"\xff", b'{"born": 9e99}', b"[]"])
+def test_malformed_departure_is_rejected(body: bytes) -> None:
+    assert parse_departure("i-1", body).is_err()
+
+
 @pytest.mark.parametrize(
     ("body", "born_ms"), [(b"", 0), (b"{}", 0), (b'{"born": 5}', 5)]
 )
@@ -90,3 +122,24 @@
     app = make_report_app(handle, handle, lambda _backend, _reason: None)
     await app({"path": path, "query_string": query}, receive, send)
     assert sent[0]["status"] == status
+
+
+async def test_rejected_report_is_logged_escaped_and_shortened() -> None:
+    logged: list[tuple[str, str]] = []
+
+    async def handle(_: object) -> Result[None, str]:
+        raise AssertionError("an invalid report was handled")
+
+    async def receive() -> dict[str, Any]:
+        return {"type": "http.request", "body": b"{}"}
+
+    async def send(message: dict[str, Any]) -> None:
+        pass
+
+    app = make_report_app(handle, handle, lambda *fields: logged.append(fields))
+    query = b"call=instances.heartbeat&of=i-%FF" + b"x" * 1_000
+    await app({"path": "/v1/rpc", "query_string": query}, receive, send)
+    [(backend, reason)] = logged
+    assert backend.startswith("i-\\ufffdx")
+    assert len(backend) <= MAX_ID_LENGTH
+    assert reason.isascii()
