End only the request in which an unexpected error is raised

An error now ends its own request: before dispatch with a refusal (it has not run, so another server may be tried), after dispatch with an unknown outcome. It is logged as request_fault with the request's id. The head for the server is made before the request counts as dispatched. The slot is released whatever the log does.

--- a/src/berylmast/backends/owner.py
+++ b/src/berylmast/backends/owner.py
@@ -1,5 +1,6 @@
 """Runs the requests that entries send for the local backend server."""
 
+import logging
 import math
 from collections.abc import Callable
 from dataclasses import replace
@@ -22,6 +23,7 @@
     Query,
     Refuse,
     Request,
+    Reset,
 )
 from ..errors import ErrorKind, Refusal
 from ..http_client import HttpClient
@@ -167,6 +169,12 @@
                 await self._serve_request(exchange, head)
             except ExchangeLost:
                 pass
+            except Exception as exc:
+                # The task group of all requests must not end with one of them.
+                _log_fault(head, exc)
+                await _send_if_connected(
+                    exchange, Reset(exchange.id, ErrorKind.INTERNAL)
+                )
             finally:
                 done.set()
 
@@ -188,12 +196,30 @@
 
         try:
             await self._admit_and_dispatch(recorder, exchange, head, mark_dispatched)
+        except ExchangeLost:
+            raise
+        except Exception as exc:
+            _log_fault(head, exc)
+            await self._reply_to_fault(recorder, dispatched=dispatched)
         finally:
             attempt_record = recorder.attempt_record or (
                 _CANCELLED_BY_ENTRY if dispatched else _CANCELLED_BEFORE_DISPATCH
             )
             self._ledger.finish(head.attempt, attempt_record)
 
+    async def _reply_to_fault(
+        self, recorder: RecordingExchange, *, dispatched: bool
+    ) -> None:
+        """Reply to a request that an unexpected error ended, unless it has a reply."""
+        if recorder.attempt_record is not None:
+            return
+        detail = "internal error at the owner"
+        if dispatched:
+            await self._fail(recorder, ErrorKind.INTERNAL, detail)
+            return
+        kind = ErrorKind.BACKEND_UNREACHABLE
+        await recorder.send(Refuse(recorder.id, kind, detail, self._report()))
+
     async def _reject_duplicate(self, exchange: Exchange, head: RequestHead) -> None:
         """Reject a used attempt id.
 
@@ -255,11 +281,11 @@
                     )
                 )
                 return
+            backend = self._get_backend()
+            backend_head = self._interface.make_head(head, remaining_ms, backend)
+            on_notice = partial(self._on_notice, backend)
             mark_dispatched()
             try:
-                backend = self._get_backend()
-                backend_head = self._interface.make_head(head, remaining_ms, backend)
-                on_notice = partial(self._on_notice, backend)
                 await self._dispatch(recorder, backend_head, result, on_notice)
             finally:
                 attempt_result = AttemptResult(
@@ -275,12 +301,14 @@
                 ran_s=anyio.current_time() - started_s,
                 in_flight=in_flight,
             )
-            self._log.log_ended(
-                head, recorder.attempt_record or _CANCELLED_BY_ENTRY, result, timing
-            )
-            if result.load is not None:
-                self._on_load(result.load)
-            admitted.unwrap().release(attempt_result)
+            try:
+                self._log.log_ended(
+                    head, recorder.attempt_record or _CANCELLED_BY_ENTRY, result, timing
+                )
+                if result.load is not None:
+                    self._on_load(result.load)
+            finally:
+                admitted.unwrap().release(attempt_result)
 
     async def _wait_admission(
         self, exchange: Exchange, head: RequestHead
@@ -332,3 +360,20 @@
 
     async def _fail(self, exchange: Exchange, kind: ErrorKind, detail: str) -> None:
         await exchange.send(Fail(exchange.id, kind, detail, self._report()))
+
+
+def _log_fault(head: RequestHead, exc: Exception) -> None:
+    log_event(
+        "request_fault",
+        level=logging.ERROR,
+        request=head.request_id,
+        attempt=str(head.attempt),
+        error=repr(exc),
+    )
+
+
+async def _send_if_connected(exchange: Exchange, frame: Reset) -> None:
+    try:
+        await exchange.send(frame)
+    except ExchangeLost:
+        pass
