--- a/src/berylmast/backends/report_handler.py
+++ b/src/berylmast/backends/report_handler.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import replace
+from functools import partial
 
 import anyio
 from anyio.abc import TaskGroup
@@ -10,6 +11,7 @@
 
 from ..limits import Admission
 from ..model import FINAL_SEQ, DaemonLocation, Endpoint, EndpointState
+from ..supervision import run_logged
 from ..telemetry import log_event
 from .backend_state import BackendReport, BackendState, Departure
 
@@ -138,8 +140,13 @@
         self._backend_state.apply_departure(Departure(departure.backend, born_ms))
         log_event("backend_departed", backend=departure.backend, born_ms=born_ms)
         published = anyio.Event()
-        self._tg.start_soon(
-            self._publish_departure_of_unreported, departure.backend, born_ms, published
+        self._start(
+            partial(
+                self._publish_departure_of_unreported,
+                departure.backend,
+                born_ms,
+                published,
+            )
         )
         with anyio.move_on_after(STORE_TIMEOUT_S):
             await published.wait()
@@ -182,7 +189,7 @@
         if at_once:
             self._admission.draining = leaving
         elif leaving:
-            self._tg.start_soon(self._close_admission_if_leaving)
+            self._start(self._close_admission_if_leaving)
         self._publish_if_changed()
 
     def _publish_if_changed(self) -> bool:
@@ -235,9 +242,12 @@
             # the time to accept requests may already be over.
             self._admission.draining = True
         elif not self._leaving:
-            self._tg.start_soon(self._close_admission, record)
+            self._start(partial(self._close_admission, record))
         return True
 
+    def _start(self, run: Callable[[], Awaitable[None]]) -> None:
+        self._tg.start_soon(run_logged, "report_handler", run)
+
     def _compute_state(self) -> EndpointState:
         if self._backend_state.left:
             return EndpointState.GONE
--- a/src/berylmast/backends/tests/test_report_handler.py
+++ b/src/berylmast/backends/tests/test_report_handler.py
@@ -305,3 +305,16 @@
         await parts.handler.handle_departure(Departure("i-1", born_ms))
         await parts.handler.handle_report(replace(REPORT, sequence=9))
         assert parts.states == [EndpointState(state)]
+
+
+async def test_error_while_a_departure_is_published_ends_nothing_else() -> None:
+    """The tasks of the handler run in the task group of the whole daemon."""
+
+    def fail(backend: str) -> Endpoint | None:
+        raise RuntimeError("fault")
+
+    async with run_report_handler(get_known_record=lambda _backend: None) as parts:
+        await parts.handler.handle_departure(Departure("i-0", 5))
+        parts.handler._get_known_record = fail
+        await anyio.sleep(1)
+        assert parts.published == []
--- a/src/berylmast/supervision.py
+++ b/src/berylmast/supervision.py
@@ -25,3 +25,14 @@
             await anyio.sleep(RESTART_DELAY_S)
         else:
             return
+
+
+async def run_logged(name: str, run: Callable[[], Awaitable[None]]) -> None:
+    """Run a task once; log an error that ends it.
+
+    For a task in a group whose other tasks must go on without it.
+    """
+    try:
+        await run()
+    except Exception as exc:
+        log_event("task_failed", level=logging.ERROR, task=name, reason=repr(exc))
--- a/src/berylmast/tests/test_supervision.py
+++ b/src/berylmast/tests/test_supervision.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 
-from ..supervision import RESTART_DELAY_S, run_supervised
+from ..supervision import RESTART_DELAY_S, run_logged, run_supervised
 
 pytestmark = pytest.mark.anyio
 
@@ -40,3 +40,17 @@
     with anyio.move_on_after(1):
         await run_supervised("gossip", run)
     assert starts == 1
+
+
+async def test_failed_task_of_a_shared_group_ends_alone(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO, "berylmast")
+
+    async def fail() -> None:
+        raise RuntimeError("unexpected")
+
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(run_logged, "report_handler", fail)
+        await anyio.sleep(1)
+    assert caplog.messages.count("task_failed") == 1
