Take a server whose reports end after a restart for one that left

The departure was acknowledged while the store was down, so only running processes knew it. All were killed, and the daemon beside the server believed the late report that came after its start.

The first report after a start still counts at once, since a running server must not wait. A late first report of a server that the fleet knew before is held until the second one. An acknowledgement without the store is logged as departure_unstored.

--- a/src/berylmast/backends/report_handler.py
+++ b/src/berylmast/backends/report_handler.py
@@ -14,6 +14,7 @@
 from ..supervision import run_logged
 from ..telemetry import log_event
 from .backend_state import BackendReport, BackendState, Departure
+from .report_stream import MAX_REPORT_GAP_S, ReportStream
 
 LEAVE_ACCEPT_FRACTION = 0.4
 """Fraction of the leave time during which a leaving backend server still accepts
@@ -27,6 +28,9 @@
 """Longest wait for the record to be stored before a departure is acknowledged. The
 sender treats an acknowledgement that takes a second as lost."""
 
+READ_MARGIN_S = 0.05
+"""Time in seconds in which a busy daemon reads a report that has already arrived."""
+
 RECORD_WAIT_S = 30.0
 RECORD_POLL_S = 0.05
 """How long, and how often, the record of a server is looked up that left before this
@@ -53,7 +57,8 @@
     server that this daemon has, from any daemon or the store. ``is_backend_leaving``
     returns whether the current server states its leaving in responses; that counts even
     if its reports say that it is ready. ``unix_time`` returns Unix time in seconds, the
-    clock of the start times in reports.
+    clock of the start times in reports. With ``repeats`` a running server goes on
+    reporting, and one that does not is taken for one that left.
     """
 
     def __init__(
@@ -70,6 +75,7 @@
         is_backend_leaving: Callable[[], bool],
         tg: TaskGroup,
         unix_time: Callable[[], float] = time.time,
+        repeats: bool = True,
     ) -> None:
         self._unix_time = unix_time
         self._backend_state = backend_state
@@ -85,6 +91,8 @@
         self._tg = tg
         self._record: Endpoint | None = None
         self._leaving = False
+        self._repeats = repeats
+        self._report_stream = ReportStream(anyio.current_time())
 
     async def handle_report(self, report: BackendReport) -> Result[None, str]:
         """Handle a report; return Err for another address or an unknown service."""
@@ -98,10 +106,32 @@
         if not self._backend_state.apply_report(report):
             log_event("report_outdated", backend=report.backend, order=report.order)
             return Ok(None)
+        if self._repeats:
+            self._follow_report_stream(report)
         if self._publish_if_changed():
             await self._wait_stored(STORE_TIMEOUT_S)
         return Ok(None)
 
+    def _follow_report_stream(self, report: BackendReport) -> None:
+        """Take a server whose second report is overdue for one that left.
+
+        The daemon may have acknowledged its departure before it was restarted, when
+        neither the store nor another daemon that lived on could be told.
+        """
+        record = self._get_known_record(report.backend)
+        known = record is not None and record.incarnation >= report.born_ms
+        if self._report_stream.is_empty:
+            self._start(self._check_report_stream)
+        self._report_stream.record(report, anyio.current_time(), known=known)
+
+    async def _check_report_stream(self) -> None:
+        await anyio.sleep(MAX_REPORT_GAP_S)
+        await anyio.sleep(READ_MARGIN_S)
+        if self._report_stream.check(anyio.current_time()):
+            current = self._backend_state.current
+            log_event("reports_ended", backend=current.backend if current else "")
+            self._publish_if_changed()
+
     def _has_left(self, report: BackendReport) -> bool:
         """Return whether a known record states that the sender left after the report.
 
@@ -119,8 +149,10 @@
         elif (
             self._backend_state.apply_departure(departure)
             and self._publish_if_changed()
+            and not await self._wait_stored(STORE_TIMEOUT_S)
         ):
-            await self._wait_stored(STORE_TIMEOUT_S)
+            # Until it is stored, only running daemons know of it.
+            log_event("departure_unstored", backend=departure.backend)
         return Ok(None)
 
     async def _handle_departure_of_unreported(self, departure: Departure) -> None:
@@ -237,7 +269,7 @@
         if state is EndpointState.READY:
             self._admission.draining = False
             return False
-        if old is None or old.backend != record.backend:
+        if old is None or old.backend != record.backend or self._report_stream.silent:
             # This daemon may have restarted after it acknowledged the departure, so
             # the time to accept requests may already be over.
             self._admission.draining = True
@@ -253,7 +285,7 @@
             return EndpointState.GONE
         if self._leaving or self._is_backend_leaving():
             return EndpointState.DRAINING
-        if self._backend_state.serving is None:
+        if self._backend_state.serving is None or self._report_stream.silent:
             return EndpointState.DRAINING
         return EndpointState.READY
 
--- a/src/berylmast/backends/tests/test_report_handler.py
+++ b/src/berylmast/backends/tests/test_report_handler.py
@@ -4,6 +4,7 @@
 no more requests after a grace time.
 """
 
+import logging
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
@@ -19,6 +20,7 @@
     STOP_ACCEPT_S,
     BackendReportHandler,
 )
+from ..report_stream import MAX_REPORT_GAP_S
 from .test_backend_state import make_report
 
 pytestmark = pytest.mark.anyio
@@ -48,6 +50,7 @@
     known_record: Endpoint | None = None,
     is_backend_leaving: Callable[[], bool] = lambda: False,
     get_known_record: Callable[[str], Endpoint | None] | None = None,
+    repeats: bool = True,
 ) -> AsyncIterator[Parts]:
     admission = SlotAdmission("d1", 1, lambda: None)
     published: list[Endpoint] = []
@@ -73,6 +76,7 @@
             is_backend_leaving,
             tg,
             lambda: REPORT.born_ms / 1000 + UPTIME_S,
+            repeats,
         )
         yield Parts(handler, admission, published, stored)
         tg.cancel_scope.cancel()
@@ -318,3 +322,61 @@
         parts.handler._get_known_record = fail
         await anyio.sleep(1)
         assert parts.published == []
+
+
+@pytest.mark.parametrize("late_s", [0.2, 2.5], ids=["soon", "late"])
+@pytest.mark.parametrize("known_record", [None, KNOWN], ids=["no-record", "record"])
+async def test_departure_known_to_killed_daemons_only_outlasts_a_late_report(
+    known_record: Endpoint | None, late_s: float
+) -> None:
+    """A server that left while the store was down was used again after a restart.
+
+    All daemons were killed, and nothing but its last report, a late one, came after.
+    """
+    async with run_report_handler(known_record=known_record) as parts:
+        await anyio.sleep(late_s)
+        await parts.handler.handle_report(replace(REPORT, sequence=7))
+        await anyio.sleep(MAX_REPORT_GAP_S + 0.2)
+        assert parts.states[-1] is EndpointState.DRAINING
+        assert parts.admission.draining, "nothing is granted a leave time again"
+        await anyio.sleep(60)
+        assert parts.states[-1] is EndpointState.DRAINING
+
+
+async def test_server_that_lived_through_a_restart_is_used_at_once() -> None:
+    async with run_report_handler(known_record=KNOWN) as parts:
+        for sequence in range(7, 20):
+            await parts.handler.handle_report(replace(REPORT, sequence=sequence))
+            assert not parts.admission.draining
+            await anyio.sleep(1.5)
+        assert parts.states == [EndpointState.READY]
+
+
+async def test_server_whose_reports_were_held_up_is_used_again() -> None:
+    async with run_report_handler(known_record=KNOWN) as parts:
+        await parts.handler.handle_report(replace(REPORT, sequence=7))
+        await anyio.sleep(10)
+        assert parts.admission.draining
+        for sequence in (8, 9):
+            await parts.handler.handle_report(replace(REPORT, sequence=sequence))
+            await anyio.sleep(1.5)
+        assert parts.states[-1] is EndpointState.READY
+        assert not parts.admission.draining
+
+
+async def test_server_that_reports_once_by_design_stays_in_use() -> None:
+    """A server that is watched by health checks has one report, made of settings."""
+    async with run_report_handler(repeats=False) as parts:
+        await parts.handler.handle_report(REPORT)
+        await anyio.sleep(60)
+        assert parts.states == [EndpointState.READY]
+
+
+async def test_departure_that_is_not_stored_is_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level(logging.INFO, "berylmast")
+    async with run_report_handler() as parts:
+        await parts.handler.handle_report(REPORT)
+        await parts.handler.handle_departure(Departure("i-1", 0))
+        assert caplog.messages.count("departure_unstored") == 1
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -146,6 +146,7 @@
             components.get_record,
             lambda: self.notices.leaving,
             tg,
+            repeats=cfg.announcements is not None,
         )
         self.notices.set_leaving_listener(report_handler.handle_leaving_notice)
 
