Use a server again after its daemon has drained and restarted

An entry kept the last load report of each server, "draining" from the end of a request that outlasted the stop, and left the server out at any age of that report. As reports come with responses only, nothing ever replaced it.

A draining report now leaves a server out for two seconds, and says nothing of its load. By then the record decides, and an owner that still drains refuses.

--- a/src/berylmast/routing/explain.py
+++ b/src/berylmast/routing/explain.py
@@ -92,7 +92,8 @@
 ) -> set[str]:
     if not service.ejection:
         return set()
-    usable = [e for e in endpoints if not state.loads.is_draining(e)]
+    now_s = anyio.current_time()
+    usable = [e for e in endpoints if not state.loads.is_draining(e, now_s)]
     return {
         backend
         for group in group_by_region(usable).values()
@@ -130,7 +131,8 @@
         error_rate=candidate.error_rate,
         hot=candidate.hot,
         ejected=endpoint.backend in ejected,
-        draining=state.loads.is_draining(endpoint) or state.leaving.contains(endpoint),
+        draining=state.loads.is_draining(endpoint, now_s)
+        or state.leaving.contains(endpoint),
         ramp_limit=state.slow_start.get_limit(endpoint.backend, now_s),
     )
 
--- a/src/berylmast/routing/load_table.py
+++ b/src/berylmast/routing/load_table.py
@@ -15,6 +15,11 @@
 a report falls quickly."""
 
 MAX_REPORT_AGE_S = 2.0
+MAX_DRAINING_AGE_S = 2.0
+"""Age in seconds beyond which a report does not exclude a draining backend server. By
+then its record states that it drains, and an owner that still drains refuses what it
+gets."""
+
 MAX_REQUESTS_PER_REPORT = 16
 """Number of requests sent after a report before the report is ignored: by then the
 requests sent because of it have changed the load."""
@@ -178,12 +183,17 @@
         """Reset the error ratio of a backend server after readmission or a restart."""
         self._get_or_create(backend).error_rate = 0.0
 
-    def is_draining(self, endpoint: Endpoint) -> bool:
-        """Return whether the endpoint's incarnation has reported that it drains."""
-        report = self._get_or_create(endpoint.backend).report
+    def is_draining(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Return whether the endpoint's incarnation has just reported that it drains.
+
+        Reports come with responses, so an excluded backend server sends no newer one,
+        also after its owner has restarted.
+        """
+        load = self._get_or_create(endpoint.backend)
+        report = load.report
         if report is None or report.incarnation < endpoint.incarnation:
             return False
-        return report.draining
+        return report.draining and now_s - load.report_received_s < MAX_DRAINING_AGE_S
 
     def get_rate_limit(self, endpoint: Endpoint) -> float | None:
         """Return the last known rate limit of the endpoint's incarnation, if any."""
@@ -272,6 +282,9 @@
     error_rate = load.get_error_rate(now_s)
     oldest_age_s = now_s - load.start_times_s[0] if load.start_times_s else 0.0
     report = load.report
+    if report is not None and report.draining:
+        # It says nothing of the load once the backend server accepts requests again.
+        report = None
     if report is None:
         in_flight, latency_ms, limit = (
             max(mean_in_flight, own_in_flight),
@@ -304,7 +317,7 @@
         own=own_in_flight,
         latency_ms=max(latency_ms, oldest_age_s * 1000 / _OVERDUE_DIVISOR),
         report_age_s=now_s - load.report_received_s
-        if report is not None
+        if load.report is not None
         else float("inf"),
         limit=limit,
         error_rate=error_rate,
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -280,7 +280,7 @@
         return [
             e
             for e in endpoints
-            if not self._loads.is_draining(e) and not self._leaving.contains(e)
+            if not self._loads.is_draining(e, now_s) and not self._leaving.contains(e)
         ]
 
     def _record_request(
--- a/src/berylmast/routing/tests/test_load_table.py
+++ b/src/berylmast/routing/tests/test_load_table.py
@@ -4,8 +4,14 @@
 
 from ...errors import ErrorKind
 from ...model import AttemptResult
-from ..load_table import MAX_REPORT_AGE_S, MAX_REQUESTS_PER_REPORT, LoadTable, is_error
-from ..policies import Candidate
+from ..load_table import (
+    MAX_DRAINING_AGE_S,
+    MAX_REPORT_AGE_S,
+    MAX_REQUESTS_PER_REPORT,
+    LoadTable,
+    is_error,
+)
+from ..policies import Candidate, estimate_delay_ms
 from .factories import (
     OK,
     OVERLOADED,
@@ -162,3 +168,14 @@
     table.record_load(make_report("a", rate_limit=4.0, rate_share=1.0), 0.0)
     endpoint = make_endpoint("a", incarnation=incarnation)
     assert table.get_rate_limit(endpoint) == expected
+
+
+@pytest.mark.parametrize("limit", [0, 1, 6])
+def test_draining_report_says_nothing_of_the_load_after_the_drain(limit: int) -> None:
+    """Otherwise the backend server would look full, and get no requests either."""
+    table = LoadTable()
+    report = make_report("a", limit=limit, in_flight=9, draining=True)
+    table.record_load(report, 0.0)
+    table.record_load(make_report("b", in_flight=3), MAX_DRAINING_AGE_S)
+    a, b = estimate(table, MAX_DRAINING_AGE_S)
+    assert estimate_delay_ms(a, 0.0) <= 2 * estimate_delay_ms(b, 0.0)
