Notice callers who leave while their uploads wait for admission

The reader of a body, the only one who notices a close, stopped after 64 KB until the owner had admitted the request; and for a caller who waits for 100 Continue it did not read at all.

The HTTP server tells each request of a connection when that ends.

--- a/src/berylmast/_http_server.py
+++ b/src/berylmast/_http_server.py
@@ -11,7 +11,7 @@
 from uvicorn.protocols.http.httptools_impl import STATUS_LINE, HttpToolsProtocol
 
 from ._declined_upgrade import resume_parsing, select_framing
-from .callers.app import TRAILERS_KEY
+from .callers.app import DISCONNECT_LISTENERS_KEY, TRAILERS_KEY
 from .callers.response import format_error_body, make_error_response
 from .errors import ErrorKind, Refusal
 from .settings import Address, LimitSettings
@@ -89,6 +89,10 @@
     # head on until its body is parsed.
     _offer_framing: Sequence[tuple[bytes, bytes]] = ()
 
+    def __init__(self, *args: Any, **kwargs: Any) -> None:
+        super().__init__(*args, **kwargs)
+        self._disconnect_listeners: list[Callable[[], None]] = []
+
     @property  # type: ignore[override]
     def timeout_keep_alive(self) -> float:
         """Return the keep-alive timeout of callers' connections in seconds."""
@@ -146,7 +150,9 @@
                 return
             self._offer_framing = select_framing(self.headers)
         trailers: list[tuple[bytes, bytes]] = []
-        cast(dict[str, Any], self.scope)[TRAILERS_KEY] = trailers
+        scope = cast(dict[str, Any], self.scope)
+        scope[TRAILERS_KEY] = trailers
+        scope[DISCONNECT_LISTENERS_KEY] = self._disconnect_listeners
         super().on_headers_complete()
         self.headers = trailers
         self._header_bytes = 0
@@ -167,9 +173,15 @@
         self._header_bytes = 0
 
     def connection_lost(self, exc: Exception | None) -> None:
-        """Stop the header timer; incomplete headers stay incomplete."""
+        """Stop the header timer; incomplete headers stay incomplete.
+
+        uvicorn reports the end of the connection to one request only, and only if that
+        one is reading.
+        """
         self._stop_header_timer()
         super().connection_lost(exc)
+        for listener in list(self._disconnect_listeners):
+            listener()
 
     def _stop_header_timer(self) -> None:
         if self._header_timer is not None:
--- a/src/berylmast/callers/app.py
+++ b/src/berylmast/callers/app.py
@@ -12,6 +12,7 @@
 from .classify import ClassifiedRequest, RequestClassifier, read_request_id
 from .context import ResponseSink
 from .forward import ForwardingContext, RequestProgress, forward_request
+from .read_ahead import ReadAheadPool
 from .request_body import RequestBody
 from .response import CallerResponse, MakeErrorResponse, make_error_response
 
@@ -20,6 +21,10 @@
 TRAILERS_KEY = "berylmast.trailers"
 """ASGI scope key of the list to which the HTTP server appends request trailers."""
 
+DISCONNECT_LISTENERS_KEY = "berylmast.disconnect_listeners"
+"""ASGI scope key of the list of functions that the HTTP server calls when the
+connection of the caller ends."""
+
 UNCLASSIFIED = "(none)"
 """Logged as service and priority if a request is refused before classification."""
 
@@ -37,6 +42,7 @@
 ) -> ASGIApp:
     """Return the ASGI app that classifies and forwards the requests of callers."""
     running = 0
+    pool = ReadAheadPool()
 
     async def app(scope: dict[str, Any], receive: Any, send: Any) -> None:
         nonlocal running
@@ -56,7 +62,7 @@
             else:
                 req = classified.unwrap()
                 await _forward_and_log(
-                    scope, receive, send, req, context, recorder, make_error
+                    scope, receive, send, req, context, recorder, make_error, pool
                 )
         finally:
             running -= 1
@@ -105,6 +111,7 @@
     context: ForwardingContext,
     recorder: RequestRecorder,
     make_error: MakeErrorResponse,
+    pool: ReadAheadPool,
 ) -> None:
     started_s = anyio.current_time()
     response = CallerResponse(
@@ -119,9 +126,14 @@
         limit=req.service.max_body_bytes,
         expects_continue=req.expects_continue,
         trailers=scope.get(TRAILERS_KEY, ()),
+        pool=pool,
+        disconnect_listeners=scope.get(DISCONNECT_LISTENERS_KEY),
     )
     progress = RequestProgress()
-    result = await forward_until_disconnect(context, req, body, response, progress)
+    try:
+        result = await forward_until_disconnect(context, req, body, response, progress)
+    finally:
+        body.close()
     refusal = result.unwrap_err() if result.is_err() else None
     cut_off = refusal is not None and response.started
     if refusal is not None and not cut_off:
--- a/src/berylmast/callers/request_body.py
+++ b/src/berylmast/callers/request_body.py
@@ -1,6 +1,7 @@
 """Reads the body of a caller's request and sends it to the owners."""
 
 from collections import deque
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -9,6 +10,7 @@
 from ..daemons.frames import End
 from ..errors import ErrorKind, Refusal
 from ..model import Headers
+from .read_ahead import READ_AHEAD_BYTES, ReadAheadPool
 
 MAX_EAGER_BODY_BYTES = 4 * 1024
 """Bodies up to this length are sent right after the request head. A longer body is sent
@@ -18,8 +20,8 @@
 RETRY_BUFFER_BYTES = 64 * 1024
 """Bodies up to this length are buffered whole, so that a retry can send them again."""
 
-READ_AHEAD_BYTES = 64 * 1024
-"""Bytes of a longer body that may be read before an attempt sends them."""
+POOL_CHECK_INTERVAL_S = 0.1
+"""Interval at which a body that may not read ahead checks whether it may again."""
 
 
 class BodyConsumed(Exception):
@@ -31,7 +33,9 @@
 
     Only ``read_until_refusal`` calls ASGI ``receive``, which supports a single
     consumer. ``limit`` is in bytes. The HTTP server fills ``trailers`` before it
-    delivers the end of the body.
+    delivers the end of the body, and calls the ``disconnect_listeners`` when the
+    caller's connection ends. While no attempt sends it, a body of any length is read
+    as it arrives, as far as ``pool`` has room.
     """
 
     def __init__(
@@ -42,7 +46,12 @@
         limit: int | None = None,
         expects_continue: bool = False,
         trailers: Headers = (),
+        pool: ReadAheadPool | None = None,
+        disconnect_listeners: list[Callable[[], None]] | None = None,
     ) -> None:
+        self._pool = pool or ReadAheadPool()
+        self._disconnect_listeners = disconnect_listeners
+        self._disconnected = False
         self.length = length
         self.read_bytes = 0
         self._receive = receive
@@ -53,9 +62,21 @@
         self._parts: deque[bytes] = deque()
         self._buffered_bytes = 0
         self._complete = length == 0
+        # Whether an attempt has begun to send the body, and whether one sends it now.
+        self._send_began = False
         self._sending = False
         self._partly_discarded = False
         self._change_event: anyio.Event | None = None
+        if disconnect_listeners is not None:
+            disconnect_listeners.append(self._handle_disconnect)
+
+    def close(self) -> None:
+        """Give up the body: nothing is read or sent any more."""
+        self._pool.add(-self._buffered_bytes)
+        self._buffered_bytes = 0
+        self._parts.clear()
+        if self._disconnect_listeners is not None:
+            self._disconnect_listeners.remove(self._handle_disconnect)
 
     @property
     def eager(self) -> bool:
@@ -74,18 +95,32 @@
         Returns the matching refusal. The HTTP server sends 100 Continue at the first
         read, so that read waits until an attempt was admitted and sends the body.
         """
-        while self._expects_continue and not self._sending and not self._complete:
+        while self._waits_for_admission and not self._disconnected:
             await self._wait_change()
-        while True:
+        while not self._disconnected:
             message = await self._receive()
             if message["type"] == "http.disconnect":
-                kind = ErrorKind.CANCELLED if self._complete else ErrorKind.BODY_CUT
-                return Refusal(kind, "the caller closed its connection")
+                break
             self._append(message)
             if self._limit is not None and self.read_bytes > self._limit:
                 return self._make_size_refusal()
-            while self._buffered_bytes >= READ_AHEAD_BYTES and not self._buffers_whole:
-                await self._wait_change()
+            while not self._may_read_on and not self._disconnected:
+                with anyio.move_on_after(POOL_CHECK_INTERVAL_S):
+                    await self._wait_change()
+        kind = ErrorKind.CANCELLED if self._complete else ErrorKind.BODY_CUT
+        return Refusal(kind, "the caller closed its connection")
+
+    @property
+    def _waits_for_admission(self) -> bool:
+        """Return whether the caller still waits for 100 Continue."""
+        return self._expects_continue and not self._send_began and not self._complete
+
+    @property
+    def _may_read_on(self) -> bool:
+        """Return whether the body may hold more bytes in memory."""
+        if self._buffers_whole or self._buffered_bytes < READ_AHEAD_BYTES:
+            return True
+        return not self._sending and self._pool.has_room
 
     async def send_to(self, exchange: Exchange) -> None:
         """Send the whole body.
@@ -94,7 +129,7 @@
         """
         if not self.resendable:
             raise BodyConsumed
-        self._sending = True
+        self._send_began = self._sending = True
         self._notify()
         try:
             await self._send_parts(exchange)
@@ -102,6 +137,8 @@
         except ExchangeLost:
             # The attempt gets the same exception when it receives the next frame.
             return
+        finally:
+            self._sending = False
 
     async def _send_parts(self, exchange: Exchange) -> None:
         index = 0
@@ -119,14 +156,14 @@
 
     def _pop_first(self) -> None:
         self._partly_discarded = True
-        self._buffered_bytes -= len(self._parts.popleft())
+        self._count_buffered(-len(self._parts.popleft()))
         self._notify()
 
     def _append(self, message: dict[str, Any]) -> None:
         part: bytes = message.get("body", b"")
         if part:
             self._parts.append(part)
-            self._buffered_bytes += len(part)
+            self._count_buffered(len(part))
             self.read_bytes += len(part)
         self._complete = not message.get("more_body", False)
         self._notify()
@@ -135,11 +172,19 @@
         # Once an attempt sends the body, the backend server may have started to process
         # the request.
         kind = ErrorKind.BODY_TOO_LARGE
-        if self._sending:
+        if self._send_began:
             kind = ErrorKind.BODY_TOO_LARGE_UNKNOWN
         self._complete = False
         return Refusal(kind, f"the body is longer than {self._limit} bytes")
 
+    def _count_buffered(self, size: int) -> None:
+        self._buffered_bytes += size
+        self._pool.add(size)
+
+    def _handle_disconnect(self) -> None:
+        self._disconnected = True
+        self._notify()
+
     async def _wait_change(self) -> None:
         self._change_event = self._change_event or anyio.Event()
         await self._change_event.wait()
--- a/src/berylmast/callers/tests/test_request_body.py
+++ b/src/berylmast/callers/tests/test_request_body.py
@@ -10,6 +10,8 @@
 from ...daemons import Exchange
 from ...daemons.frames import Body, Continue, End, Refuse, Request
 from ...errors import ErrorKind
+from ..read_ahead import READ_AHEAD_BYTES, ReadAheadPool
+from ..request_body import RequestBody
 from .entry import (
     CHUNKED,
     LOAD,
@@ -68,6 +70,61 @@
     )
 
 
+@pytest.mark.parametrize(
+    ("headers", "parts", "complete"),
+    [
+        (content_length(100_000), [100_000], True),
+        (content_length(100_000), [10_000] * 10, True),
+        (content_length(180_000), [60_000] * 2, False),
+        (CHUNKED, [60_000, 60_000], True),
+        (CHUNKED, [100_000], False),
+    ],
+    ids=["whole", "whole-in-parts", "half-sent", "chunked", "chunked-half-sent"],
+)
+@pytest.mark.parametrize("refusals", [0, 1], ids=["first-owner", "second-owner"])
+async def test_caller_of_an_upload_that_leaves_before_admission_is_noticed(
+    headers: list[tuple[bytes, bytes]],
+    parts: list[int],
+    complete: bool,
+    refusals: int,
+) -> None:
+    """Uploads of callers who had long left were dispatched to a server, and ran.
+
+    Nobody read the connection while such a request waited in an owner's queue.
+    """
+    attempts = 0
+    waiting = anyio.Event()
+    reset = anyio.Event()
+
+    async def owner(exchange: Exchange) -> None:
+        nonlocal attempts
+        attempts += 1
+        await exchange.receive()
+        if attempts <= refusals:
+            refusal = Refuse(exchange.id, ErrorKind.OVERLOADED, "full", LOAD)
+            await exchange.send(refusal)
+            return
+        waiting.set()
+        try:
+            await exchange.wait_reset()
+        finally:
+            reset.set()
+
+    caller = SimulatedCaller(headers)
+    for size in parts:
+        caller.send_body(b"x" * size, more=True)
+    if complete:
+        caller.send_body(b"", more=False)
+    with anyio.fail_after(5):
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(caller.run, make_entry_app(owner))
+            await waiting.wait()
+            await anyio.sleep(1)
+            assert not reset.is_set()
+            caller.disconnect()
+            await reset.wait()
+
+
 async def test_streamed_body_over_the_limit_is_refused_as_unknown() -> None:
     async def owner(exchange: Exchange) -> None:
         await exchange.receive()
@@ -172,3 +229,22 @@
         await anyio.sleep(2)
         tg.cancel_scope.cancel()
     assert bool(received) == sent
+
+
+async def test_waiting_uploads_share_a_bounded_read_ahead() -> None:
+    pool = ReadAheadPool(capacity_bytes=200_000)
+    bodies = []
+    async with anyio.create_task_group() as tg:
+        for _ in range(10):
+            caller = SimulatedCaller()
+            for _ in range(20):
+                caller.send_body(b"x" * 50_000, more=True)
+            bodies.append(RequestBody(caller._receive, 1_000_000, pool=pool))
+            tg.start_soon(bodies[-1].read_until_refusal)
+        await anyio.sleep(1)
+        # Each one may hold a part beyond its own share before it stops.
+        assert pool.used_bytes <= 200_000 + 10 * (READ_AHEAD_BYTES + 50_000)
+        tg.cancel_scope.cancel()
+    for body in bodies:
+        body.close()
+    assert pool.used_bytes == 0
--- a/src/berylmast/tests/test_http_server.py
+++ b/src/berylmast/tests/test_http_server.py
@@ -12,6 +12,8 @@
 from .._http_server import make_server
 from ..callers.app import TRAILERS_KEY
 from ..callers.classify import classify_request
+from ..callers.tests.entry import make_entry_app
+from ..daemons import Exchange
 from ..errors import ErrorKind
 from ..membership import Directory
 from ..model import AttemptId, Route, ServiceSlice
@@ -290,6 +292,66 @@
     assert len(received) == served
 
 
+@pytest.mark.parametrize(
+    ("head", "body"),
+    [
+        (b"\r\n", b""),
+        (b"Content-Length: 5\r\n\r\n", b"hello"),
+        (b"Content-Length: 5\r\n\r\n", b"he"),
+        (b"Content-Length: 190000\r\n\r\n", b"x" * 190_000),
+        (b"Content-Length: 190000\r\n\r\n", b"x" * 150_000),
+        (b"Transfer-Encoding: chunked\r\n\r\n", b"4\r\nabcd\r\n" * 30_000),
+        (b"Expect: 100-continue\r\nContent-Length: 190000\r\n\r\n", b""),
+        (b"Expect: 100-continue\r\nContent-Length: 9\r\n\r\n", b""),
+    ],
+    ids=[
+        "no-body",
+        "short",
+        "short-half-sent",
+        "upload",
+        "upload-half-sent",
+        "many-chunks",
+        "upload-waits-for-continue",
+        "short-waits-for-continue",
+    ],
+)
+@pytest.mark.parametrize("aborts", [False, True], ids=["closes", "resets"])
+async def test_caller_that_leaves_before_admission_is_noticed(
+    head: bytes, body: bytes, aborts: bool
+) -> None:
+    """Requests of callers who had left were dispatched from the owner's queue."""
+    waiting = anyio.Event()
+    reset = anyio.Event()
+
+    async def owner(exchange: Exchange) -> None:
+        await exchange.receive()
+        waiting.set()
+        try:
+            await exchange.wait_reset()
+        finally:
+            reset.set()
+
+    server = make_server(make_entry_app(owner), Address(host="127.0.0.1", port=0))
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(server.serve)
+        while not server.started:
+            await anyio.sleep(0.01)
+        port = server.servers[0].sockets[0].getsockname()[1]
+        with anyio.fail_after(5):
+            stream = await anyio.connect_tcp("127.0.0.1", port)
+            await stream.send(POST + head + body)
+            await waiting.wait()
+            await anyio.sleep(0.1)
+            assert not reset.is_set()
+            if aborts:
+                await anyio.aclose_forcefully(stream)
+            else:
+                await stream.aclose()
+            with anyio.fail_after(0.5):
+                await reset.wait()
+        server.should_exit = True
+
+
 def test_request_that_the_end_of_the_process_cancels_logs_no_traceback(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
