Skip records of other daemons that can't be used

Records in frames were checked for the types of their fields only, so numbers beyond 64 bits and unknown ports were passed on.

The fields of an endpoint record have checked types; a record of a frame that does not fit is skipped and logged, the others count. An address that can't be dialled is unreachable.

--- a/src/berylmast/daemons/pool.py
+++ b/src/berylmast/daemons/pool.py
@@ -97,7 +97,8 @@
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
                 stream = await anyio.connect_tcp(*address)
-        except (OSError, TimeoutError) as exc:
+        # ValueError: a host that is none, OverflowError: a port that is none.
+        except (OSError, TimeoutError, ValueError, OverflowError) as exc:
             raise ConnectionLost(f"cannot reach {address[0]}:{address[1]}") from exc
         conn = PeerConnection(stream, self._identity, on_goaway=self._on_goaway)
         self._tg.start_soon(conn.run)
--- a/src/berylmast/daemons/tests/test_pool.py
+++ b/src/berylmast/daemons/tests/test_pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -12,7 +13,7 @@
 
 from ...model import Endpoint
 from ...settings import Address
-from .. import Exchange, Identity, PeerListener, PeerPool, pool
+from .. import ConnectionLost, Exchange, Identity, PeerListener, PeerPool, pool
 from ..frames import OpeningFrame, Probe
 
 pytestmark = pytest.mark.anyio
@@ -92,3 +93,26 @@
         with anyio.fail_after(2):
             await closed.wait()
         tg.cancel_scope.cancel()
+
+
+@pytest.mark.parametrize(
+    ("host", "port"),
+    [
+        ("\ufffd\ufffd", 1),
+        ("\x00", 1),
+        ("a b", 1),
+        ("." * 300, 1),
+        ("x" * 300, 1),
+        (HOST, 0),
+        (HOST, 70_000),
+    ],
+    ids=["no-text", "null", "space", "dots", "long", "port-0", "port-70000"],
+)
+async def test_owner_whose_address_is_none_is_unreachable(
+    host: str, port: int, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """The error ended the gossip task for as long as such a record was known."""
+    async with run_pool(monkeypatch) as (peer_pool, endpoint):
+        with pytest.raises(ConnectionLost):
+            await peer_pool.connect(replace(endpoint, host=host, port=port))
+        await peer_pool.connect(endpoint)
--- a/src/berylmast/identifiers.py
+++ b/src/berylmast/identifiers.py
@@ -21,3 +21,14 @@
 
 ExactInt = Annotated[int, Field(ge=0, le=MAX_EXACT_INT)]
 """A whole number from 0 on that JSON carries exactly."""
+
+Name = Annotated[str, StringConstraints(max_length=MAX_ID_LENGTH)]
+"""A name in settings and records. Lone surrogates, which can't be encoded, are none."""
+
+Host = Annotated[
+    str, StringConstraints(min_length=1, max_length=253, pattern=r"^[0-9A-Za-z._:-]+$")
+]
+"""A host name or IP address to connect to."""
+
+Port = Annotated[int, Field(ge=1, le=65_535)]
+"""A TCP port to connect to."""
--- a/src/berylmast/membership/records.py
+++ b/src/berylmast/membership/records.py
@@ -3,8 +3,15 @@
 from collections.abc import Iterable
 from dataclasses import astuple
 
+from pydantic import TypeAdapter
+from pydantic_core import ArgsKwargs
+
 from ..daemons.frames import EndpointRecord
+from ..identifiers import MAX_ID_LENGTH
 from ..model import Endpoint, EndpointState
+from ..telemetry import escape_text, log_event
+
+_ENDPOINT_ADAPTER = TypeAdapter(Endpoint)
 
 MAX_GONE_RECORDS = 20_000
 """Maximum number of records kept of backend servers that are gone.
@@ -37,14 +44,24 @@
 
 
 def unpack_record(record: EndpointRecord) -> Endpoint:
-    """Convert a record from its wire format; raises ValueError for an unknown state."""
-    return Endpoint(*record[:8], EndpointState(record[8]))
+    """Convert a record from its wire format; raises ValueError for an invalid one."""
+    return _ENDPOINT_ADAPTER.validate_python(ArgsKwargs(record))
 
 
 def unpack_records(records: Iterable[EndpointRecord]) -> list[Endpoint]:
-    """Convert records from the wire format, without those of an unknown state."""
-    states = set(EndpointState)
-    return [unpack_record(record) for record in records if record[8] in states]
+    """Convert records from the wire format, without invalid ones.
+
+    A daemon of another version may send what this one can't use.
+    """
+    endpoints = []
+    for record in records:
+        try:
+            endpoints.append(unpack_record(record))
+        except ValueError as exc:
+            name = escape_text(record[0], MAX_ID_LENGTH)
+            reason = str(exc).splitlines()[0]
+            log_event("record_unreadable", backend=name, reason=reason)
+    return endpoints
 
 
 def split_records(records: Iterable[Endpoint]) -> list[tuple[EndpointRecord, ...]]:
--- a/src/berylmast/membership/tests/test_records.py
+++ b/src/berylmast/membership/tests/test_records.py
@@ -86,6 +86,30 @@
     assert unpack_records([unknown_state, pack_record(many[1])]) == [many[1]]
 
 
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        (0, "b" * 129),
+        (2, "\ufffd"),
+        (2, ""),
+        (2, "a b"),
+        (3, 0),
+        (3, 65_536),
+        (6, 2**53),
+        (6, -1),
+        (7, 2**64),
+    ],
+)
+def test_invalid_record_of_another_daemon_hides_no_other_one(
+    field: int, value: object
+) -> None:
+    """It comes with sound ones, which would be refused with it."""
+    sound = pack_record(make_record())
+    invalid = list(pack_record(make_record("a1")))
+    invalid[field] = value
+    assert unpack_records([tuple(invalid), sound]) == [make_record()]  # type: ignore[list-item]
+
+
 def test_gone_backend_stays_gone_in_a_directory() -> None:
     directory = Directory()
     directory.put_endpoint(make_record())
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 
 from .errors import ErrorKind
-from .identifiers import MAX_EXACT_INT
+from .identifiers import MAX_EXACT_INT, ExactInt, Host, Name, Port
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -149,17 +149,18 @@
     """A backend server as its daemon announces it to the fleet.
 
     Only the announcing daemon changes the record; a higher ``(incarnation, seq)``
-    replaces a lower one.
+    replaces a lower one. Records from the store and from other daemons are checked
+    against the types of the fields.
     """
 
-    backend: str
-    service: str
-    host: str
-    port: int
-    region: str
-    failure_domain: str
-    incarnation: int
-    seq: int
+    backend: Name
+    service: Name
+    host: Host
+    port: Port
+    region: Name
+    failure_domain: Name
+    incarnation: ExactInt
+    seq: ExactInt
     state: EndpointState = EndpointState.READY
 
     @property
--- a/src/berylmast/platform/backend_reports.py
+++ b/src/berylmast/platform/backend_reports.py
@@ -12,6 +12,7 @@
 from ..backends.report_handler import MAX_REPORT_SEQUENCE
 from ..identifiers import MAX_ID_LENGTH, ExactInt, Identifier
 from ..settings import Seconds
+from ..telemetry import escape_text
 
 RPC_PATH = "/v1/rpc"
 HEARTBEAT = "instances.heartbeat"
@@ -155,17 +156,13 @@
             return
         result = await handle_call(call, backend, body)
         if result.is_err():
-            reason = _escape(result.unwrap_err(), MAX_REASON_LENGTH)
-            on_invalid(_escape(backend, MAX_ID_LENGTH), reason)
+            reason = escape_text(result.unwrap_err(), MAX_REASON_LENGTH)
+            on_invalid(escape_text(backend, MAX_ID_LENGTH), reason)
         await _send_response(send, 200 if result.is_ok() else 400)
 
     return app
 
 
-def _escape(text: str, max_length: int) -> str:
-    return text.encode("ascii", "backslashreplace").decode()[:max_length]
-
-
 async def _read_body(receive: Any) -> bytes:
     parts = bytearray()
     while True:
--- a/src/berylmast/settings/_models.py
+++ b/src/berylmast/settings/_models.py
@@ -4,6 +4,7 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
+from ..identifiers import Name
 from ._units import Seconds
 
 
@@ -121,12 +122,12 @@
 class DaemonSettings(_StrictModel):
     """All settings of one daemon."""
 
-    daemon_id: str = Field(min_length=1, description="unique name of this daemon")
+    daemon_id: Name = Field(min_length=1, description="unique name of this daemon")
     environment: str = Field(
         min_length=1, description="name of the document that the daemon uses"
     )
-    region: str = Field(min_length=1, description="region of this instance")
-    failure_domain: str = Field(
+    region: Name = Field(min_length=1, description="region of this instance")
+    failure_domain: Name = Field(
         min_length=1, description="failure domain within the region"
     )
     callers: Address = Field(description="listen address for callers, HTTP")
@@ -137,7 +138,9 @@
         "from peers, for example behind address translation, TCP",
     )
     admin: Address = Field(description="listen address for operators, HTTP")
-    service: str | None = Field(None, description="service of the local backend server")
+    service: Name | None = Field(
+        None, description="service of the local backend server"
+    )
     backend: Address | None = Field(
         None, description="address of the local backend server, HTTP"
     )
--- a/src/berylmast/telemetry/logs.py
+++ b/src/berylmast/telemetry/logs.py
@@ -51,6 +51,14 @@
     return f'"{printable}"'
 
 
+def escape_text(text: str, max_length: int) -> str:
+    """Return a text of another program as ASCII of at most ``max_length`` characters.
+
+    Lone surrogates in it would make a log line that can't be written.
+    """
+    return text[:max_length].encode("ascii", "backslashreplace").decode()[:max_length]
+
+
 class BoundedHandler(QueueHandler):
     """Queues records for the writer thread; drops them while the queue is full."""
 
