Read the entries beside one that can't be decoded

One entry of another writer, nested 2,000 deep, made the decoder fail for the whole page of the list; bytes that are not UTF-8, control characters and very long numbers did the same, on single reads and watches too.

A text that can't be decoded as a whole is decoded without the values that are too deep or too long. A record has to name the server that its object is named after, so that another writer's entry can't replace that of a daemon.

--- a/src/berylmast/operators/fleet_status.py
+++ b/src/berylmast/operators/fleet_status.py
@@ -5,7 +5,7 @@
 
 from ..model import Endpoint, EndpointState
 from ..platform import ObjectStore
-from ..platform.records import ENDPOINT_KIND, parse_record
+from ..platform.records import ENDPOINT_KIND, parse_object
 from .revisions import read_revision
 
 
@@ -57,6 +57,6 @@
 
     Invalid records are skipped.
     """
-    parsed = [parse_record(i.spec) for i in (await client.list(ENDPOINT_KIND)).items]
+    parsed = [parse_object(i) for i in (await client.list(ENDPOINT_KIND)).items]
     records = [result.unwrap() for result in parsed if result.is_ok()]
     return tuple(sorted(records, key=lambda record: record.backend))
--- a/src/berylmast/platform/platform_store.py
+++ b/src/berylmast/platform/platform_store.py
@@ -1,8 +1,9 @@
 """Implements the daemon's ``Store`` interface with the platform's object store."""
 
+from ..identifiers import MAX_ID_LENGTH
 from ..membership.store import StoredDocument, StoredRecord, UndecodedRecord
 from ..model import Endpoint
-from ..telemetry import log_event
+from ..telemetry import escape_text, log_event
 from . import records
 from .objects import ObjectStore, StoredObject
 
@@ -71,8 +72,9 @@
 
 
 def _parse_stored_record(item: StoredObject) -> StoredRecord | None:
-    parsed = records.parse_record(item.spec)
+    parsed = records.parse_object(item)
     if parsed.is_err():
-        log_event("record_unreadable", backend=item.name, reason=parsed.unwrap_err())
+        name = escape_text(item.name, MAX_ID_LENGTH)
+        log_event("record_unreadable", backend=name, reason=parsed.unwrap_err())
         return None
     return StoredRecord(parsed.unwrap(), item.revision)
--- a/src/berylmast/platform/records.py
+++ b/src/berylmast/platform/records.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from ..model import Endpoint
+from .objects import StoredObject
 
 ENDPOINT_KIND = "berylmast-endpoints"
 """Kind of the endpoint objects; each is named after its backend server's id."""
@@ -30,5 +31,20 @@
         # Strict validation accepts the text of a state in JSON only.
         text = json.dumps(spec)
         return Ok(_ENDPOINT_ADAPTER.validate_json(text, strict=True))
-    except (ValidationError, RecursionError) as exc:
-        return Err(str(exc).splitlines()[0])
+    except ValidationError as exc:
+        error = exc.errors()[0]
+        return Err(f"{error['loc']}: {error['msg']}")
+    except RecursionError as exc:
+        return Err(str(exc))
+
+
+def parse_object(item: StoredObject) -> Result[Endpoint, str]:
+    """Validate an object of the store; the error says what is invalid.
+
+    A record of another backend server than the one that the object is named after must
+    not replace the record of that one.
+    """
+    parsed = parse_record(item.spec)
+    if parsed.is_ok() and parsed.unwrap().backend != item.name:
+        return Err("the record names another backend server than its object")
+    return parsed
--- a/src/berylmast/platform/store_client.py
+++ b/src/berylmast/platform/store_client.py
@@ -2,14 +2,15 @@
 
 import json
 from collections.abc import AsyncIterator
-from typing import Any, TypeVar
+from typing import Annotated, Any, TypeVar
 from urllib.parse import quote, urlencode
 
 import anyio
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
 
 from ..http_client import ConnectionCut, HttpClient, ServerUnreachable
 from ..settings import Address
+from ._json import decode_json
 from .objects import (
     Changes,
     Conflict,
@@ -33,6 +34,9 @@
 
 MAX_CONNECTIONS = 4
 
+_NAME_ERRORS = "surrogateescape"
+"""Bytes of a name that are no text go back to the store as they came."""
+
 MAX_RESPONSE_BYTES = 8 * 1024 * 1024
 """A page of a list has about 1 MB, and a single object as much at most."""
 
@@ -41,8 +45,15 @@
     model_config = ConfigDict(extra="ignore", frozen=True)
 
 
+def _escape_surrogates(name: object) -> object:
+    """Return a name as a text that can be encoded, a value of another type as it is."""
+    if not isinstance(name, str):
+        return name
+    return name.encode("utf-8", "backslashreplace").decode()
+
+
 class _Metadata(_WireModel):
-    name: str
+    name: Annotated[str, BeforeValidator(_escape_surrogates)]
     revision: int = 0
     deleting: bool = False
 
@@ -102,7 +113,7 @@
             options = {"staleOk": "1"} if stale else {}
             if after:
                 options["after"] = after
-            query = f"?{urlencode(options)}" if options else ""
+            query = f"?{urlencode(options, errors=_NAME_ERRORS)}" if options else ""
             status, data = await self._call("GET", _make_path(kind) + query)
             if status != 200:
                 raise PlatformUnavailable(f"the store responded with status {status}")
@@ -110,7 +121,7 @@
             items.extend(_make_stored_object(item) for item in page.items)
             if not page.has_more or not page.items:
                 return Listing(page.at, tuple(items))
-            after = page.items[-1].metadata.name
+            after = data["items"][-1]["metadata"]["name"]
 
     async def put(
         self, kind: str, name: str, spec: object, revision: int | None
@@ -189,7 +200,7 @@
                     method, BASE_PATH + path, headers, _iterate(content)
                 ) as response:
                     data = await _read_body(response.body)
-            return response.status, json.loads(data) if data else None
+            return response.status, decode_json(data) if data else None
         except TimeoutError as exc:
             # A connection that went silent may not be the only one: the next call opens
             # a new one.
@@ -199,8 +210,6 @@
             ServerUnreachable,
             ConnectionCut,
             ValueError,
-            # Raised for JSON that is nested too deeply.
-            RecursionError,
         ) as exc:
             sent = not isinstance(exc, ServerUnreachable)
             raise PlatformUnavailable(f"{method} {path}: {exc!r}", sent=sent) from exc
