End only the exchange of a frame that can't be encoded

An encoder error in the writer task of a connection between two daemons ended the connection, and with it every exchange on it: answers under way were cut for a fault of one request.

The exchange of the frame is marked as lost and reset at the peer; the others go on. Both cases of the new test failed before (connection closed).

--- a/src/berylmast/daemons/connection.py
+++ b/src/berylmast/daemons/connection.py
@@ -187,6 +187,8 @@
                 await self._frame_queued.wait()
             while self._send_queue:
                 data = self._encode_batch()
+                if not data:
+                    continue
                 self.bytes_sent += len(data)
                 try:
                     await self._stream.send(data)
@@ -201,11 +203,23 @@
             frame = self._send_queue.take()
             if frame is None:
                 break
-            part = encode_frame(frame)
+            try:
+                part = encode_frame(frame)
+            except Exception as exc:
+                self._fail_exchange(frame, exc)
+                continue
             parts.append(part)
             size += len(part)
         return b"".join(parts)
 
+    def _fail_exchange(self, frame: Frame, exc: Exception) -> None:
+        """End the exchange of a frame that can't be encoded, and no other one."""
+        log_event("fault", exchange=frame.exchange, reason=repr(exc))
+        exchange = self._exchanges.pop(frame.exchange, None)
+        if exchange is not None:
+            self.write(Reset(exchange.id, ErrorKind.INTERNAL))
+            exchange.mark_lost()
+
     async def _read_frames(self, tg: anyio.abc.TaskGroup) -> None:
         while True:
             try:
--- a/src/berylmast/daemons/tests/test_connection.py
+++ b/src/berylmast/daemons/tests/test_connection.py
@@ -9,6 +9,7 @@
 from anyio.lowlevel import checkpoint
 from anyio.streams.stapled import StapledObjectStream
 
+from ...model import AttemptId, LoadReport
 from .. import frames
 from ..codec import encode_frame
 from ..connection import (
@@ -132,6 +133,37 @@
     assert "fault" in caplog.messages
 
 
+@pytest.mark.parametrize("by_owner", [False, True], ids=["entry", "owner"])
+async def test_frame_that_cannot_be_encoded_ends_only_its_exchange(
+    by_owner: bool,
+) -> None:
+    """One caller's deadline ended all requests between two daemons."""
+    load = LoadReport("b", 1, 2**70, 0, 0, 1, 1.0, 0.0)
+
+    async def accept(exchange: Exchange, frame: frames.OpeningFrame) -> None:
+        if isinstance(frame, frames.Query) and by_owner:
+            await exchange.send(frames.Load(exchange.id, load))
+        await exchange.wait_reset()
+
+    async with connect(accept) as (conn, _):
+        sound = conn.open_exchange()
+        await sound.send(frames.Probe(sound.id))
+        failing = conn.open_exchange()
+        counter = 1 if by_owner else 2**70
+        attempt = AttemptId("a", 1, counter)
+        await failing.send(frames.Query(failing.id, attempt))
+        with anyio.fail_after(1):
+            if by_owner:
+                assert isinstance(await failing.receive(), frames.Reset)
+            else:
+                with pytest.raises(ExchangeLost):
+                    await failing.receive()
+        await anyio.sleep(1)
+        assert not conn.closed
+        assert not sound.lost
+        assert conn.open_exchange_count == 1 + by_owner
+
+
 async def test_other_tasks_run_while_a_peer_sends_many_short_frames() -> None:
     """All frames of one read were handled before any other task ran."""
     turns = 0
