Bound the numbers of a configuration

Durations, priorities, sizes and the version of a configuration had no upper bound. They go on into the heads of requests, whose frames carry 64 bits, so a configuration with a longer number would have ended every exchange that used its route.

--- a/src/berylmast/platform/configuration.py
+++ b/src/berylmast/platform/configuration.py
@@ -1,8 +1,11 @@
 """Converts the platform's configuration object to a ``Configuration``."""
 
+from typing import Annotated
+
 from pydantic import BaseModel, ConfigDict, Field, ValidationError, model_validator
 from result import Err, Ok, Result
 
+from ..identifiers import ExactInt
 from ..model import ServiceSlice
 from ..routes import CallerLimits, Configuration, HostRoute, RoutePart
 from ..routing.policies import LEAST_DELAY
@@ -18,22 +21,30 @@
 """Used until the backend server has reported its slots."""
 
 
+MAX_DURATION_S = 24 * 3600.0
+MAX_RANK = 1_000_000
+MAX_BYTES = 2**40
+
+_Duration = Annotated[Seconds, Field(gt=0, le=MAX_DURATION_S)]
+_ByteLimit = Annotated[int, Field(gt=0, le=MAX_BYTES)]
+
+
 class _WireModel(BaseModel):
     model_config = ConfigDict(extra="ignore", frozen=True)
 
 
 class _SplitTarget(_WireModel):
     service: str
-    weight: float = Field(ge=0)
+    weight: float = Field(ge=0, allow_inf_nan=False)
 
 
 class _Route(_WireModel):
     name: str
     path_prefix: str = Field(alias="pathPrefix", pattern="^/(.*/)?$")
     kind: str
-    timeout: Seconds = Field(gt=0)
-    target_latency: Seconds = Field(alias="targetLatency", gt=0)
-    priority: int = 0
+    timeout: _Duration
+    target_latency: _Duration = Field(alias="targetLatency")
+    priority: int = Field(0, ge=-MAX_RANK, le=MAX_RANK)
     max_attempts: int = Field(1, alias="maxAttempts", ge=1)
     service: str | None = None
     traffic_split: tuple[_SplitTarget, ...] = Field((), alias="trafficSplit")
@@ -61,14 +72,14 @@
 
 
 class _Limits(_WireModel):
-    max_header_bytes: int = Field(alias="maxHeaderBytes", gt=0)
-    max_body_bytes: int = Field(alias="maxBodyBytes", gt=0)
-    header_timeout: Seconds = Field(alias="headerTimeout", gt=0)
-    idle_timeout: Seconds = Field(alias="idleTimeout", gt=0)
+    max_header_bytes: _ByteLimit = Field(alias="maxHeaderBytes")
+    max_body_bytes: _ByteLimit = Field(alias="maxBodyBytes")
+    header_timeout: _Duration = Field(alias="headerTimeout")
+    idle_timeout: _Duration = Field(alias="idleTimeout")
 
 
 class _Document(_WireModel):
-    version: int = Field(ge=1)
+    version: ExactInt = Field(ge=1)
     services: tuple[_Service, ...]
     limits: _Limits
     virtual_hosts: tuple[_Host, ...] = Field(alias="virtualHosts")
