Bound the deadlines that callers send

A caller's X-Deadline-Ms of 1e20 was accepted and kept among the deadlines from which the waiting time of other callers of the route is reckoned. Their requests then had a latency target that no frame can carry, and their exchanges failed.

--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -31,6 +31,9 @@
 )
 READ_AHEAD_BYTES = 64 * 1024
 
+MAX_DEADLINE_MS = 24 * 3600 * 1000
+"""Longest deadline that counts; a caller that waits longer waits for as long."""
+
 _MISDIRECTED_REQUEST = 421
 _NORMAL_SLOWDOWN_PERCENT = 100.0
 
@@ -66,9 +69,12 @@
     """Return the caller's timeout in milliseconds, None if absent or malformed."""
     text = _get_header(headers, DEADLINE_MS_HEADER).decode("latin-1").strip()
     try:
-        return max(0, int(float(text)))
-    except (ValueError, OverflowError):
+        deadline_ms = float(text)
+    except ValueError:
+        return None
+    if not math.isfinite(deadline_ms):
         return None
+    return int(min(max(0.0, deadline_ms), MAX_DEADLINE_MS))
 
 
 def set_caller_service(headers: Headers, service: str) -> list[tuple[bytes, bytes]]:
--- a/src/berylmast/platform/tests/test_requests.py
+++ b/src/berylmast/platform/tests/test_requests.py
@@ -9,6 +9,7 @@
 from ...model import BackendLoad, BackendNotice, Headers
 from ...tests.fake_parts import make_head
 from ..requests import (
+    MAX_DEADLINE_MS,
     classify_response,
     is_stray,
     make_backend_head,
@@ -92,7 +93,16 @@
 
 @pytest.mark.parametrize(
     ("value", "expected"),
-    [(b"2000", 2000), (b"-5", 0), (b"soon", None), (b"inf", None), (b"1e3", 1000)],
+    [
+        (b"2000", 2000),
+        (b"-5", 0),
+        (b"soon", None),
+        (b"inf", None),
+        (b"nan", None),
+        (b"1e3", 1000),
+        (b"1e20", MAX_DEADLINE_MS),
+        (b"-1e20", 0),
+    ],
 )
 def test_deadline_header_is_parsed(value: bytes, expected: int | None) -> None:
     assert read_deadline_ms([(b"x-deadline-ms", value)]) == expected
