End only the comparison or probe in which an error is raised

Each of these tasks is now logged and ends alone. The new test failed before: the gossip task was started again for every error.

--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -7,7 +7,8 @@
 """
 
 import zlib
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
+from functools import partial
 from random import Random
 
 import anyio
@@ -26,6 +27,7 @@
     Tell,
 )
 from ..model import Endpoint
+from ..supervision import run_logged
 from ..telemetry import log_event
 from .active_document import ActiveDocument
 from .digest import Digest, parse_digest
@@ -77,7 +79,7 @@
             try:
                 await self._wait_for_first_peer()
                 while True:
-                    tg.start_soon(self._run_round, tg)
+                    self._start(self._run_round)
                     interval_s = COMPARE_INTERVAL_S * self._rng.uniform(0.75, 1.25)
                     await anyio.sleep(interval_s)
             finally:
@@ -93,27 +95,30 @@
             while self._fleet.size == 1:
                 await anyio.sleep(_FIRST_PEER_POLL_S)
 
-    async def _run_round(self, tg: TaskGroup) -> None:
+    def _start(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a task in the background, without effect on the others if it fails."""
+        if self._tg is not None:
+            self._tg.start_soon(run_logged, "gossip", run)
+
+    async def _run_round(self) -> None:
         """Compare with one daemon, and with others if it does not respond soon."""
         for _ in range(MAX_PEERS_PER_ROUND):
             peer = self._fleet.choose_comparison_peer()
             if peer is None:
                 return
             responded = anyio.Event()
-            tg.start_soon(self.compare_with, peer, responded.set)
+            self._start(partial(self.compare_with, peer, responded.set))
             with anyio.move_on_after(COMPARE_HEDGE_DELAY_S):
                 await responded.wait()
                 return
 
     def broadcast(self, records: list[Endpoint]) -> None:
         """Send records to the other daemons in the background."""
-        if self._tg is None:
-            return
         frame = Tell(
             CONNECTION_EXCHANGE_ID, tuple(pack_record(record) for record in records)
         )
         for peer in self._fleet.choose_record_targets():
-            self._tg.start_soon(self._send_to_peer, peer, frame)
+            self._start(partial(self._send_to_peer, peer, frame))
 
     def spread_document(self) -> None:
         """Pass a configuration from the store on to other daemons in the background."""
@@ -238,18 +243,15 @@
         Relays to random daemons leave some out, which would wait for their own next
         comparison.
         """
-        if self._tg is not None:
-            self._tg.start_soon(self._compare_in_region_later)
+        self._start(self._compare_in_region_later)
 
     async def _compare_in_region_later(self) -> None:
         await anyio.sleep(REGIONAL_SPREAD_DELAY_S)
         self._compare_soon(self._fleet.choose_regional_targets())
 
     def _compare_soon(self, peers: Iterable[Endpoint]) -> None:
-        if self._tg is None:
-            return
         for peer in peers:
-            self._tg.start_soon(self.compare_with, peer)
+            self._start(partial(self.compare_with, peer))
 
     async def _send_document(self, exchange: Exchange) -> None:
         data = zlib.compress(self._active_document.text)
--- a/src/berylmast/membership/tests/test_membership.py
+++ b/src/berylmast/membership/tests/test_membership.py
@@ -111,6 +111,33 @@
     assert "record_unreadable" in caplog.messages
 
 
+async def test_error_in_one_comparison_ends_no_other_one(
+    caplog: pytest.LogCaptureFixture, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """It ended the task that compares, with all comparisons and messages under way."""
+    caplog.set_level(logging.INFO, "berylmast")
+    async with run_fleet() as fleet:
+        await start_all(fleet)
+        gossip = fleet.daemons["a0"].gossip
+        group = gossip._tg
+        failed: list[str] = []
+
+        async def fail(exchange: object) -> None:
+            failed.append("a0")
+            raise RuntimeError("unexpected")
+
+        monkeypatch.setattr(gossip, "_receive_response", fail)
+        await anyio.sleep(5)
+        assert len(failed) >= 3
+        assert caplog.messages.count("task_failed") == len(failed)
+        assert gossip._tg is group, "the task was started again"
+        fleet.daemons["a0"].announce_state(EndpointState.DRAINING)
+        await anyio.sleep(0.1)
+        known = fleet.daemons["b0"].registry.get("a0")
+        assert known is not None
+        assert known.state is EndpointState.DRAINING
+
+
 async def test_undecodable_record_of_this_daemon_is_replaced(
     caplog: pytest.LogCaptureFixture,
 ) -> None:
--- a/src/berylmast/routing/probes.py
+++ b/src/berylmast/routing/probes.py
@@ -1,6 +1,7 @@
 """Background probes that request load reports, limited by a budget."""
 
 from collections.abc import Callable, Sequence
+from functools import partial
 from random import Random
 from weakref import WeakSet
 
@@ -10,6 +11,7 @@
 from ..daemons.codec import encode_frame
 from ..daemons.frames import Hello, Load, Probe
 from ..model import Budgets, Endpoint, LoadReport
+from ..supervision import run_logged
 from ._bucket import TokenBucket
 
 PROBE_INTERVAL_S = 0.1
@@ -100,7 +102,7 @@
             if not self._budget.try_reserve(anyio.current_time()):
                 return
             self._pending.add(endpoint.backend)
-            tg.start_soon(self._probe, endpoint)
+            tg.start_soon(run_logged, "prober", partial(self._probe, endpoint))
 
     async def _probe(self, endpoint: Endpoint) -> None:
         size = 0
