Replace no server by a record that is already superseded

A batch of records with a server's READY and then its GONE record set the records of the other servers at its address to GONE, as the registry looked at both. Only the newest record of a server replaces others now.

--- a/src/berylmast/membership/registry.py
+++ b/src/berylmast/membership/registry.py
@@ -47,7 +47,9 @@
         for record in changed:
             address = (record.host, record.port)
             self._backends_by_address.setdefault(address, set()).add(record.backend)
-        for record in list(changed):
+        # A later one of the given records may have superseded an earlier one.
+        newest = [r for r in changed if self._table.get(r.backend) is r]
+        for record in newest:
             changed += self._table.merge(self._list_replaced_as_gone(record))
         if not changed:
             return []
