--- a/src/berylmast/backends/backend_state.py
+++ b/src/berylmast/backends/backend_state.py
@@ -48,7 +48,8 @@
 
     Reports can arrive out of order, and a report of a stopped server can arrive after
     another server has started at the same address. The server with the latest start
-    time takes precedence. ``left`` is True once the current server has departed.
+    time takes precedence, unless it is known which one is at the address. ``left`` is
+    True once the current server has departed.
     """
 
     def __init__(self) -> None:
@@ -69,12 +70,21 @@
         known = self.current
         if known is not None and report.order <= known.order:
             return False
-        if report.born_ms <= self._departures.get(report.backend, -1):
+        if self.has_departed(report):
             return False
         self.current = report
         self.left = False
         return True
 
+    def has_departed(self, report: BackendReport) -> bool:
+        """Return whether the sender of a report has departed since its start."""
+        return report.born_ms <= self._departures.get(report.backend, -1)
+
+    def replace_current(self, report: BackendReport) -> None:
+        """Take the sender of a report for the current server, whenever it started."""
+        self.current = report
+        self.left = False
+
     def apply_departure(self, departure: Departure) -> bool:
         """Record a departure; return False if it is not of the current server."""
         known = self.current
--- a/src/berylmast/backends/interface.py
+++ b/src/berylmast/backends/interface.py
@@ -31,7 +31,8 @@
     ``read_notice`` returns what a response with the given status and headers states
     about the server that was asked, None if another server may have sent it.
     ``read_health_notice`` does so for a response of the health endpoint, given the id
-    of the backend server.
+    of the backend server. ``read_health_sender`` returns the id that such a response
+    names as its sender, empty if it names none.
     Up to ``read_ahead_bytes`` of a response body are buffered before any of it is
     forwarded, so that a request whose short response is cut off can still be retried.
     """
@@ -42,6 +43,7 @@
     read_load: Callable[[Headers], BackendLoad | None]
     read_notice: Callable[[int, Headers], BackendNotice | None]
     read_health_notice: Callable[[str, Headers], BackendNotice | None]
+    read_health_sender: Callable[[Headers], str]
     read_ahead_bytes: int = 0
 
 
@@ -52,4 +54,5 @@
     read_load=lambda _headers: None,
     read_notice=lambda _status, _headers: None,
     read_health_notice=lambda _backend, _headers: None,
+    read_health_sender=lambda _headers: "",
 )
--- a/src/berylmast/backends/report_handler.py
+++ b/src/berylmast/backends/report_handler.py
@@ -47,6 +47,10 @@
 """Maximum sequence number of a report: its records sort before a departure."""
 
 
+async def _ask_nobody() -> str:
+    return ""
+
+
 class BackendReportHandler:
     """Updates admission control and this daemon's endpoint record from the reports.
 
@@ -58,7 +62,8 @@
     returns whether the current server states its leaving in responses; that counts even
     if its reports say that it is ready. ``unix_time`` returns Unix time in seconds, the
     clock of the start times in reports. With ``repeats`` a running server goes on
-    reporting, and one that does not is taken for one that left.
+    reporting, and one that does not is taken for one that left. ``ask_sender`` returns
+    the id of the server that responds at the address, empty if it is not known.
     """
 
     def __init__(
@@ -76,6 +81,7 @@
         tg: TaskGroup,
         unix_time: Callable[[], float] = time.time,
         repeats: bool = True,
+        ask_sender: Callable[[], Awaitable[str]] = _ask_nobody,
     ) -> None:
         self._unix_time = unix_time
         self._backend_state = backend_state
@@ -92,6 +98,7 @@
         self._record: Endpoint | None = None
         self._leaving = False
         self._repeats = repeats
+        self._ask_sender = ask_sender
         self._report_stream = ReportStream(anyio.current_time())
 
     async def handle_report(self, report: BackendReport) -> Result[None, str]:
@@ -103,7 +110,16 @@
         if self._has_left(report):
             log_event("report_of_departed", backend=report.backend, order=report.order)
             return Ok(None)
-        if not self._backend_state.apply_report(report):
+        sender = await self._find_sender(report)
+        current = self._backend_state.current
+        if sender == report.backend:
+            self._backend_state.replace_current(report)
+        elif current is not None and sender == current.backend != report.backend:
+            if report.order > current.order:
+                return Err(f"{current.backend} responds at the address of the server")
+            log_event("report_outdated", backend=report.backend, order=report.order)
+            return Ok(None)
+        elif not self._backend_state.apply_report(report):
             log_event("report_outdated", backend=report.backend, order=report.order)
             return Ok(None)
         if self._repeats:
@@ -112,6 +128,19 @@
             await self._wait_stored(STORE_TIMEOUT_S)
         return Ok(None)
 
+    async def _find_sender(self, report: BackendReport) -> str:
+        """Return which server is at the address if a report names another one.
+
+        Empty if the server there does not say who it is: the latest start counts then.
+        A report of another writer may name any server and any start.
+        """
+        current = self._backend_state.current
+        if current is None or report.backend == current.backend:
+            return ""
+        if self._backend_state.has_departed(report):
+            return ""
+        return await self._ask_sender()
+
     def _follow_report_stream(self, report: BackendReport) -> None:
         """Take a server whose second report is overdue for one that left.
 
@@ -265,6 +294,9 @@
             slots=report.slots,
         )
         self._admission.set_backend(report.backend, report.born_ms)
+        if old is not None and old.incarnation > record.incarnation:
+            # Its record would outlast that of the server which is at the address.
+            self._publish(replace(old, seq=FINAL_SEQ, state=EndpointState.GONE))
         self._publish(record)
         if state is EndpointState.READY:
             self._admission.draining = False
--- a/src/berylmast/backends/tests/test_report_handler.py
+++ b/src/berylmast/backends/tests/test_report_handler.py
@@ -13,6 +13,8 @@
 import pytest
 
 from ...limits import SlotAdmission
+from ...membership import Directory
+from ...membership.registry import EndpointRegistry
 from ...model import DaemonLocation, Endpoint, EndpointState
 from ..backend_state import BackendState, Departure
 from ..report_handler import (
@@ -51,6 +53,7 @@
     is_backend_leaving: Callable[[], bool] = lambda: False,
     get_known_record: Callable[[str], Endpoint | None] | None = None,
     repeats: bool = True,
+    sender: str = "",
 ) -> AsyncIterator[Parts]:
     admission = SlotAdmission("d1", 1, lambda: None)
     published: list[Endpoint] = []
@@ -62,6 +65,9 @@
             return True
         return False
 
+    async def ask_sender() -> str:
+        return sender
+
     async with anyio.create_task_group() as tg:
         handler = BackendReportHandler(
             BackendState(),
@@ -77,6 +83,7 @@
             tg,
             lambda: REPORT.born_ms / 1000 + UPTIME_S,
             repeats,
+            ask_sender,
         )
         yield Parts(handler, admission, published, stored)
         tg.cancel_scope.cancel()
@@ -380,3 +387,56 @@
         await parts.handler.handle_report(REPORT)
         await parts.handler.handle_departure(Departure("i-1", 0))
         assert caplog.messages.count("departure_unstored") == 1
+
+
+@pytest.mark.parametrize(
+    ("born_ms", "sender", "accepted", "current"),
+    [
+        (20, "i-2", True, "i-2"),
+        (20, "i-1", False, "i-1"),
+        (20, "", True, "i-2"),
+        (20, "i-3", True, "i-2"),
+        (5, "i-2", True, "i-2"),
+        (5, "i-1", True, "i-1"),
+        (5, "", True, "i-1"),
+    ],
+    ids=[
+        "successor",
+        "other-writer",
+        "successor-unasked",
+        "successor-of-a-third",
+        "successor-after-a-clock-step",
+        "late-report",
+        "late-report-unasked",
+    ],
+)
+async def test_server_at_the_address_says_whose_reports_count(
+    born_ms: int, sender: str, accepted: bool, current: str
+) -> None:
+    """A report of another writer displaced the server that is there."""
+    async with run_report_handler(sender=sender) as parts:
+        await parts.handler.handle_report(replace(REPORT, sequence=1))
+        await parts.handler.handle_report(replace(REPORT, sequence=2))
+        result = await parts.handler.handle_report(make_report("i-2", born_ms))
+        assert result.is_ok() is accepted
+        assert parts.published[-1].backend == current
+        own = make_report(current, REPORT.born_ms if current == "i-1" else born_ms, 3)
+        assert (await parts.handler.handle_report(own)).is_ok()
+        assert parts.states[-1] is EndpointState.READY
+        assert not parts.admission.draining
+
+
+async def test_first_report_of_another_writer_does_not_outlast_the_server() -> None:
+    """It named a start far in the future, so no later report counted."""
+    registry = EndpointRegistry(Directory())
+    async with run_report_handler(sender="i-1") as parts:
+        await parts.handler.handle_report(make_report("i-9", 10**15))
+        assert (await parts.handler.handle_report(REPORT)).is_ok()
+        assert (
+            await parts.handler.handle_report(make_report("i-9", 10**15, 2))
+        ).is_err()
+        registry.merge(parts.published)
+        ready = [
+            r.backend for r in registry.records() if r.state is EndpointState.READY
+        ]
+        assert ready == ["i-1"]
--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -168,12 +168,17 @@
 
 def read_health_notice(backend: str, headers: Headers) -> BackendNotice | None:
     """Return what a health response states, None if it names another server."""
-    sender = _get_header(headers, INSTANCE_ID_HEADER).decode("latin-1")
+    sender = read_health_sender(headers)
     if sender and sender != backend:
         return None
     return _parse_notice(headers)
 
 
+def read_health_sender(headers: Headers) -> str:
+    """Return the id of the server that sent a health response, empty without one."""
+    return _get_header(headers, INSTANCE_ID_HEADER).decode("latin-1")
+
+
 def _parse_notice(headers: Headers) -> BackendNotice:
     leaving = _get_header(headers, LEAVING_HEADER).strip() == b"1"
     text = _get_header(headers, RATE_LIMIT_HEADER).decode("latin-1").strip()
@@ -195,6 +200,7 @@
     read_load=read_load,
     read_notice=read_notice,
     read_health_notice=read_health_notice,
+    read_health_sender=read_health_sender,
     read_ahead_bytes=READ_AHEAD_BYTES,
 )
 
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -1,6 +1,6 @@
 """Creates the components of one daemon from its settings."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 from itertools import count
 
@@ -14,6 +14,7 @@
 from .backends.load_monitor import LoadMonitor
 from .backends.notice_tracker import NoticeTracker
 from .backends.report_handler import BackendReportHandler
+from .backends.sender_query import make_sender_query
 from .daemons import Exchange, ExchangeHandler, Identity, PeerListener
 from .daemons.frames import Compare, OpeningFrame
 from .http_client import HttpClient
@@ -60,6 +61,7 @@
     backend_state: BackendState
     load_monitor: LoadMonitor
     notices: NoticeTracker
+    ask_sender: Callable[[], Awaitable[str]]
 
     @classmethod
     def make(
@@ -123,7 +125,10 @@
             on_notice=notices.record_response,
             on_known_rate_limit=notices.adopt_rate_limit,
         )
-        return cls(admission, owner, backend_state, load_monitor, notices)
+        ask_sender = make_sender_query(
+            cfg.backend, client, get_health_path, adapter.backend.read_health_sender
+        )
+        return cls(admission, owner, backend_state, load_monitor, notices, ask_sender)
 
     def start_tracking(
         self,
@@ -147,6 +152,7 @@
             lambda: self.notices.leaving,
             tg,
             repeats=cfg.announcements is not None,
+            ask_sender=self.ask_sender,
         )
         self.notices.set_leaving_listener(report_handler.handle_leaving_notice)
 
