Withdraw waiting requests before a stopping daemon ends

0.8 s before the end the daemon resets the exchanges that no owner has admitted and asks the owners. What has not run is refused (503, not-run, Retry-After); an owner that can't be asked leaves the outcome unknown. Requests that a server has begun go on as before.

--- a/src/berylmast/callers/attempt.py
+++ b/src/berylmast/callers/attempt.py
@@ -14,6 +14,11 @@
 from .context import ForwardingContext, RequestProgress, ResponseSink
 from .outcome_query import make_refusal_after_dispatch, query_outcome
 from .request_body import RequestBody
+from .withdrawal import WaitingAttempt
+
+_WITHDRAWN = Refusal(
+    ErrorKind.DRAINING, "this daemon stops, and no server was free before"
+)
 
 RESERVED_RESPONSE_HEADERS = frozenset(
     {b"berylmast-outcome", b"berylmast-error", b"berylmast-replayed"}
@@ -81,14 +86,26 @@
     response: ResponseSink,
     progress: RequestProgress,
 ) -> Result[None, Refusal]:
+    waiting = context.withdrawals.start_waiting()
+    result: Result[None, Refusal] | None = None
+    incarnation: int | None = None
+    opened = False
     try:
-        async with context.open_exchange(endpoint) as exchange:
-            incarnation = exchange.peer_incarnation
-            result = await _run_exchange(
-                context.router, exchange, req, body, response, progress
-            )
+        with waiting.scope:
+            async with context.open_exchange(endpoint) as exchange:
+                opened = True
+                incarnation = exchange.peer_incarnation
+                result = await _run_exchange(
+                    context.router, exchange, req, body, response, progress, waiting
+                )
     except ConnectionLost as exc:
         return Err(Refusal(ErrorKind.PEER_UNREACHABLE, str(exc)))
+    finally:
+        waiting.end()
+    if waiting.withdrawn:
+        if not opened:
+            return Err(_WITHDRAWN)
+        return await _resolve_withdrawn(context, endpoint, req, incarnation, response)
     if result is not None:
         return result
     if response.started:
@@ -102,6 +119,22 @@
     return queried
 
 
+async def _resolve_withdrawn(
+    context: ForwardingContext,
+    endpoint: Endpoint,
+    req: ClassifiedRequest,
+    incarnation: int | None,
+    response: ResponseSink,
+) -> Result[None, Refusal]:
+    """Return what the owner says of an attempt that was reset while it waited."""
+    queried = await query_outcome(
+        context.open_exchange, endpoint, req.head.attempt, incarnation, response
+    )
+    if queried.is_err() and queried.unwrap_err().not_run:
+        return Err(_WITHDRAWN)
+    return queried
+
+
 async def _run_exchange(
     router: Router,
     exchange: Exchange,
@@ -109,6 +142,7 @@
     body: RequestBody,
     response: ResponseSink,
     progress: RequestProgress,
+    waiting: WaitingAttempt,
 ) -> Result[None, Refusal] | None:
     """Send the request and relay the response.
 
@@ -121,7 +155,7 @@
     progress.may_have_run = True
     if not req.head.has_body:
         result = await _relay_response(
-            router, exchange, req, body, response, _skip_body
+            router, exchange, req, body, response, _skip_body, waiting
         )
         progress.answered = result is not None and result.is_ok()
         return result
@@ -134,7 +168,7 @@
         if body.eager:
             start_body()
         result = await _relay_response(
-            router, exchange, req, body, response, start_body
+            router, exchange, req, body, response, start_body, waiting
         )
         progress.answered = result is not None and result.is_ok()
         tg.cancel_scope.cancel()
@@ -163,10 +197,11 @@
     body: RequestBody,
     response: ResponseSink,
     start_body: Callable[[], None],
+    waiting: WaitingAttempt,
 ) -> Result[None, Refusal] | None:
     try:
         return await _relay_response_frames(
-            router, exchange, req, body, response, start_body
+            router, exchange, req, body, response, start_body, waiting
         )
     except ExchangeLost:
         return None
@@ -179,12 +214,14 @@
     body: RequestBody,
     response: ResponseSink,
     start_body: Callable[[], None],
+    waiting: WaitingAttempt,
 ) -> Result[None, Refusal]:
     def record_load(report: LoadReport) -> None:
         router.record_load(report, exchange.peer_incarnation)
 
     while True:
         frame = await exchange.receive()
+        waiting.end()
         match frame:
             case Continue():
                 if req.head.has_body and not body.eager:
--- a/src/berylmast/callers/context.py
+++ b/src/berylmast/callers/context.py
@@ -2,13 +2,14 @@
 
 from collections.abc import Callable, Sequence
 from contextlib import AbstractAsyncContextManager
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from ..daemons import Exchange
 from ..limits import RetryBudget, Shedder
 from ..model import AttemptId, Endpoint, Headers
 from ..routing import Router
+from .withdrawal import Withdrawals
 
 OpenExchange = Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]
 
@@ -40,7 +41,8 @@
     """The collaborators of forwarding, shared by all requests of an entry.
 
     ``retries`` is the retry budget. ``endpoints`` returns all ready endpoints of a
-    service; it is used to select the holders of an idempotency key.
+    service; it is used to select the holders of an idempotency key. ``withdrawals``
+    holds the attempts that wait for admission.
     """
 
     router: Router
@@ -49,6 +51,7 @@
     open_exchange: OpenExchange
     next_attempt: Callable[[], AttemptId]
     endpoints: Callable[[str], Sequence[Endpoint]]
+    withdrawals: Withdrawals = field(default_factory=Withdrawals)
 
 
 @dataclass(slots=True)
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -125,6 +125,8 @@
         selector.record(placement.endpoint, refusal)
         if response.started or not _may_retry(req, refusal, body):
             break
+        if context.withdrawals.began:
+            break
     return Err(
         final_refusal or Refusal(ErrorKind.NO_BACKEND, "no attempt could be made")
     )
--- a/src/berylmast/callers/outcome_query.py
+++ b/src/berylmast/callers/outcome_query.py
@@ -26,7 +26,7 @@
     open_exchange: OpenExchange,
     endpoint: Endpoint,
     attempt: AttemptId,
-    incarnation: int,
+    incarnation: int | None,
     response: ResponseSink,
 ) -> Result[None, Refusal]:
     """Query the owner over new streams and relay the response that it stored.
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -206,6 +206,7 @@
             make_request_counter(
                 listener, local_backend.admission if local_backend else None
             ),
+            forwarding_context.withdrawals.begin,
         )
         log_event("stopped", daemon=cfg.daemon_id)
         tg.cancel_scope.cancel()
--- a/src/berylmast/shutdown.py
+++ b/src/berylmast/shutdown.py
@@ -12,17 +12,22 @@
 from .settings import DrainSettings
 from .telemetry import log_event
 
+WITHDRAWAL_TIME_S = 0.8
+"""Time in seconds in which owners are asked and callers get their responses."""
+
 
 async def serve_until_signal(
     server: HttpServer,
     lifecycle: Lifecycle,
     get_drain_settings: Callable[[], DrainSettings],
     count_peer_requests: Callable[[], int],
+    withdraw_waiting: Callable[[], None],
 ) -> None:
     """Serve callers until SIGTERM or SIGINT, then shut down gracefully.
 
     A second signal cancels the requests that are still in progress.
     ``count_peer_requests`` returns the number of them that come from other daemons.
+    ``withdraw_waiting`` gives up the requests of callers that wait for admission.
     """
     server_stopped = anyio.Event()
 
@@ -41,6 +46,7 @@
                 lifecycle,
                 get_drain_settings(),
                 count_peer_requests,
+                withdraw_waiting,
             )
             tg.cancel_scope.cancel()
 
@@ -51,18 +57,23 @@
     lifecycle: Lifecycle,
     cfg: DrainSettings,
     count_peer_requests: Callable[[], int],
+    withdraw_waiting: Callable[[], None] = lambda: None,
 ) -> None:
     """Accept no new requests, wait for those in progress, then return.
 
     The listening socket stays open for the grace period, in which responses tell
     callers to reconnect elsewhere, so that callers do not find the port closed without
-    warning.
+    warning. Shortly before the end the requests that no server has begun are given up,
+    so that their callers learn that they have not run.
     """
     lifecycle.add(LeaveReason.SIGNAL)
     await anyio.sleep(cfg.accept_s)
     server.should_exit = True
     deadline_s = anyio.current_time() + cfg.finish_s
     with anyio.move_on_after(cfg.finish_s) as scope:
+        with anyio.move_on_after(max(0.0, cfg.finish_s - WITHDRAWAL_TIME_S)):
+            await server_stopped.wait()
+        withdraw_waiting()
         await server_stopped.wait()
     remaining_s = max(0.0, deadline_s - anyio.current_time())
     idle = await wait_until_idle(count_peer_requests, timeout_s=remaining_s)
--- a/src/berylmast/tests/test_lifecycle.py
+++ b/src/berylmast/tests/test_lifecycle.py
@@ -9,7 +9,7 @@
 from .._http_server import HttpServer
 from ..lifecycle import LeaveReason, Lifecycle, wait_until_idle
 from ..settings import DrainSettings
-from ..shutdown import stop_gracefully
+from ..shutdown import WITHDRAWAL_TIME_S, stop_gracefully
 
 pytestmark = pytest.mark.anyio
 
@@ -87,6 +87,22 @@
     assert anyio.current_time() - started_s == pytest.approx(took_s, abs=0.3)
 
 
+async def test_waiting_requests_are_withdrawn_before_the_end() -> None:
+    """They got an error of unknown outcome when the process ended."""
+    withdrawn_s: list[float] = []
+    started_s = anyio.current_time()
+    await stop_gracefully(
+        cast(HttpServer, FakeServer()),
+        anyio.Event(),
+        Lifecycle(),
+        DrainSettings(grace_s=2.6, kill_after_s=6.0),
+        lambda: 1,
+        lambda: withdrawn_s.append(anyio.current_time() - started_s),
+    )
+    assert withdrawn_s == [pytest.approx(5.0 - WITHDRAWAL_TIME_S)]
+    assert anyio.current_time() - started_s == pytest.approx(5.0, abs=0.3)
+
+
 @pytest.mark.parametrize(
     ("kill_after_s", "accept_s", "end_s"),
     [(None, 2.6, 62.6), (6.0, 2.6, 5.0), (10.0, 2.6, 10 * 5 / 6), (2.4, 2.0, 2.0)],
