Keep a server out that stated its leaving before its daemon restarted

The statement was known to the daemon and to the entries that had seen an answer with it. The restarted daemon published the server as ready again, and an entry that knew of the leaving from the record only used it.

The record of such a server now sorts after all its reports and before its departure, and a restarted daemon takes the statement from it. The cause was found by reading, not in logs of a failing run.

--- a/src/berylmast/backends/report_handler.py
+++ b/src/berylmast/backends/report_handler.py
@@ -43,6 +43,10 @@
 continues from the next report, so its records sort after those of its previous run. A
 departure has ``FINAL_SEQ``: it sorts after all reports of its backend server."""
 
+LEAVING_SEQ = FINAL_SEQ - 1
+"""Sequence number of the record of a backend server that states its leaving in
+responses. It sorts after all its reports, which may go on to say that it is ready."""
+
 MAX_REPORT_SEQUENCE = FINAL_SEQ // SEQ_NUMBERS_PER_REPORT - 1
 """Maximum sequence number of a report: its records sort before a departure."""
 
@@ -261,9 +265,14 @@
         report = self._backend_state.current
         if report is None:
             return False
-        state = self._compute_state()
+        state = self._compute_state(report)
         old = self._record
-        if old is not None and _is_unchanged(old, report, state):
+        leaving = self._is_known_leaving(report)
+        if (
+            old is not None
+            and _is_unchanged(old, report, state)
+            and (not leaving or old.seq >= LEAVING_SEQ)
+        ):
             return False
         _, seq = _make_order(report)
         if old is not None and old.incarnation == report.born_ms:
@@ -272,6 +281,8 @@
             # A report sent before the departure may arrive after it, at a daemon that
             # has restarted and at the store: it must not replace this record.
             seq = FINAL_SEQ
+        elif leaving:
+            seq = LEAVING_SEQ
         record = Endpoint(
             backend=report.backend,
             service=report.service,
@@ -312,10 +323,22 @@
     def _start(self, run: Callable[[], Awaitable[None]]) -> None:
         self._tg.start_soon(run_logged, "report_handler", run)
 
-    def _compute_state(self) -> EndpointState:
+    def _is_known_leaving(self, report: BackendReport) -> bool:
+        """Return whether the current server has stated its leaving in responses.
+
+        A daemon that has restarted knows it from the record of its last run.
+        """
+        if self._is_backend_leaving():
+            return True
+        known = self._get_known_record(report.backend)
+        return known is not None and (
+            known.incarnation == report.born_ms and known.seq >= LEAVING_SEQ
+        )
+
+    def _compute_state(self, report: BackendReport) -> EndpointState:
         if self._backend_state.left:
             return EndpointState.GONE
-        if self._leaving or self._is_backend_leaving():
+        if self._leaving or self._is_known_leaving(report):
             return EndpointState.DRAINING
         if self._backend_state.serving is None or self._report_stream.silent:
             return EndpointState.DRAINING
--- a/src/berylmast/backends/tests/test_report_handler.py
+++ b/src/berylmast/backends/tests/test_report_handler.py
@@ -249,6 +249,39 @@
         assert parts.admission.draining
 
 
+@pytest.mark.parametrize("drains_before", [False, True])
+async def test_server_that_stated_its_leaving_is_out_after_a_restart(
+    drains_before: bool,
+) -> None:
+    """Its reports went on to say ready, and some entry had not seen the statement."""
+    registry = EndpointRegistry(Directory())
+    leaving = False
+    async with run_report_handler(is_backend_leaving=lambda: leaving) as parts:
+        await parts.handler.handle_report(replace(REPORT, draining=drains_before))
+        leaving = True
+        parts.handler.handle_leaving_notice()
+        registry.merge(parts.published)
+    async with run_report_handler(get_known_record=lambda _backend: None) as parts:
+        # This daemon has restarted and has not yet received the records.
+        await parts.handler.handle_report(replace(REPORT, sequence=50))
+        registry.merge(parts.published)
+    known = registry.get("i-1")
+    assert known is not None
+    assert known.state is EndpointState.DRAINING
+    async with run_report_handler(get_known_record=registry.get) as parts:
+        await parts.handler.handle_report(replace(REPORT, sequence=51))
+        assert parts.states == [EndpointState.DRAINING]
+        assert parts.admission.draining
+        await parts.handler.handle_departure(Departure("i-1", 0))
+        registry.merge(parts.published)
+        successor = replace(REPORT, born_ms=REPORT.born_ms + 1)
+        await parts.handler.handle_report(successor)
+        assert parts.states[-1] is EndpointState.READY
+    known = registry.get("i-1")
+    assert known is not None
+    assert known.state is EndpointState.GONE
+
+
 @pytest.mark.parametrize(
     ("notice_born_ms", "record_born_ms", "report_born_ms", "accepted"),
     [
