Let the soak write as another writer

It now sends heartbeats with an unreadable id, nested or garbled fields, and a readable one of another server with a later start, and the store lists entries with a nested host, bytes that are no text, another type and a number of 5,000 digits, at any moment together with the other faults. Beside the exits and tracebacks that were checked before, each server that runs at the end has to get requests after the faults.

The simulated server answers its health path and names itself there, as the users' servers do.

--- a/src/berylmast_dev/_asgi.py
+++ b/src/berylmast_dev/_asgi.py
@@ -44,7 +44,11 @@
 
 async def send_json(send: Any, status: int, data: object) -> None:
     """Send a complete JSON response."""
-    body = json.dumps(data).encode()
+    await send_bytes(send, status, json.dumps(data).encode())
+
+
+async def send_bytes(send: Any, status: int, body: bytes) -> None:
+    """Send a complete response whose body is, or pretends to be, JSON text."""
     headers = [
         (b"content-type", b"application/json"),
         (b"content-length", str(len(body)).encode()),
--- a/src/berylmast_dev/platform_backend.py
+++ b/src/berylmast_dev/platform_backend.py
@@ -17,6 +17,7 @@
 HEARTBEAT_INTERVAL_S = 0.5
 HEARTBEAT_TIMEOUT_S = 1.0
 RESPONSE_BYTES = 2_000
+HEALTH_PATH = "/healthz"
 
 Headers = dict[bytes, bytes]
 
@@ -90,6 +91,8 @@
             await send_json(send, 200, self.state.arrivals_s)
         elif scope["path"] == "/_state":
             await send_json(send, 200, {"acknowledged": self.state.acknowledged})
+        elif scope["path"] == HEALTH_PATH:
+            await self._send_health(send)
         else:
             await self._serve(scope, receive, send)
 
@@ -174,6 +177,18 @@
             await client.aclose()
         return res.status == 200
 
+    async def _send_health(self, send: Any) -> None:
+        headers = [
+            (b"x-instance-id", self.name.encode()),
+            (b"content-length", b"0"),
+            *self._make_notice_headers(),
+        ]
+        status = 503 if self.state.draining else 200
+        await send(
+            {"type": "http.response.start", "status": status, "headers": headers}
+        )
+        await send({"type": "http.response.body", "body": b""})
+
     async def _send_refusal(self, send: Any, status: int) -> None:
         headers = [
             (b"x-not-executed", b"1"),
--- a/src/berylmast_dev/soak/fault_injector.py
+++ b/src/berylmast_dev/soak/fault_injector.py
@@ -13,6 +13,7 @@
 from .fault_schedule import Fault, FaultKind
 from .invariants import STORE, BackendLeave
 from .link_proxy import LinkMode, LinkState
+from .other_writer import make_entry, make_report
 from .soak_fleet import SoakFleet, get_source_address
 
 JsonObject = dict[str, object]
@@ -58,6 +59,7 @@
         self, fleet: SoakFleet, configuration_writer: ConfigurationWriter
     ) -> None:
         self.leaves: list[BackendLeave] = []
+        self._entries: list[str] = []
         self._fleet = fleet
         self._configuration_writer = configuration_writer
         self._injectors: dict[
@@ -82,6 +84,7 @@
             FaultKind.LINK_REFUSE: self._impair_link,
             FaultKind.LINK_RESET: self._reset_link,
             FaultKind.CONFIGURATION: self._change_configuration,
+            FaultKind.OTHER_WRITER: self._write_as_another,
         }
 
     async def inject(self, fault: Fault, start_s: float) -> None:
@@ -222,6 +225,18 @@
     ) -> None:
         await self._configuration_writer.change(fault.how)
 
+    async def _write_as_another(self, fault: Fault, member: PlatformMember) -> None:
+        """Send a report, or store an entry that stays, of another writer."""
+        if fault.how.startswith("entry"):
+            self._entries.append(make_entry(fault.how, member.service))
+            address = f"{HOST}:{self._fleet.platform_port}"
+            change: JsonObject = {"other_entries": self._entries}
+            await _call_control_interface(address, "control", change)
+            return
+        address = f"{HOST}:{self._fleet.get_link_port(member, 'backend')}"
+        report = make_report(fault.how, member.service, address)
+        await _post(f"http://{member.heartbeat_address}{report.path}", report.body)
+
 
 def _select_affected_sources(fault: Fault, member_count: int) -> list[str]:
     """Return the source addresses that a store fault affects; empty for all.
@@ -254,6 +269,17 @@
         return {}
 
 
+async def _post(url: str, content: bytes) -> None:
+    """Send a request whose response doesn't matter."""
+    try:
+        with anyio.fail_after(CONTROL_TIMEOUT_S):
+            async with httpcore.AsyncConnectionPool() as pool:
+                await pool.request("POST", url, content=content)
+    except (TimeoutError, httpcore.NetworkError, httpcore.ProtocolError):
+        # Another fault has stopped the daemon.
+        return
+
+
 def _handles_hangup(pid: int) -> bool:
     with open(f"/proc/{pid}/status") as file:
         fields = dict(line.split(":", 1) for line in file if ":" in line)
--- a/src/berylmast_dev/soak/fault_schedule.py
+++ b/src/berylmast_dev/soak/fault_schedule.py
@@ -31,6 +31,7 @@
     LINK_REFUSE = "link_refuse"
     LINK_RESET = "link_reset"
     CONFIGURATION = "configuration"
+    OTHER_WRITER = "other_writer"
 
 
 VARIANTS: dict[FaultKind, tuple[str, ...]] = {
@@ -51,6 +52,16 @@
     FaultKind.LINK_HOLD: ("hold_requests", "hold_answers", "silent"),
     FaultKind.CLOCK_STEP: ("ahead", "back"),
     FaultKind.CONFIGURATION: ("route", "move", "timeout"),
+    FaultKind.OTHER_WRITER: (
+        "report_id",
+        "report_field",
+        "report_bytes",
+        "report_server",
+        "entry_nested",
+        "entry_bytes",
+        "entry_field",
+        "entry_number",
+    ),
 }
 
 LINKS = ("callers", "peers", "backend", "reports", "store")
--- a/src/berylmast_dev/soak/invariants.py
+++ b/src/berylmast_dev/soak/invariants.py
@@ -83,7 +83,8 @@
 
     ``sent`` holds the requests with their results, ``fault_periods`` the periods of the
     faults of each instance and the store, ``callers`` the service of each entry's
-    callers. No fault affects requests sent from ``recovered_by_s`` on.
+    callers, ``servers`` the backend servers that run at the end. No fault affects
+    requests sent from ``recovered_by_s`` on.
     """
 
     sent: Sequence[SentRequest]
@@ -95,6 +96,7 @@
     recovered_by_s: float
     leave_s: float
     max_attempts: int
+    servers: Sequence[str] = ()
 
     def is_unaffected(self, instance: str, since_s: float, until_s: float) -> bool:
         """Return whether no fault or its effects overlapped a period on an instance."""
@@ -282,6 +284,18 @@
             )
 
 
+def check_servers_in_use(observations: Observations) -> Iterator[Violation]:
+    """After all faults have ended, each backend server gets requests again."""
+    used = {
+        run.server
+        for run in observations.runs
+        if run.at_s >= observations.recovered_by_s
+    }
+    for server in observations.servers:
+        if server not in used:
+            yield Violation("servers in use", server, "no request after the faults")
+
+
 Check = Callable[[Observations], Iterator[Violation]]
 
 CHECKS: tuple[Check, ...] = (
@@ -296,4 +310,5 @@
     check_leaving_backends,
     check_responsiveness,
     check_recovery,
+    check_servers_in_use,
 )
--- a/src/berylmast_dev/soak/runner.py
+++ b/src/berylmast_dev/soak/runner.py
@@ -112,6 +112,7 @@
         recovered_by_s=recovered_by_s,
         leave_s=LEAVE_S,
         max_attempts=MAX_ATTEMPTS,
+        servers=[fleet.get_server_id(member) for member in fleet.members],
     )
 
 
--- a/src/berylmast_dev/soak/tests/test_invariants.py
+++ b/src/berylmast_dev/soak/tests/test_invariants.py
@@ -97,6 +97,7 @@
         ),
         ("recovery", with_request(OBSERVATIONS, status=502)),
         ("recovery", replace(OBSERVATIONS, callers={"e": "web", "f": "web"})),
+        ("servers in use", replace(OBSERVATIONS, servers=("s1", "s2"))),
     ],
 )
 def test_each_violation_is_found(invariant: str, observations: Observations) -> None:
--- a/src/berylmast_dev/store.py
+++ b/src/berylmast_dev/store.py
@@ -2,6 +2,7 @@
 
 import json
 from collections import Counter
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import Any
 from urllib.parse import parse_qs
@@ -9,12 +10,13 @@
 import anyio
 from cyclopts import App
 
-from ._asgi import IncompleteBody, read_body, send_json, serve_app
+from ._asgi import IncompleteBody, read_body, send_bytes, send_json, serve_app
 from .objects import Change, ObjectTable
 
 API_PATH_PREFIX = ["v1", "objects"]
 MAX_PAGE_ITEMS = 500
 MAX_WATCH_WAIT_MS = 30_000
+ENDPOINT_KIND = "berylmast-endpoints"
 WRITE_VERBS = ("create", "put", "delete")
 
 
@@ -27,7 +29,8 @@
     addresses; empty means all clients. ``slow_s`` delays every call. ``lose_answers``
     is the number of coming writes that take effect but get no response; ``late_s``
     delays their effect. ``silent_watches`` leaves the watches that are open now without
-    a response.
+    a response. ``other_entries`` are items of another writer, as text in which bytes
+    are characters; they precede the others in the list of endpoint records.
     """
 
     outage: str = ""
@@ -36,6 +39,7 @@
     lose_answers: int = 0
     late_s: float = 0.0
     silent_watches: bool = False
+    other_entries: tuple[str, ...] = ()
 
 
 class Store:
@@ -112,7 +116,11 @@
                 self.faults.lose_answers -= 1
                 await _wait_for_disconnect(receive)
                 return
-            await send_json(send, status, data)
+            entries = self.faults.other_entries
+            if verb == "list" and segments[0] == ENDPOINT_KIND and entries:
+                await send_bytes(send, status, _insert_items(data, entries))
+            else:
+                await send_json(send, status, data)
 
     def _get_outage(self, host: str) -> str:
         exempt = self.faults.hosts and host not in self.faults.hosts
@@ -199,6 +207,14 @@
         return [] if self.table.has_history_since(revision) else None
 
 
+def _insert_items(page: dict[str, Any], items: Sequence[str]) -> bytes:
+    """Return the JSON text of a page of a list with further items as they are."""
+    sound = [json.dumps(item) for item in page["items"]]
+    rest = json.dumps({key: value for key, value in page.items() if key != "items"})
+    text = f'{{"items": [{", ".join([*items, *sound])}], {rest[1:]}'
+    return text.encode("latin-1")
+
+
 def _get_verb(method: str, segments: list[str], query: dict[str, str]) -> str:
     if method == "GET" and len(segments) == 1:
         return "watch" if "watch" in query else "list"
