List the borders and try each with hostile values

Rejected reports, records and configurations and unexpected errors are counted in the metrics.

The list found one fault of its own: a record with an empty id, whose path in the store is that of the list; it is rejected now.

--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -6,7 +6,7 @@
 from .membership.registry import EndpointRegistry
 from .membership.store import Store
 from .membership.store_calls import StoreStatus
-from .telemetry import Counter, Gauge
+from .telemetry import Counter, Gauge, get_event_count
 from .wiring import LocalBackend
 
 Metric = Gauge | Counter
@@ -33,6 +33,7 @@
             ),
             Counter("store_calls", "Calls to the store", store.calls),
         ]
+        metrics += _read_rejections()
         if local_backend is not None:
             metrics += _read_load(local_backend)
             metrics += _read_notices(local_backend)
@@ -42,6 +43,34 @@
     return read_values
 
 
+_FAULT_EVENTS = ("fault", "request_fault", "dispatch_fault", "task_failed")
+
+
+def _read_rejections() -> list[Metric]:
+    return [
+        Counter(
+            "reports_unusable",
+            "Reports of servers that were rejected",
+            get_event_count("report_unusable"),
+        ),
+        Counter(
+            "records_unreadable",
+            "Endpoint records that were skipped, each time they were read",
+            get_event_count("record_unreadable"),
+        ),
+        Counter(
+            "documents_rejected",
+            "Configurations that were rejected",
+            get_event_count("document_rejected"),
+        ),
+        Counter(
+            "faults",
+            "Unexpected errors, each of which ended one request, task or connection",
+            sum(get_event_count(event) for event in _FAULT_EVENTS),
+        ),
+    ]
+
+
 def _read_load(local_backend: LocalBackend) -> list[Metric]:
     load = local_backend.admission.report()
     query_count = local_backend.load_monitor.query_count
--- a/src/berylmast/identifiers.py
+++ b/src/berylmast/identifiers.py
@@ -22,7 +22,7 @@
 ExactInt = Annotated[int, Field(ge=0, le=MAX_EXACT_INT)]
 """A whole number from 0 on that JSON carries exactly."""
 
-Name = Annotated[str, StringConstraints(max_length=MAX_ID_LENGTH)]
+Name = Annotated[str, StringConstraints(min_length=1, max_length=MAX_ID_LENGTH)]
 """A name in settings and records. Lone surrogates, which can't be encoded, are none."""
 
 Host = Annotated[
--- a/src/berylmast/platform/tests/test_border_properties.py
+++ b/src/berylmast/platform/tests/test_border_properties.py
@@ -6,12 +6,14 @@
 
 import json
 import math
+import re
 from copy import deepcopy
 from dataclasses import replace
 from typing import Any
 from urllib.parse import quote
 
 import anyio
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from result import Err, Ok, Result
@@ -46,16 +48,38 @@
     set_caller_service,
 )
 
+HOSTILE_VALUES: list[Any] = [
+    None,
+    True,
+    -1,
+    0,
+    1.5,
+    2**53,
+    2**63,
+    2**64,
+    10**400,
+    math.inf,
+    math.nan,
+    "",
+    "\x00",
+    "a\r\nb: c",
+    "a b",
+    "\ud800",
+    "\ufffd",
+    "é",
+    "x" * 300,
+    "1" * 30 + "ms",
+    "9" * 400 + "s",
+    [],
+    {},
+]
 SCALARS = (
     st.none()
     | st.booleans()
     | st.integers()
-    | st.integers(2**53 - 2, 2**65)
     | st.floats()
     | st.text(st.characters(), max_size=30)
-    | st.sampled_from(
-        ["\ud800", "\x00", "\r\n", "1ms", "9" * 400 + "s", "é", "x" * 300]
-    )
+    | st.sampled_from(HOSTILE_VALUES)
 )
 JSON = st.recursive(
     SCALARS,
@@ -116,18 +140,32 @@
     return [(*path, key) for key, _ in items] + nested
 
 
-@st.composite
-def change_one_value(draw: st.DrawFn, sound: Any) -> Any:
-    """Return a sound JSON value with one value in it replaced."""
+def replace_at(sound: Any, path: tuple[Any, ...], value: Any) -> Any:
+    """Return a copy of a sound JSON value with the value at a path replaced."""
     changed = deepcopy(sound)
-    *parents, key = draw(st.sampled_from(list_paths(sound)))
     target = changed
-    for parent in parents:
-        target = target[parent]
-    target[key] = draw(JSON)
+    for key in path[:-1]:
+        target = target[key]
+    target[path[-1]] = value
     return changed
 
 
+def list_hostile(sound: Any) -> list[Any]:
+    """Return a sound JSON value with each hostile value at each place."""
+    return [
+        replace_at(sound, path, value)
+        for path in list_paths(sound)
+        for value in HOSTILE_VALUES
+    ]
+
+
+@st.composite
+def change_one_value(draw: st.DrawFn, sound: Any) -> Any:
+    """Return a sound JSON value with one value in it replaced."""
+    path = draw(st.sampled_from(list_paths(sound)))
+    return replace_at(sound, path, draw(JSON))
+
+
 def to_json(value: object) -> bytes:
     return json.dumps(value).encode()
 
@@ -164,7 +202,8 @@
 
 def check_report(report: BackendReport) -> None:
     head = make_backend_head(make_head(), 100, report.backend)
-    assert all(b"\r" not in value and b"\n" not in value for _, value in head.headers)
+    [target] = [v for k, v in head.headers if k == b"x-target-instance"]
+    assert re.fullmatch(rb"[!-~]{1,128}", target)
     endpoint = replace(
         RECORD,
         backend=report.backend,
@@ -183,9 +222,7 @@
 
 @given(IDS, BODIES | change_one_value(HEARTBEAT).map(to_json))
 def test_accepted_heartbeat_can_be_passed_on(backend: str, body: bytes) -> None:
-    parsed = parse_heartbeat(backend, body)
-    if parsed.is_ok():
-        check_report(parsed.unwrap())
+    check_heartbeat(backend, body)
 
 
 @given(IDS, BODIES | change_one_value({"born": 5}).map(to_json))
@@ -389,6 +426,35 @@
     anyio.run(check_heads, active, [*deadlines, b"2000"], extra, query)
 
 
+def check_heartbeat(backend: str, body: bytes) -> None:
+    parsed = parse_heartbeat(backend, body)
+    if parsed.is_ok():
+        check_report(parsed.unwrap())
+
+
+def test_hostile_value_at_each_place_can_be_passed_on_or_is_rejected() -> None:
+    """The properties above may not try the one value that breaks an encoder."""
+    for value in HOSTILE_VALUES:
+        if isinstance(value, str):
+            check_heartbeat(value, to_json(HEARTBEAT))
+    for message in list_hostile(HEARTBEAT):
+        check_heartbeat("i-1", to_json(message))
+    for spec in list_hostile(format_record(RECORD)):
+        parsed = parse_object(StoredObject(str(spec["backend"]), 1, spec))
+        if parsed.is_ok():
+            check_endpoint(parsed.unwrap())
+    for spec in list_hostile(CONFIGURATION):
+        active = ActiveDocument(parse_configuration, Directory())
+        if active.adopt(spec, "store"):
+            anyio.run(check_heads, active, [b"2000", b"1e20", b"-1", b"x"], [], b"")
+
+
+@pytest.mark.parametrize("percent", ["inf", "nan", "1e400", "0", "-5", "1e-400", ""])
+def test_slowdown_that_cannot_be_reckoned_with_is_no_load(percent: str) -> None:
+    headers = [(b"x-server-load", f"1,2,3,{percent}".encode())]
+    assert read_load(headers) is None
+
+
 def test_properties_cover_errors() -> None:
     """The sound values of the properties are accepted, else they would show little."""
     assert parse_heartbeat("i-1", to_json(HEARTBEAT)).is_ok()
--- a/src/berylmast/telemetry/__init__.py
+++ b/src/berylmast/telemetry/__init__.py
@@ -1,6 +1,12 @@
 """Logs, metrics and latency histograms of one daemon."""
 
-from .logs import EventRateLimiter, configure_logs, escape_text, log_event
+from .logs import (
+    EventRateLimiter,
+    configure_logs,
+    escape_text,
+    get_event_count,
+    log_event,
+)
 from .metrics import Counter, Gauge, make_metrics_renderer
 from .request_recorder import RequestLogEntry, RequestRecorder
 from .statsd_reporter import StatsdReporter, make_statsd_reporter
@@ -14,6 +20,7 @@
     "StatsdReporter",
     "configure_logs",
     "escape_text",
+    "get_event_count",
     "log_event",
     "make_metrics_renderer",
     "make_statsd_reporter",
--- a/src/berylmast/telemetry/logs.py
+++ b/src/berylmast/telemetry/logs.py
@@ -11,6 +11,7 @@
 import re
 import sys
 import time
+from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
 from logging.handlers import QueueHandler, QueueListener
@@ -110,11 +111,20 @@
     return stop
 
 
+_event_counts: Counter[str] = Counter()
+
+
+def get_event_count(event: str) -> int:
+    """Return how often an event was logged by this process, written or not."""
+    return _event_counts[event]
+
+
 def log_event(event: str, *, level: int = logging.INFO, **fields: object) -> None:
     """Log one event with its fields.
 
     A field whose name the logging library reserves gets a trailing underscore.
     """
+    _event_counts[event] += 1
     # Logger.log would walk the stack for the caller's file and line, which are not
     # logged.
     if _logger.isEnabledFor(level):
