Let records carry the incarnations of daemons

Since records whose start is above 2**53 were skipped. Where servers send no reports their start is their daemon's incarnation, milliseconds shifted left by 16 bits, so daemons of the own interface did not know each other: 503 for everything but the local server.

A start may now have 63 bits, as frames carry them.

--- a/src/berylmast/identifiers.py
+++ b/src/berylmast/identifiers.py
@@ -12,7 +12,10 @@
 """Maximum number of characters of an id."""
 
 MAX_EXACT_INT = 2**53 - 1
-"""The largest whole number that JSON carries exactly; frames carry up to 64 bits."""
+"""The largest whole number that JSON carries exactly in every implementation."""
+
+MAX_FRAME_INT = 2**63 - 1
+"""The largest whole number that frames between daemons carry with a sign."""
 
 Identifier = Annotated[
     str, StringConstraints(min_length=1, max_length=MAX_ID_LENGTH, pattern=r"^[!-~]+$")
@@ -22,6 +25,9 @@
 ExactInt = Annotated[int, Field(ge=0, le=MAX_EXACT_INT)]
 """A whole number from 0 on that JSON carries exactly."""
 
+FrameInt = Annotated[int, Field(ge=0, le=MAX_FRAME_INT)]
+"""A whole number from 0 on that a frame carries, such as a daemon's incarnation."""
+
 Name = Annotated[str, StringConstraints(min_length=1, max_length=MAX_ID_LENGTH)]
 """A name in settings and records. Lone surrogates, which can't be encoded, are none."""
 
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -5,7 +5,7 @@
 from enum import StrEnum
 
 from .errors import ErrorKind
-from .identifiers import MAX_EXACT_INT, ExactInt, Host, Name, Port
+from .identifiers import MAX_EXACT_INT, ExactInt, FrameInt, Host, Name, Port
 
 Headers = Sequence[tuple[bytes, bytes]]
 
@@ -159,7 +159,7 @@
     port: Port
     region: Name
     failure_domain: Name
-    incarnation: ExactInt
+    incarnation: FrameInt
     seq: ExactInt
     state: EndpointState = EndpointState.READY
 
