Check in the soak that each daemon holds the server beside it

In its place each daemon has to hold the running server as ready at the end, from its log, in every case.

--- a/src/berylmast_dev/soak/invariants.py
+++ b/src/berylmast_dev/soak/invariants.py
@@ -77,13 +77,22 @@
     services: Mapping[str, str]
 
 
+@dataclass(frozen=True, slots=True)
+class HeldServer:
+    """The backend server that runs, and the one that the daemon beside it holds."""
+
+    running: str
+    held: str
+    state: str
+
+
 @dataclass(frozen=True, slots=True)
 class Observations:
     """Everything recorded in one run, from which the invariants are checked.
 
     ``sent`` holds the requests with their results, ``fault_periods`` the periods of the
     faults of each instance and the store, ``callers`` the service of each entry's
-    callers, ``servers`` the backend servers that run at the end. No fault affects
+    callers, ``held_servers`` what the daemons hold at the end. No fault affects
     requests sent from ``recovered_by_s`` on.
     """
 
@@ -96,7 +105,7 @@
     recovered_by_s: float
     leave_s: float
     max_attempts: int
-    servers: Sequence[str] = ()
+    held_servers: Sequence[HeldServer] = ()
 
     def is_unaffected(self, instance: str, since_s: float, until_s: float) -> bool:
         """Return whether no fault or its effects overlapped a period on an instance."""
@@ -285,15 +294,11 @@
 
 
 def check_servers_in_use(observations: Observations) -> Iterator[Violation]:
-    """After all faults have ended, each backend server gets requests again."""
-    used = {
-        run.server
-        for run in observations.runs
-        if run.at_s >= observations.recovered_by_s
-    }
-    for server in observations.servers:
-        if server not in used:
-            yield Violation("servers in use", server, "no request after the faults")
+    """After all faults have ended, each daemon offers the server beside it."""
+    for server in observations.held_servers:
+        if (server.held, server.state) != (server.running, "ready"):
+            detail = f"its daemon holds {server.held!r} as {server.state!r}"
+            yield Violation("servers in use", server.running, detail)
 
 
 Check = Callable[[Observations], Iterator[Violation]]
--- a/src/berylmast_dev/soak/runner.py
+++ b/src/berylmast_dev/soak/runner.py
@@ -1,5 +1,6 @@
 """Runs one case: starts the processes, injects the faults, checks the invariants."""
 
+import re
 import shutil
 import tempfile
 from collections import Counter
@@ -19,7 +20,13 @@
 from .cases import Case, save_case
 from .configuration_writer import SERVICES, ConfigurationWriter
 from .fault_injector import FaultInjector
-from .invariants import Observations, SentRequest, Violation, find_violations
+from .invariants import (
+    HeldServer,
+    Observations,
+    SentRequest,
+    Violation,
+    find_violations,
+)
 from .soak_fleet import FAILURE_DOMAINS, LEAVE_S, SoakFleet
 from .traffic import send_traffic
 
@@ -29,6 +36,8 @@
 RECOVERY_TRAFFIC_S = 3.0
 RUN_TIMEOUT_S = 120.0
 
+_BACKEND_STATE = re.compile(r"event=backend_state backend=(\S+) .*?state=(\w+)")
+
 
 @dataclass(frozen=True, slots=True)
 class CaseResult:
@@ -112,10 +121,21 @@
         recovered_by_s=recovered_by_s,
         leave_s=LEAVE_S,
         max_attempts=MAX_ATTEMPTS,
-        servers=[fleet.get_server_id(member) for member in fleet.members],
+        held_servers=_find_held_servers(fleet),
     )
 
 
+def _find_held_servers(fleet: SoakFleet) -> list[HeldServer]:
+    """Return which server each daemon holds for the one beside it, from its log."""
+    logs = fleet.read_logs()
+    held = []
+    for member in fleet.members:
+        lines = _BACKEND_STATE.findall(logs[f"daemon-{member.name}"])
+        backend, state = lines[-1] if lines else ("", "")
+        held.append(HeldServer(fleet.get_server_id(member), backend, state))
+    return held
+
+
 async def _send_all_traffic(
     fleet: SoakFleet, case: Case, until_s: float, requests: list[SentRequest]
 ) -> None:
--- a/src/berylmast_dev/soak/tests/test_cases.py
+++ b/src/berylmast_dev/soak/tests/test_cases.py
@@ -15,7 +15,7 @@
     load_case,
     save_case,
 )
-from ..fault_schedule import generate_faults
+from ..fault_schedule import VARIANTS, Fault, FaultKind, generate_faults
 from ..runner import run_case
 
 pytestmark = pytest.mark.anyio
@@ -60,3 +60,27 @@
     assert result.violations == []
     assert result.errors == []
     assert result.statuses[200] > 50
+
+
+def make_case_of_another_writer(*, kill_all_s: float) -> Case:
+    """Return a case with each message of another writer, and a kill of all daemons."""
+    messages = VARIANTS[FaultKind.OTHER_WRITER]
+    faults = [
+        Fault(0.4 * number, 0.5, FaultKind.OTHER_WRITER, number % 6, "reports", how)
+        for number, how in enumerate([*messages, *messages])
+    ]
+    faults.append(Fault(kill_all_s, 0.5, FaultKind.DAEMONS_KILL, 0, "peers", ""))
+    return Case(1, 8.0, sorted(faults, key=lambda fault: fault.at_s))
+
+
+@pytest.mark.parametrize("kill_all_s", [1.7, 7.5], ids=["between", "after"])
+async def test_another_writer_ends_no_daemon_and_displaces_no_server(
+    kill_all_s: float, tmp_path: Path
+) -> None:
+    """Daemons ended, or knew only themselves, or sent requests to a server's rival."""
+    result = await run_case(
+        make_case_of_another_writer(kill_all_s=kill_all_s), tmp_path
+    )
+    assert result.violations == []
+    assert result.errors == []
+    assert result.statuses[200] > 500
--- a/src/berylmast_dev/soak/tests/test_invariants.py
+++ b/src/berylmast_dev/soak/tests/test_invariants.py
@@ -13,6 +13,7 @@
     BackendLeave,
     BackendRun,
     ConfigurationWrite,
+    HeldServer,
     Observations,
     SentRequest,
     find_violations,
@@ -97,7 +98,14 @@
         ),
         ("recovery", with_request(OBSERVATIONS, status=502)),
         ("recovery", replace(OBSERVATIONS, callers={"e": "web", "f": "web"})),
-        ("servers in use", replace(OBSERVATIONS, servers=("s1", "s2"))),
+        (
+            "servers in use",
+            replace(OBSERVATIONS, held_servers=[HeldServer("s1", "s2", "ready")]),
+        ),
+        (
+            "servers in use",
+            replace(OBSERVATIONS, held_servers=[HeldServer("s1", "s1", "draining")]),
+        ),
     ],
 )
 def test_each_violation_is_found(invariant: str, observations: Observations) -> None:
