Move the endpoint record of a server out of the report handler

What builds a record from a report, and the sequence numbers that order records, are pure functions in endpoint_record.py now.

--- a/src/berylmast/backends/report_handler.py
+++ b/src/berylmast/backends/report_handler.py
@@ -14,6 +14,7 @@
 from ..supervision import run_logged
 from ..telemetry import log_event
 from .backend_state import BackendReport, BackendState, Departure
+from .endpoint_record import LEAVING_SEQ, is_covered, make_order, make_record
 from .report_stream import MAX_REPORT_GAP_S, ReportStream
 
 LEAVE_ACCEPT_FRACTION = 0.4
@@ -38,18 +39,6 @@
 
 MS_PER_S = 1000
 
-SEQ_NUMBERS_PER_REPORT = 100
-"""Sequence numbers reserved for record changes between two reports. A restarted daemon
-continues from the next report, so its records sort after those of its previous run. A
-departure has ``FINAL_SEQ``: it sorts after all reports of its backend server."""
-
-LEAVING_SEQ = FINAL_SEQ - 1
-"""Sequence number of the record of a backend server that states its leaving in
-responses. It sorts after all its reports, which may go on to say that it is ready."""
-
-MAX_REPORT_SEQUENCE = FINAL_SEQ // SEQ_NUMBERS_PER_REPORT - 1
-"""Maximum sequence number of a report: its records sort before a departure."""
-
 
 async def _ask_nobody() -> str:
     return ""
@@ -116,14 +105,13 @@
             return Ok(None)
         sender = await self._find_sender(report)
         current = self._backend_state.current
-        if sender == report.backend:
-            self._backend_state.replace_current(report)
-        elif current is not None and sender == current.backend != report.backend:
-            if report.order > current.order:
-                return Err(f"{current.backend} responds at the address of the server")
-            log_event("report_outdated", backend=report.backend, order=report.order)
-            return Ok(None)
-        elif not self._backend_state.apply_report(report):
+        if (
+            current is not None
+            and sender == current.backend
+            and report.order > current.order
+        ):
+            return Err(f"{current.backend} responds at the address of the server")
+        if not self._apply_report(report, sender):
             log_event("report_outdated", backend=report.backend, order=report.order)
             return Ok(None)
         if self._repeats:
@@ -132,6 +120,19 @@
             await self._wait_stored(STORE_TIMEOUT_S)
         return Ok(None)
 
+    def _apply_report(self, report: BackendReport, sender: str) -> bool:
+        """Apply a report; return False if it is outdated.
+
+        ``sender`` is the server at the address, empty if it is not known.
+        """
+        if sender == report.backend:
+            self._backend_state.replace_current(report)
+            return True
+        current = self._backend_state.current
+        if current is not None and sender == current.backend:
+            return False
+        return self._backend_state.apply_report(report)
+
     async def _find_sender(self, report: BackendReport) -> str:
         """Return which server is at the address if a report names another one.
 
@@ -173,7 +174,7 @@
         known = self._get_known_record(report.backend)
         if known is None or known.state is not EndpointState.GONE:
             return False
-        return known.order >= _make_order(report)
+        return known.order >= make_order(report)
 
     async def handle_departure(self, departure: Departure) -> Result[None, str]:
         """Handle the notice that a backend server is shutting down permanently."""
@@ -268,32 +269,9 @@
         state = self._compute_state(report)
         old = self._record
         leaving = self._is_known_leaving(report)
-        if (
-            old is not None
-            and _is_unchanged(old, report, state)
-            and (not leaving or old.seq >= LEAVING_SEQ)
-        ):
+        if old is not None and is_covered(old, report, state, leaving=leaving):
             return False
-        _, seq = _make_order(report)
-        if old is not None and old.incarnation == report.born_ms:
-            seq = max(seq, old.seq + 1)
-        if state is EndpointState.GONE:
-            # A report sent before the departure may arrive after it, at a daemon that
-            # has restarted and at the store: it must not replace this record.
-            seq = FINAL_SEQ
-        elif leaving:
-            seq = LEAVING_SEQ
-        record = Endpoint(
-            backend=report.backend,
-            service=report.service,
-            host=self._location.host,
-            port=self._location.port,
-            region=self._location.region,
-            failure_domain=self._location.failure_domain,
-            incarnation=report.born_ms,
-            seq=seq,
-            state=state,
-        )
+        record = make_record(old, report, state, self._location, leaving=leaving)
         self._record = record
         log_event(
             "backend_state",
@@ -354,17 +332,3 @@
         current = self._record
         if current is not None and current.backend == record.backend:
             self._admission.draining = current.state is not EndpointState.READY
-
-
-def _make_order(report: BackendReport) -> tuple[int, int]:
-    """Return the order of the first record that is published after a report."""
-    return (report.born_ms, report.sequence * SEQ_NUMBERS_PER_REPORT)
-
-
-def _is_unchanged(old: Endpoint, report: BackendReport, state: EndpointState) -> bool:
-    return (old.backend, old.service, old.incarnation, old.state) == (
-        report.backend,
-        report.service,
-        report.born_ms,
-        state,
-    )
--- a/src/berylmast/platform/backend_reports.py
+++ b/src/berylmast/platform/backend_reports.py
@@ -9,7 +9,7 @@
 from result import Err, Ok, Result
 
 from ..backends.backend_state import BackendReport, Departure
-from ..backends.report_handler import MAX_REPORT_SEQUENCE
+from ..backends.endpoint_record import MAX_REPORT_SEQUENCE
 from ..identifiers import MAX_ID_LENGTH, ExactInt, Identifier
 from ..settings import Seconds
 from ..telemetry import escape_text
