Use servers that report less often than every two seconds

The time is a setting now (report_gap_s), and a third report counts at any distance. The new cases with intervals of 3 and 10 s failed before.

--- a/src/berylmast/backends/report_handler.py
+++ b/src/berylmast/backends/report_handler.py
@@ -15,7 +15,7 @@
 from ..telemetry import log_event
 from .backend_state import BackendReport, BackendState, Departure
 from .endpoint_record import LEAVING_SEQ, is_covered, make_order, make_record
-from .report_stream import MAX_REPORT_GAP_S, ReportStream
+from .report_stream import ReportStream
 
 LEAVE_ACCEPT_FRACTION = 0.4
 """Fraction of the leave time during which a leaving backend server still accepts
@@ -54,9 +54,9 @@
     server that this daemon has, from any daemon or the store. ``is_backend_leaving``
     returns whether the current server states its leaving in responses; that counts even
     if its reports say that it is ready. ``unix_time`` returns Unix time in seconds, the
-    clock of the start times in reports. With ``repeats`` a running server goes on
-    reporting, and one that does not is taken for one that left. ``ask_sender`` returns
-    the id of the server that responds at the address, empty if it is not known.
+    clock of the start times in reports. ``report_gap_s`` is the longest time in seconds
+    between two reports of a running server, None if it sends only one. ``ask_sender``
+    returns the id of the server that responds at the address, empty if it is not known.
     """
 
     def __init__(
@@ -73,7 +73,7 @@
         is_backend_leaving: Callable[[], bool],
         tg: TaskGroup,
         unix_time: Callable[[], float] = time.time,
-        repeats: bool = True,
+        report_gap_s: float | None = None,
         ask_sender: Callable[[], Awaitable[str]] = _ask_nobody,
     ) -> None:
         self._unix_time = unix_time
@@ -90,9 +90,9 @@
         self._tg = tg
         self._record: Endpoint | None = None
         self._leaving = False
-        self._repeats = repeats
+        self._report_gap_s = report_gap_s
         self._ask_sender = ask_sender
-        self._report_stream = ReportStream(anyio.current_time())
+        self._report_stream = ReportStream(anyio.current_time(), report_gap_s or 0.0)
 
     async def handle_report(self, report: BackendReport) -> Result[None, str]:
         """Handle a report; return Err for another address or an unknown service."""
@@ -114,8 +114,8 @@
         if not self._apply_report(report, sender):
             log_event("report_outdated", backend=report.backend, order=report.order)
             return Ok(None)
-        if self._repeats:
-            self._follow_report_stream(report)
+        if self._report_gap_s is not None:
+            self._follow_report_stream(report, self._report_gap_s)
         if self._publish_if_changed():
             await self._wait_stored(STORE_TIMEOUT_S)
         return Ok(None)
@@ -146,7 +146,7 @@
             return ""
         return await self._ask_sender()
 
-    def _follow_report_stream(self, report: BackendReport) -> None:
+    def _follow_report_stream(self, report: BackendReport, gap_s: float) -> None:
         """Take a server whose second report is overdue for one that left.
 
         The daemon may have acknowledged its departure before it was restarted, when
@@ -155,11 +155,11 @@
         record = self._get_known_record(report.backend)
         known = record is not None and record.incarnation >= report.born_ms
         if self._report_stream.is_empty:
-            self._start(self._check_report_stream)
+            self._start(partial(self._check_report_stream, gap_s))
         self._report_stream.record(report, anyio.current_time(), known=known)
 
-    async def _check_report_stream(self) -> None:
-        await anyio.sleep(MAX_REPORT_GAP_S)
+    async def _check_report_stream(self, gap_s: float) -> None:
+        await anyio.sleep(gap_s)
         await anyio.sleep(READ_MARGIN_S)
         if self._report_stream.check(anyio.current_time()):
             current = self._backend_state.current
--- a/src/berylmast/backends/report_stream.py
+++ b/src/berylmast/backends/report_stream.py
@@ -7,26 +7,28 @@
 
 from .backend_state import BackendReport
 
-MAX_REPORT_GAP_S = 1.9
-"""Longest time in seconds between two reports of a running backend server, which sends
-them about every 1.5 s."""
+CONFIRMING_REPORTS = 3
+"""Number of reports, at any distance, that only a running server is taken to send. A
+server that reports less often than expected must not stay out for ever."""
 
 
 class ReportStream:
     """Tracks the first reports that a daemon gets after its start.
 
     ``started_s`` is the time of the start. The server of the first report is used at
-    once, because a running one must not wait, and no longer than ``MAX_REPORT_GAP_S``
-    if no second report follows. A server that this daemon may have known before its
-    restart, and whose first report comes later than a running server sends it, is used
-    from the second report on. A server that starts later than the first one is used at
-    once: this daemon has heard all departures since. Times are in seconds on the event
-    loop's clock.
+    once, because a running one must not wait, and no longer than ``max_gap_s``, the
+    longest time between two reports of a running server, if no second one follows. A
+    server that this daemon may have known before its restart, and whose first report
+    comes later than a running server sends it, is used from the second report on. A
+    server that starts later than the first one is used at once: this daemon has heard
+    all departures since. Times are in seconds on the event loop's clock.
     """
 
-    def __init__(self, started_s: float) -> None:
+    def __init__(self, started_s: float, max_gap_s: float) -> None:
         self._started_s = started_s
+        self._max_gap_s = max_gap_s
         self._first: BackendReport | None = None
+        self._count = 0
         self._last_s = 0.0
         self._confirmed = False
         self._silent = False
@@ -47,11 +49,16 @@
         ``known`` is set if the server may have reported before this daemon's start.
         """
         first = self._first
+        self._count += 1
         if first is None:
             self._first = report
             age_s = now_s - self._started_s
-            self._silent = known and age_s > MAX_REPORT_GAP_S
-        elif _is_other_start(first, report) or now_s - self._last_s <= MAX_REPORT_GAP_S:
+            self._silent = known and age_s > self._max_gap_s
+        elif (
+            _is_other_start(first, report)
+            or now_s - self._last_s <= self._max_gap_s
+            or self._count >= CONFIRMING_REPORTS
+        ):
             self._confirmed = True
             self._silent = False
         self._last_s = now_s
@@ -61,7 +68,7 @@
 
         Returns whether that is new.
         """
-        overdue = now_s - self._last_s >= MAX_REPORT_GAP_S
+        overdue = now_s - self._last_s >= self._max_gap_s
         if self._first is None or self._confirmed or self._silent or not overdue:
             return False
         self._silent = True
--- a/src/berylmast/backends/tests/test_report_handler.py
+++ b/src/berylmast/backends/tests/test_report_handler.py
@@ -22,12 +22,12 @@
     STOP_ACCEPT_S,
     BackendReportHandler,
 )
-from ..report_stream import MAX_REPORT_GAP_S
 from .test_backend_state import make_report
 
 pytestmark = pytest.mark.anyio
 
 LEAVE_S = 2.0
+REPORT_GAP_S = 1.9
 UPTIME_S = 10.0
 """Time in seconds since the start that the backend server's reports state."""
 
@@ -52,7 +52,7 @@
     known_record: Endpoint | None = None,
     is_backend_leaving: Callable[[], bool] = lambda: False,
     get_known_record: Callable[[str], Endpoint | None] | None = None,
-    repeats: bool = True,
+    report_gap_s: float | None = REPORT_GAP_S,
     sender: str = "",
 ) -> AsyncIterator[Parts]:
     admission = SlotAdmission("d1", 1, lambda: None)
@@ -82,7 +82,7 @@
             is_backend_leaving,
             tg,
             lambda: REPORT.born_ms / 1000 + UPTIME_S,
-            repeats,
+            report_gap_s,
             ask_sender,
         )
         yield Parts(handler, admission, published, stored)
@@ -376,7 +376,7 @@
     async with run_report_handler(known_record=known_record) as parts:
         await anyio.sleep(late_s)
         await parts.handler.handle_report(replace(REPORT, sequence=7))
-        await anyio.sleep(MAX_REPORT_GAP_S + 0.2)
+        await anyio.sleep(REPORT_GAP_S + 0.2)
         assert parts.states[-1] is EndpointState.DRAINING
         assert parts.admission.draining, "nothing is granted a leave time again"
         await anyio.sleep(60)
@@ -404,9 +404,20 @@
         assert not parts.admission.draining
 
 
+@pytest.mark.parametrize("interval_s", [0.5, 1.5, 3.0, 10.0])
+async def test_server_that_reports_at_any_interval_is_used(interval_s: float) -> None:
+    """One that reports less often than expected would have stayed out for ever."""
+    async with run_report_handler(known_record=KNOWN) as parts:
+        for sequence in range(7, 12):
+            await parts.handler.handle_report(replace(REPORT, sequence=sequence))
+            await anyio.sleep(interval_s)
+        assert parts.states[-1] is EndpointState.READY
+        assert not parts.admission.draining
+
+
 async def test_server_that_reports_once_by_design_stays_in_use() -> None:
     """A server that is watched by health checks has one report, made of settings."""
-    async with run_report_handler(repeats=False) as parts:
+    async with run_report_handler(report_gap_s=None) as parts:
         await parts.handler.handle_report(REPORT)
         await anyio.sleep(60)
         assert parts.states == [EndpointState.READY]
--- a/src/berylmast/backends/tests/test_report_stream.py
+++ b/src/berylmast/backends/tests/test_report_stream.py
@@ -2,10 +2,10 @@
 
 import pytest
 
-from ..report_stream import MAX_REPORT_GAP_S, ReportStream
+from ..report_stream import ReportStream
 from .test_backend_state import make_report
 
-GAP = MAX_REPORT_GAP_S
+GAP = 1.9
 
 
 @pytest.mark.parametrize(
@@ -17,6 +17,7 @@
         ([(0.1, "i-1"), (1.6, "i-1")], True, 60.0, False),
         ([(0.1, "i-1"), (0.2 + GAP, "i-1")], True, 60.0, True),
         ([(0.1, "i-1"), (3.0, "i-1"), (4.5, "i-1")], True, 60.0, False),
+        ([(0.1, "i-1"), (5.1, "i-1"), (10.1, "i-1")], True, 60.0, False),
         ([(0.1, "i-1"), (9.0, "i-2")], True, 60.0, False),
         ([(GAP + 0.1, "i-1")], True, GAP + 0.2, True),
         ([(GAP + 0.1, "i-1")], False, GAP + 0.2, False),
@@ -29,6 +30,7 @@
         "running",
         "two-late-reports-far-apart",
         "running-again",
+        "reports-less-often",
         "successor",
         "late-first-report",
         "new-server",
@@ -38,7 +40,7 @@
 def test_server_that_stops_reporting_after_a_restart_is_silent(
     reports: list[tuple[float, str]], known: bool, check_s: float, silent: bool
 ) -> None:
-    stream = ReportStream(started_s=0.0)
+    stream = ReportStream(started_s=0.0, max_gap_s=GAP)
     for sequence, (at_s, backend) in enumerate(reports, 1):
         stream.check(at_s)
         report = make_report(backend, sequence=sequence)
--- a/src/berylmast/settings/_models.py
+++ b/src/berylmast/settings/_models.py
@@ -162,6 +162,13 @@
         description="listen address for state reports of the local backend server, "
         "HTTP; if absent, the backend server is taken from these settings",
     )
+    report_gap_s: Seconds = Field(
+        1.9,
+        gt=0,
+        description="longest time between two reports of a running backend server, "
+        "which sends them about every 1.5 s; after a start of the daemon one that is "
+        "silent for longer is taken for one that left",
+    )
     leave_s: Seconds = Field(
         2.0,
         gt=0,
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -151,7 +151,7 @@
             components.get_record,
             lambda: self.notices.leaving,
             tg,
-            repeats=cfg.announcements is not None,
+            report_gap_s=None if cfg.announcements is None else cfg.report_gap_s,
             ask_sender=self.ask_sender,
         )
         self.notices.set_leaving_listener(report_handler.handle_leaving_notice)
