Parse tenants, homes, cold limits and the settings of new bounds

Cause: the adapter ignored these fields of a configuration and of the platform's settings, so that no part of the daemon could act on them.

Change: routes.Tenant is found by the keyed digest of a request's key; routes and tenants carry home regions, services the rate that a cold server tolerates; downloads are idempotent.

--- a/src/berylmast/callers/classify.py
+++ b/src/berylmast/callers/classify.py
@@ -44,6 +44,8 @@
 
     ``body_bytes`` is None for a chunked body, whose length is not known in advance.
     ``max_attempts`` is the number of backend servers that the request may be sent to.
+    With ``home_regions`` it may reach backend servers and owners of these regions only;
+    an empty set allows none, None allows all.
     """
 
     head: RequestHead
@@ -51,6 +53,7 @@
     body_bytes: int | None
     expects_continue: bool = False
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
+    home_regions: frozenset[str] | None = None
 
 
 RequestClassifier = Callable[
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -224,6 +224,8 @@
     is no ``shift``; with an empty mapping, backend servers are chosen by locality.
     Without ``ejection``, backend servers that return errors are still chosen. With
     ``allows_spilling``, a request that would wait at a busy owner is sent to another.
+    A backend server is cold for ``cold_start_s`` seconds after its start; while cold it
+    tolerates ``cold_rate_per_s`` requests per second, None if it has no such limit.
     """
 
     service: str
@@ -243,6 +245,8 @@
     ejection: bool = True
     health_path: str = ""
     allows_spilling: bool = False
+    cold_start_s: float = 0.0
+    cold_rate_per_s: float | None = None
 
     def get_region_weights(self, now_s: float) -> Mapping[str, float]:
         """Return the region weights in effect at a Unix time in seconds.
--- a/src/berylmast/platform/tests/test_configuration.py
+++ b/src/berylmast/platform/tests/test_configuration.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from ...routes import Tenant
 from ..configuration import parse_configuration
 
 VALID_SPEC: dict[str, Any] = {
@@ -117,3 +118,58 @@
     route = parse_configuration(spec).unwrap().find_route("shop.example", "/x/1")
     assert route is not None
     assert not route.idempotent, "a route of unknown kind must not run twice"
+
+
+TENANT_SPEC = {
+    "name": "t1",
+    "apiKeys": ["key-1", "key-2"],
+    "priority": 2,
+    "ratePerS": 85,
+    "burst": 10,
+    "homeRegions": ["north"],
+}
+
+
+def test_tenants_are_found_by_each_of_their_keys() -> None:
+    """Guards against requests that run for another tenant, or for none."""
+    spec = {**VALID_SPEC, "tenants": [TENANT_SPEC, {"name": "t2", "apiKeys": ["k"]}]}
+    cfg = parse_configuration(spec).unwrap()
+    expected = Tenant("t1", 2, 85.0, 10.0, frozenset({"north"}))
+    assert [cfg.find_tenant(k) for k in (b"key-1", b"key-2")] == [expected, expected]
+    assert cfg.find_tenant(b"k") == Tenant("t2")
+    assert [cfg.find_tenant(k) for k in (b"", b"key", b"key-1 ")] == [None] * 3
+    assert b"key-1" not in cfg.tenants_by_key
+
+
+@pytest.mark.parametrize(
+    ("field", "value"),
+    [
+        ("name", ""),
+        ("name", "a b"),
+        ("apiKeys", ["a\r\nb"]),
+        ("apiKeys", [""]),
+        ("ratePerS", -1),
+        ("ratePerS", float("inf")),
+        ("burst", -1),
+        ("homeRegions", [3]),
+    ],
+)
+def test_invalid_tenant_is_rejected(field: str, value: object) -> None:
+    """Guards against values that no header, bucket or digest can carry."""
+    spec = {**VALID_SPEC, "tenants": [{**TENANT_SPEC, field: value}]}
+    assert parse_configuration(spec).is_err()
+
+
+def test_routes_and_services_carry_homes_and_cold_limits() -> None:
+    """Guards against homes and cold limits that are parsed and lost."""
+    spec = replace_value("virtualHosts.0.routePaths.0.homeRegions", ["north"])
+    spec["virtualHosts"][0]["routePaths"][1] |= {"public": True, "kind": "download"}
+    spec["services"][0] |= {"coldStart": "3s", "coldPerS": 4.5}
+    cfg = parse_configuration(spec).unwrap()
+    long_prefix, short_prefix = cfg.routes["shop.example"]
+    assert (long_prefix.public, long_prefix.idempotent) == (True, True)
+    assert short_prefix.home_regions == {"north"}
+    assert not short_prefix.public
+    cold, warm = cfg.services["a"], cfg.services["b"]
+    assert (cold.cold_start_s, cold.cold_rate_per_s) == (3.0, 4.5)
+    assert (warm.cold_start_s, warm.cold_rate_per_s) == (0.0, None)
--- a/src/berylmast/settings/_models.py
+++ b/src/berylmast/settings/_models.py
@@ -112,6 +112,56 @@
     window_s: Seconds = Field(10.0, gt=0, description="length of the window in seconds")
 
 
+class KeyRevocationSettings(_StrictModel):
+    """Bound after which no request with a removed key runs, at any daemon."""
+
+    within_s: Seconds = Field(
+        5.0,
+        gt=0,
+        description="seconds from the store's acknowledgement of a configuration",
+    )
+
+
+class QuotaSettings(_StrictModel):
+    """Bound on the requests of a tenant, over all daemons together.
+
+    In any window at most ``(rate * window_s + burst) * (1 + overrun) + slack`` requests
+    of a tenant may run.
+    """
+
+    window_s: Seconds = Field(5.0, gt=0, description="length of the window in seconds")
+    overrun: float = Field(0.1, ge=0, description="fraction beyond the quota")
+    slack: float = Field(20, ge=0, description="requests beyond that in a window")
+
+
+class ColdServerSettings(_StrictModel):
+    """Bound on the requests that a cold backend server gets in one second.
+
+    They are ``overrun`` times the rate that the server tolerates, plus ``slack``.
+    """
+
+    overrun: float = Field(1.5, ge=1, description="factor on the tolerated rate")
+    slack: float = Field(8, ge=0, description="requests beyond that in one second")
+
+
+class EvacuationSettings(_StrictModel):
+    """Bound after which no request reaches an evacuated failure domain."""
+
+    within_s: Seconds = Field(
+        5.0, gt=0, description="seconds from the store's acknowledgement"
+    )
+
+
+class HedgingSettings(_StrictModel):
+    """Limit on second copies of slow idempotent requests."""
+
+    extra_ratio: float = Field(
+        gt=0,
+        le=1,
+        description="copies per request of a service, over all daemons together",
+    )
+
+
 class Interface(StrEnum):
     """Protocol used with callers, backend servers and the store."""
 
@@ -179,6 +229,23 @@
         description="the fleet's budget of retries; if absent, each daemon applies the "
         "budget of the document",
     )
+    key_revocation: KeyRevocationSettings | None = Field(
+        None,
+        description="bound on the use of removed keys; if absent, daemons that are cut "
+        "off may accept a removed key for longer",
+    )
+    quotas: QuotaSettings | None = Field(
+        None, description="bound on tenants' requests; quotas are off if absent"
+    )
+    cold_servers: ColdServerSettings | None = Field(
+        None, description="bound on requests to cold servers; no limit if absent"
+    )
+    evacuations: EvacuationSettings | None = Field(
+        None, description="evacuations of failure domains; not watched if absent"
+    )
+    hedging: HedgingSettings | None = Field(
+        None, description="second copies of slow requests; off if absent"
+    )
     limits: LimitSettings = LimitSettings()
     health: HealthSettings | None = Field(
         None,
