Accept only what HTTP calls a response, and no reset as the end of a body

Callers saw part of a body as a complete 200, and answers of status 000, 099, 600 or HTTP/2.0 as answers or as a wait until the deadline.

Cause: a reset of a connection is reported once. The writer of an upload was told of it and ignored it, since the response may be complete; the next read was told of an end, which ends a body without a length. Status and version were taken from the parser without a check; a status under 200 was skipped as informational.

An end after a failed write is a cut. Informational and stray responses before the expected one are limited in number.

--- a/src/berylmast/http_client/_connection.py
+++ b/src/berylmast/http_client/_connection.py
@@ -16,6 +16,13 @@
 
 from ..model import Headers
 from ..settings import Address
+from ._response_rules import (
+    MAX_SKIPPED_RESPONSES,
+    MIN_FINAL_STATUS,
+    find_field_error,
+    find_framing_error,
+    find_status_line_error,
+)
 
 MAX_HEAD_BYTES = 64 * 1024
 """Limit on the headers and trailers read for one response, skipped ones included.
@@ -67,11 +74,13 @@
         self._is_stray = is_stray
         self._bytes_without_progress = 0
         self._header_bytes = 0
+        self._skipped_responses = 0
+        self._reason = b""
         self._error: str | None = None
         self._parser = httptools.HttpResponseParser(self)
 
     def feed(self, data: bytes) -> None:
-        """Parse received bytes; ``b""`` means that the server closed the connection.
+        """Parse received bytes; ``b""`` means an orderly end of the connection.
 
         Raises ConnectionCut if the response is invalid or incomplete.
         """
@@ -90,7 +99,7 @@
         if self._bytes_without_progress > MAX_HEAD_BYTES and not self.complete:
             self._error = f"more than {MAX_HEAD_BYTES} bytes without a header or body"
         if self._error is not None:
-            raise ConnectionCut(self._error)
+            raise ConnectionCut(f"invalid response: {self._error}")
 
     def take_body(self) -> bytes:
         """Return the body bytes received since the last call, joined.
@@ -109,12 +118,18 @@
 
     def on_message_begin(self) -> None:
         """Mark the connection unusable if another response follows the complete one."""
+        self._reason = b""
         if self.complete:
             self.reusable = False
 
+    def on_status(self, reason: bytes) -> None:
+        """Store a part of the reason in the status line."""
+        self._reason += reason
+
     def on_header(self, name: bytes, value: bytes) -> None:
         """Store a header field, or a trailer field if the head is complete."""
         if not self.complete:
+            self._error = self._error or find_field_error(name, value)
             fields = self.trailers if self.head_complete else self.headers
             fields.append((name.lower(), value.rstrip(b" \t")))
             self._header_bytes += len(name) + len(value)
@@ -129,8 +144,16 @@
         if self.complete:
             return
         status = self._parser.get_status_code()
-        if status < 200 or self._is_stray(self.headers):
-            self._skipping_response = True
+        version = self._parser.get_http_version()
+        self._error = (
+            self._error
+            or find_status_line_error(version, status, self._reason)
+            or find_framing_error(version, self.headers)
+        )
+        if self._error is not None:
+            return
+        if status < MIN_FINAL_STATUS or self._is_stray(self.headers):
+            self._skip_response()
             return
         self.status = status
         self.head_complete = True
@@ -142,6 +165,12 @@
         # httptools does not know that the response to a HEAD request has no body.
         self.complete = not self._has_body
 
+    def _skip_response(self) -> None:
+        self._skipping_response = True
+        self._skipped_responses += 1
+        if self._skipped_responses > MAX_SKIPPED_RESPONSES:
+            self._error = f"more than {MAX_SKIPPED_RESPONSES} skipped responses"
+
     def on_body(self, data: bytes) -> None:
         """Store a chunk of the body, unless the response is skipped."""
         if self.complete:
@@ -155,6 +184,8 @@
 
     def on_message_complete(self) -> None:
         """Complete the response, or start over after a skipped one."""
+        if self._error is not None:
+            return
         if self._skipping_response:
             self._skipping_response = False
             self.headers.clear()
@@ -184,6 +215,7 @@
         self.expires_at_s = 0.0
         self.idle_duration_s = 0.0
         self._sock = sock
+        self._sending_failed = False
 
     async def send(self, data: bytes) -> None:
         """Send all of ``data``.
@@ -197,6 +229,7 @@
             except BlockingIOError:
                 await anyio.wait_writable(self._sock)
             except OSError as exc:
+                self._sending_failed = True
                 raise ConnectionCut(f"sending failed: {exc}") from exc
 
     async def read_head(self, parser: ResponseParser) -> None:
@@ -232,6 +265,10 @@
                 await anyio.wait_readable(self._sock)
             except OSError as exc:
                 raise ConnectionCut(f"receiving failed: {exc}") from exc
+        # A reset is reported once. If sending was told of it, receiving is told of an
+        # end, as if the server had closed the connection in order.
+        if not data and self._sending_failed:
+            raise ConnectionCut("the connection failed while sending")
         parser.feed(data)
 
     @property
