Read the store's era from its responses

Cause: revisions of a store that came back from a copy are given out again; without the era they can't be told from earlier ones.

Change: Listing and Changes carry the era that the response's header names, 0 without one.

--- a/src/berylmast/platform/objects.py
+++ b/src/berylmast/platform/objects.py
@@ -43,18 +43,27 @@
 
 @dataclass(frozen=True, slots=True)
 class Listing:
-    """All objects of a kind at one store revision, from which a watch can start."""
+    """All objects of a kind at one store revision, from which a watch can start.
+
+    Revisions are comparable only within one ``era`` of the store, which rises whenever
+    the store comes back from a copy of its data.
+    """
 
     revision: int
     items: tuple[StoredObject, ...]
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class Changes:
-    """Changes to objects of a kind; the next watch continues from ``revision``."""
+    """Changes to objects of a kind; the next watch continues from ``revision``.
+
+    ``era`` as in ``Listing``.
+    """
 
     revision: int
     changes: tuple[ObjectChange, ...]
+    era: int = 0
 
 
 class ObjectStore(Protocol):
--- a/src/berylmast/platform/store_client.py
+++ b/src/berylmast/platform/store_client.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import AsyncIterator
+from dataclasses import dataclass
 from typing import Annotated, Any, TypeVar
 from urllib.parse import quote, urlencode
 
@@ -9,6 +10,8 @@
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field, ValidationError
 
 from ..http_client import ConnectionCut, HttpClient, ServerUnreachable
+from ..identifiers import MAX_EXACT_INT
+from ..model import Headers
 from ..settings import Address
 from ._json import decode_json
 from .objects import (
@@ -34,6 +37,8 @@
 
 MAX_CONNECTIONS = 4
 
+_ERA_HEADER = b"store-era"
+
 _NAME_ERRORS = "surrogateescape"
 """Bytes of a name that are no text go back to the store as they came."""
 
@@ -84,6 +89,15 @@
 _Model = TypeVar("_Model", bound=BaseModel)
 
 
+@dataclass(frozen=True, slots=True)
+class _Reply:
+    """Status, decoded body and era of one response of the store."""
+
+    status: int
+    data: Any
+    era: int
+
+
 class StoreClient:
     """Client of the object store; every call counts against the fleet's rate limits."""
 
@@ -100,10 +114,10 @@
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Read one object; None if it does not exist."""
-        status, data = await self._call("GET", _make_path(kind, name))
-        if status == 404:
+        reply = await self._call("GET", _make_path(kind, name))
+        if reply.status == 404:
             return None
-        return _parse_object(status, data)
+        return _parse_object(reply)
 
     async def list(self, kind: str, *, stale: bool = False) -> Listing:
         """Read all objects of a kind; a ``stale`` read may be seconds old."""
@@ -114,14 +128,14 @@
             if after:
                 options["after"] = after
             query = f"?{urlencode(options, errors=_NAME_ERRORS)}" if options else ""
-            status, data = await self._call("GET", _make_path(kind) + query)
-            if status != 200:
-                raise PlatformUnavailable(f"the store responded with status {status}")
-            page = _validate(_ListPage, data)
+            reply = await self._call("GET", _make_path(kind) + query)
+            if reply.status != 200:
+                raise _make_status_error(reply)
+            page = _validate(_ListPage, reply.data)
             items.extend(_make_stored_object(item) for item in page.items)
             if not page.has_more or not page.items:
-                return Listing(page.at, tuple(items))
-            after = data["items"][-1]["metadata"]["name"]
+                return Listing(page.at, tuple(items), reply.era)
+            after = reply.data["items"][-1]["metadata"]["name"]
 
     async def put(
         self, kind: str, name: str, spec: object, revision: int | None
@@ -133,18 +147,18 @@
         """
         if revision == 0:
             body = {"metadata": {"name": name}, "spec": spec}
-            status, data = await self._call("POST", _make_path(kind), body)
+            reply = await self._call("POST", _make_path(kind), body)
         else:
             metadata: dict[str, Any] = {"name": name}
             if revision is not None:
                 metadata["revision"] = revision
             body = {"metadata": metadata, "spec": spec}
-            status, data = await self._call("PUT", _make_path(kind, name), body)
-        if status == 404 and revision is None:
+            reply = await self._call("PUT", _make_path(kind, name), body)
+        if reply.status == 404 and revision is None:
             return await self.put(kind, name, spec, 0)
-        if status in (404, 409):
+        if reply.status in (404, 409):
             raise Conflict(f"{kind}/{name} is not at revision {revision}")
-        return _parse_object(status, data)
+        return _parse_object(reply)
 
     async def delete(self, kind: str, name: str, revision: int | None) -> None:
         """Delete one object if its stored revision is ``revision``.
@@ -153,11 +167,11 @@
         Raises Conflict if the stored revision differs.
         """
         query = "" if revision is None else f"?{urlencode({'revision': revision})}"
-        status, _ = await self._call("DELETE", _make_path(kind, name) + query)
-        if status == 409:
+        reply = await self._call("DELETE", _make_path(kind, name) + query)
+        if reply.status == 409:
             raise Conflict(f"{kind}/{name} is not at revision {revision}")
-        if status not in (200, 202, 204, 404):
-            raise PlatformUnavailable(f"the store responded with status {status}")
+        if reply.status not in (200, 202, 204, 404):
+            raise _make_status_error(reply)
 
     async def wait_changes(self, kind: str, revision: int, wait_s: float) -> Changes:
         """Wait up to ``wait_s`` seconds for changes of a kind after a revision.
@@ -166,19 +180,17 @@
         """
         query = urlencode({"watch": revision, "waitMs": round(wait_s * 1000)})
         path = f"{_make_path(kind)}?{query}"
-        status, data = await self._call(
-            "GET", path, timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S
-        )
-        if status == 410:
+        reply = await self._call("GET", path, timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S)
+        if reply.status == 410:
             raise RevisionExpired(f"{kind} has no history since revision {revision}")
-        if status != 200:
-            raise PlatformUnavailable(f"the store responded with status {status}")
-        page = _validate(_WatchPage, data)
+        if reply.status != 200:
+            raise _make_status_error(reply)
+        page = _validate(_WatchPage, reply.data)
         changes = tuple(
             ObjectChange(_make_stored_object(event.object), event.deleted)
             for event in page.events
         )
-        return Changes(page.at, changes)
+        return Changes(page.at, changes, reply.era)
 
     async def _call(
         self,
@@ -186,7 +198,7 @@
         path: str,
         body: object | None = None,
         timeout_s: float = CALL_TIMEOUT_S,
-    ) -> tuple[int, Any]:
+    ) -> _Reply:
         self.calls += 1
         content = b"" if body is None else json.dumps(body).encode()
         headers = [
@@ -200,7 +212,8 @@
                     method, BASE_PATH + path, headers, _iterate(content)
                 ) as response:
                     data = await _read_body(response.body)
-            return response.status, decode_json(data) if data else None
+            decoded = decode_json(data) if data else None
+            return _Reply(response.status, decoded, _read_era(response.headers))
         except TimeoutError as exc:
             # A connection that went silent may not be the only one: the next call opens
             # a new one.
@@ -241,10 +254,22 @@
         raise PlatformUnavailable(f"invalid response from the store: {exc}") from exc
 
 
-def _parse_object(status: int, data: Any) -> StoredObject:
-    if status not in (200, 201):
-        raise PlatformUnavailable(f"the store responded with status {status}")
-    return _make_stored_object(_validate(_Object, data))
+def _read_era(headers: Headers) -> int:
+    """Return the era that a response names, 0 without a valid one."""
+    text = dict(headers).get(_ERA_HEADER, b"")
+    if not text.isdigit() or len(text) > len(str(MAX_EXACT_INT)):
+        return 0
+    return min(int(text), MAX_EXACT_INT)
+
+
+def _make_status_error(reply: _Reply) -> PlatformUnavailable:
+    return PlatformUnavailable(f"the store responded with status {reply.status}")
+
+
+def _parse_object(reply: _Reply) -> StoredObject:
+    if reply.status not in (200, 201):
+        raise _make_status_error(reply)
+    return _make_stored_object(_validate(_Object, reply.data))
 
 
 def _make_stored_object(item: _Object) -> StoredObject:
