--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -6,8 +6,10 @@
 """
 
 from dataclasses import dataclass
+from typing import Literal
 
 from ..errors import ErrorKind
+from ..identifiers import FinalStatus
 from ..model import (
     AttemptId,
     AttemptState,
@@ -20,6 +22,9 @@
 CONNECTION_EXCHANGE_ID = 0
 """Exchange id of frames that concern the whole connection."""
 
+StoredStatus = Literal[0] | FinalStatus
+"""Status of a stored response, 0 if none is stored."""
+
 
 @dataclass(frozen=True, slots=True)
 class Hello:
@@ -54,7 +59,7 @@
     """Head of the backend server's response."""
 
     exchange: int
-    status: int
+    status: FinalStatus
     headers: Headers
     load: LoadReport
 
@@ -181,7 +186,7 @@
     state: AttemptState
     kind: ErrorKind | None = None
     detail: str = ""
-    answer_status: int = 0
+    answer_status: StoredStatus = 0
     headers: Headers = ()
     body: bytes = b""
 
@@ -212,7 +217,7 @@
 
     exchange: int
     status: KeyStatus
-    answer_status: int = 0
+    answer_status: StoredStatus = 0
     headers: Headers = ()
     body: bytes = b""
 
@@ -227,7 +232,7 @@
     key: str
     token: AttemptId
     status: KeyStatus
-    answer_status: int = 0
+    answer_status: StoredStatus = 0
     headers: Headers = ()
     body: bytes = b""
 
--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -83,9 +83,12 @@
         [1, 1, ["short"]],
         [7, 1, "no-such-kind"],
         [26, 1, [["short", "record"]]],
+        *([3, 1, status, [], list(astuple(LOAD))] for status in (0, 99, 199, 600, 999)),
+        [16, 1, "finished", None, "", 99, [], b""],
     ],
 )
 def test_invalid_frame_is_a_protocol_error(items: object) -> None:
+    """Guards also against a status that no caller may get."""
     with pytest.raises(ProtocolError):
         decode_frame(items)
 
--- a/src/berylmast/daemons/tests/test_codec_properties.py
+++ b/src/berylmast/daemons/tests/test_codec_properties.py
@@ -6,13 +6,14 @@
 
 import tracemalloc
 from dataclasses import fields, is_dataclass
-from typing import Any, cast, get_args, get_origin
+from typing import Any, Literal, cast, get_args, get_origin
 
 import msgpack
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from ...identifiers import FinalStatus
 from ...model import Headers
 from ..codec import MAX_FRAME_BYTES, FrameReader, ProtocolError, encode_frame
 from ..frames import Frame
@@ -40,6 +41,10 @@
     args = get_args(kind)
     if kind is Headers:
         return HEADERS
+    if kind is FinalStatus:
+        return st.integers(200, 599)
+    if get_origin(kind) is Literal:
+        return st.sampled_from(args)
     if kind is int:
         return INTEGERS
     if kind is float:
--- a/src/berylmast/identifiers.py
+++ b/src/berylmast/identifiers.py
@@ -31,6 +31,9 @@
 Name = Annotated[str, StringConstraints(min_length=1, max_length=MAX_ID_LENGTH)]
 """A name in settings and records. Lone surrogates, which can't be encoded, are none."""
 
+FinalStatus = Annotated[int, Field(ge=200, le=599)]
+"""The status of a response that a caller may get (RFC 9110, section 15)."""
+
 Host = Annotated[
     str, StringConstraints(min_length=1, max_length=253, pattern=r"^[0-9A-Za-z._:-]+$")
 ]
