Require a tenant's key on routes that are not public

Cause: the entry ignored the keys of tenants: every request ran, and the key and whatever tenant the caller named went on to the server.

Change: the classifier finds the tenant by the key, refuses a request without a known one (unknown-key, 401, not run), drops the key and sets the tenant's name, also in trailers and for names with underscores. The tenant's rank replaces the route's; its home regions and the route's both apply. Without tenants in the configuration nothing changes. An error about a malformed response of the store no longer quotes its input, which may hold keys.

--- a/src/berylmast/callers/app.py
+++ b/src/berylmast/callers/app.py
@@ -92,7 +92,7 @@
             request=request_id,
             service=UNCLASSIFIED,
             priority=UNCLASSIFIED,
-            tenant="",
+            tenant=refusal.tenant,
             backend="",
             attempts=0,
             outcome=refusal.response_spec.outcome,
@@ -127,6 +127,7 @@
         expects_continue=req.expects_continue,
         trailers=scope.get(TRAILERS_KEY, ()),
         pool=pool,
+        filter_trailers=req.filter_trailers,
         disconnect_listeners=scope.get(DISCONNECT_LISTENERS_KEY),
     )
     progress = RequestProgress()
--- a/src/berylmast/callers/classify.py
+++ b/src/berylmast/callers/classify.py
@@ -45,7 +45,8 @@
     ``body_bytes`` is None for a chunked body, whose length is not known in advance.
     ``max_attempts`` is the number of backend servers that the request may be sent to.
     With ``home_regions`` it may reach backend servers and owners of these regions only;
-    an empty set allows none, None allows all.
+    an empty set allows none, None allows all. ``filter_trailers`` returns the trailers
+    of the request that are passed on.
     """
 
     head: RequestHead
@@ -54,6 +55,7 @@
     expects_continue: bool = False
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     home_regions: frozenset[str] | None = None
+    filter_trailers: Callable[[Headers], Headers] = tuple
 
 
 RequestClassifier = Callable[
--- a/src/berylmast/callers/host_route_classifier.py
+++ b/src/berylmast/callers/host_route_classifier.py
@@ -7,9 +7,11 @@
 from result import Err, Ok, Result
 
 from ..errors import ErrorKind, Refusal
+from ..home_regions import combine_home_regions
 from ..membership.active_document import ActiveDocument
 from ..model import AttemptId, Headers, RequestHead
-from ..routes import HostRoute
+from ..routes import Configuration, HostRoute, Tenant
+from ..tenancy.key_check import check_key
 from .caller_wait import CallerWaitEstimator
 from .classify import (
     ClassifiedRequest,
@@ -30,12 +32,18 @@
 
     ``read_deadline_ms`` returns None if the caller sets no deadline.
     ``set_caller_service`` returns the headers with the name of the service that the
-    request comes from.
+    request comes from. ``read_key`` returns the key of a request, None without one and
+    an empty one if there are several. ``set_tenant`` returns the headers without the
+    key and with the name of the tenant, which is empty if there is none.
     """
 
     read_request_id: Callable[[Headers], str]
     read_deadline_ms: Callable[[Headers], int | None]
     set_caller_service: Callable[[Headers, str], list[tuple[bytes, bytes]]]
+    read_key: Callable[[Headers], bytes | None] = lambda _headers: None
+    set_tenant: Callable[[Headers, str], list[tuple[bytes, bytes]]] = (
+        lambda headers, _tenant: list(headers)
+    )
 
 
 def make_host_route_classifier(
@@ -48,6 +56,9 @@
     """Return the classifier that uses the routes of the current configuration."""
     wait_estimator = CallerWaitEstimator()
 
+    def drop_tenant_headers(headers: Headers) -> Headers:
+        return header_interface.set_tenant(headers, "")
+
     async def classify(scope: dict[str, Any]) -> Result[ClassifiedRequest, Refusal]:
         cfg = active_document.current
         if cfg is None or cfg.limits is None:
@@ -75,6 +86,19 @@
         if route is None:
             detail = f"no route for {host!r} {target!r} in configuration {cfg.version}"
             return Err(Refusal(ErrorKind.UNKNOWN_SERVICE, detail))
+        checked_tenant = _find_tenant(cfg, route, request_headers, header_interface)
+        if checked_tenant.is_err():
+            return Err(checked_tenant.unwrap_err())
+        tenant = checked_tenant.unwrap()
+        rank = _get_rank(route, tenant)
+        headers = header_interface.set_caller_service(
+            drop_hop_by_hop(request_headers), get_caller_service()
+        )
+        filter_trailers: Callable[[Headers], Headers] = tuple
+        if cfg.tenants:
+            tenant_name = tenant.name if tenant else ""
+            headers = header_interface.set_tenant(headers, tenant_name)
+            filter_trailers = drop_tenant_headers
         service = cfg.services[choose_service(route)]
         has_body = length != 0
         requested_ms = header_interface.read_deadline_ms(request_headers)
@@ -85,31 +109,54 @@
             request_id=header_interface.read_request_id(request_headers),
             attempt=next_attempt(),
             service=service.service,
-            priority=str(route.rank),
-            tenant="",
+            priority=str(rank),
+            tenant=tenant.name if tenant else "",
             idempotent=route.idempotent,
             idempotency_key=None,
             deadline_ms=_cap_deadline(requested_ms, route),
             retry=False,
             method=scope["method"],
             target=target,
-            headers=header_interface.set_caller_service(
-                drop_hop_by_hop(request_headers), get_caller_service()
-            ),
+            headers=headers,
             has_body=has_body,
-            rank=route.rank,
+            rank=rank,
             target_ms=route.target_ms - waited_ms,
         )
         expects = dict(request_headers).get(b"expect", b"").lower() == b"100-continue"
         return Ok(
             ClassifiedRequest(
-                head, service, length, expects and has_body, route.max_attempts
+                head,
+                service,
+                length,
+                expects and has_body,
+                route.max_attempts,
+                combine_home_regions(
+                    route.home_regions, tenant.home_regions if tenant else frozenset()
+                ),
+                filter_trailers,
             )
         )
 
     return classify
 
 
+def _find_tenant(
+    cfg: Configuration,
+    route: HostRoute,
+    headers: Headers,
+    header_interface: CallerHeaderInterface,
+) -> Result[Tenant | None, Refusal]:
+    if not cfg.tenants:
+        return Ok(None)
+    return check_key(cfg, route, header_interface.read_key(headers), is_current=True)
+
+
+def _get_rank(route: HostRoute, tenant: Tenant | None) -> int:
+    if tenant is None or tenant.rank is None:
+        return route.rank
+    return tenant.rank
+
+
 def _cap_deadline(requested_ms: int | None, route: HostRoute) -> int:
     if requested_ms is None:
         return route.timeout_ms
--- a/src/berylmast/callers/request_body.py
+++ b/src/berylmast/callers/request_body.py
@@ -46,6 +46,7 @@
         limit: int | None = None,
         expects_continue: bool = False,
         trailers: Headers = (),
+        filter_trailers: Callable[[Headers], Headers] = tuple,
         pool: ReadAheadPool | None = None,
         disconnect_listeners: list[Callable[[], None]] | None = None,
     ) -> None:
@@ -58,6 +59,7 @@
         self._limit = limit
         self._expects_continue = expects_continue
         self._trailers = trailers
+        self._filter_trailers = filter_trailers
         self._buffers_whole = length is not None and length <= RETRY_BUFFER_BYTES
         self._parts: deque[bytes] = deque()
         self._buffered_bytes = 0
@@ -133,7 +135,9 @@
         self._notify()
         try:
             await self._send_parts(exchange)
-            await exchange.send(End(exchange.id, tuple(self._trailers)))
+            await exchange.send(
+                End(exchange.id, tuple(self._filter_trailers(self._trailers)))
+            )
         except ExchangeLost:
             # The attempt gets the same exception when it receives the next frame.
             return
--- a/src/berylmast/errors.py
+++ b/src/berylmast/errors.py
@@ -51,6 +51,8 @@
     BUSY = "busy"
     BACKEND_REFUSED = "backend-refused"
     ANSWER_INVALID = "answer-invalid"
+    UNKNOWN_KEY = "unknown-key"
+    KEYS_NOT_CURRENT = "keys-not-current"
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +103,8 @@
     ErrorKind.BUSY: ResponseSpec(503, _NOT_RUN, 1),
     ErrorKind.BACKEND_REFUSED: ResponseSpec(503, _NOT_RUN, 1),
     ErrorKind.ANSWER_INVALID: ResponseSpec(502, _UNKNOWN),
+    ErrorKind.UNKNOWN_KEY: ResponseSpec(401, _NOT_RUN),
+    ErrorKind.KEYS_NOT_CURRENT: ResponseSpec(503, _NOT_RUN, 1),
 }
 
 
@@ -109,12 +113,14 @@
     """An error as a value: its kind and a one-sentence description of the cause.
 
     ``retry_after_s`` is the time in seconds after which a retry of a request that did
-    not run is more likely to succeed; None uses the value from the table.
+    not run is more likely to succeed; None uses the value from the table. ``tenant`` is
+    the name of the request's tenant if it was found before the refusal, for the log.
     """
 
     kind: ErrorKind
     detail: str
     retry_after_s: float | None = None
+    tenant: str = ""
 
     @property
     def response_spec(self) -> ResponseSpec:
--- a/src/berylmast/platform/adapter.py
+++ b/src/berylmast/platform/adapter.py
@@ -24,13 +24,17 @@
     make_error_response,
     read_attempt_id,
     read_deadline_ms,
+    read_key,
     set_caller_service,
+    set_tenant,
 )
 from .store_client import StoreClient
 
 READY_PATH = "/v1/ready"
 
-_HEADERS = CallerHeaderInterface(read_attempt_id, read_deadline_ms, set_caller_service)
+_HEADERS = CallerHeaderInterface(
+    read_attempt_id, read_deadline_ms, set_caller_service, read_key, set_tenant
+)
 
 
 def _make_store(cfg: DaemonSettings) -> Store:
--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -21,6 +21,10 @@
 SERVER_LOAD_HEADER = b"x-server-load"
 # Requests per second that the server accepts from all daemons together.
 RATE_LIMIT_HEADER = b"server-limit"
+# The key of the caller's tenant, which is not passed to servers.
+KEY_HEADER = b"x-api-key"
+# The name of the tenant that the key belongs to.
+TENANT_HEADER = b"x-tenant"
 # "1" if the server is shutting down.
 LEAVING_HEADER = b"server-leaving"
 # The id of the server that sent a health response.
@@ -29,6 +33,7 @@
 _OVERWRITTEN_HEADERS = frozenset(
     {DEADLINE_MS_HEADER, TARGET_INSTANCE_HEADER, CALLER_SERVICE_HEADER}
 )
+_TENANT_HEADERS = frozenset({KEY_HEADER, TENANT_HEADER})
 READ_AHEAD_BYTES = 64 * 1024
 
 MAX_DEADLINE_MS = 24 * 3600 * 1000
@@ -52,6 +57,7 @@
     ErrorKind.HEADERS_TIMEOUT: 408,
     ErrorKind.UNKNOWN_SERVICE: 404,
     ErrorKind.DEADLINE_UNKNOWN: _GATEWAY_TIMEOUT,
+    ErrorKind.UNKNOWN_KEY: 401,
 }
 """Status codes of the error kinds that are answered with neither 502 nor 503.
 
@@ -88,6 +94,33 @@
     return [*forwarded, (CALLER_SERVICE_HEADER, service.encode("latin-1"))]
 
 
+def read_key(headers: Headers) -> bytes | None:
+    """Return the key of a request, None without one.
+
+    Returns an empty key, which no tenant has, if there is more than one.
+    """
+    keys = [value for name, value in headers if name == KEY_HEADER]
+    if not keys:
+        return None
+    return keys[0] if len(keys) == 1 else b""
+
+
+def set_tenant(headers: Headers, tenant: str) -> list[tuple[bytes, bytes]]:
+    """Return the headers with ``x-tenant`` set to a tenant, absent if it is empty.
+
+    The key is removed. Names with underscores are removed too, because some servers
+    treat them as the same names.
+    """
+    kept = [
+        (name, value)
+        for name, value in headers
+        if name.lower().replace(b"_", b"-") not in _TENANT_HEADERS
+    ]
+    if tenant:
+        kept.append((TENANT_HEADER, tenant.encode("latin-1")))
+    return kept
+
+
 def make_error_response(refusal: Refusal) -> ErrorResponse:
     """Return the status and headers of an error response.
 
--- a/src/berylmast/platform/store_client.py
+++ b/src/berylmast/platform/store_client.py
@@ -251,7 +251,11 @@
     try:
         return model.model_validate(data)
     except ValidationError as exc:
-        raise PlatformUnavailable(f"invalid response from the store: {exc}") from exc
+        # The text of the exception quotes the input, which may contain callers' keys.
+        error = exc.errors(include_url=False, include_input=False)[0]
+        location = ".".join(str(part) for part in error["loc"])
+        detail = f"invalid response from the store: {location}: {error['msg']}"
+        raise PlatformUnavailable(detail) from exc
 
 
 def _read_era(headers: Headers) -> int:
--- a/src/berylmast/platform/tests/test_store_client.py
+++ b/src/berylmast/platform/tests/test_store_client.py
@@ -242,6 +242,20 @@
 )
 async def test_malformed_response_is_reported_as_unavailable(response: bytes) -> None:
     """An error of another type ended the daemon's task that called the store."""
+    await list_from(response)
+
+
+async def test_error_for_a_malformed_response_quotes_no_key() -> None:
+    """The error is logged; it quoted the input, which held the keys of tenants."""
+    spec = b'{"tenants": [{"name": "a", "apiKeys": ["secret"]}]}'
+    body = b'{"items": [{"metadata": {"name": "main"}, "spec": %s}]}' % spec
+    error = await list_from(_make_response(body))
+    assert "at: Field required" in str(error)
+    assert "secret" not in str(error)
+
+
+async def list_from(response: bytes) -> PlatformUnavailable:
+    """Return the error of a list call that gets this response."""
 
     async def serve_response(stream: SocketStream) -> None:
         async with stream:
@@ -254,7 +268,8 @@
     client = StoreClient(Address(host="127.0.0.1", port=port))
     async with anyio.create_task_group() as tg:
         tg.start_soon(listener.serve, serve_response)
-        with pytest.raises(PlatformUnavailable):
+        with pytest.raises(PlatformUnavailable) as caught:
             await client.list("things")
         await client.aclose()
         tg.cancel_scope.cancel()
+    return caught.value
