Keep requests in the home regions of their route

Requests were sent to any region, whatever homeRegions the route names. Router.choose and has_alternative_in_region now leave out servers outside the homes before any sample is drawn. Holders of idempotency keys are selected in the homes, because they store the response.

--- a/src/berylmast/callers/backend_selector.py
+++ b/src/berylmast/callers/backend_selector.py
@@ -56,6 +56,7 @@
             exclude=exclude,
             body_bytes=self._body_bytes,
             idempotent=self._req.head.idempotent,
+            home_regions=self._req.home_regions,
         )
         if choice.is_err():
             if not (spilling and self._busy_backends):
@@ -64,7 +65,7 @@
             return self.choose()
         endpoint = choice.unwrap()
         may_spill = spilling and self._router.has_alternative_in_region(
-            service.service, exclude | {endpoint.backend}
+            service.service, exclude | {endpoint.backend}, self._req.home_regions
         )
         return Ok(Placement(endpoint, may_spill))
 
--- a/src/berylmast/callers/host_route_classifier.py
+++ b/src/berylmast/callers/host_route_classifier.py
@@ -7,6 +7,7 @@
 from result import Err, Ok, Result
 
 from ..errors import ErrorKind, Refusal
+from ..home_regions import combine_home_regions
 from ..membership.active_document import ActiveDocument
 from ..model import AttemptId, Headers, RequestHead
 from ..routes import HostRoute
@@ -103,7 +104,12 @@
         expects = dict(request_headers).get(b"expect", b"").lower() == b"100-continue"
         return Ok(
             ClassifiedRequest(
-                head, service, length, expects and has_body, route.max_attempts
+                head,
+                service,
+                length,
+                expects and has_body,
+                route.max_attempts,
+                combine_home_regions(route.home_regions),
             )
         )
 
--- a/src/berylmast/callers/idempotency.py
+++ b/src/berylmast/callers/idempotency.py
@@ -1,7 +1,8 @@
 """Deduplicates requests by their ``Idempotency-Key``.
 
 The record of a key is stored by two endpoints of the service, its holders. They are the
-two highest-ranked ready endpoints in rendezvous hashing. A request runs only after both
+two highest-ranked ready endpoints in rendezvous hashing, among those in the request's
+home regions if it has any. A request runs only after both
 holders (or the only one, if the service has one endpoint) have reserved the key for it.
 Holders are contacted in the order of their rank, so that two duplicates can't block
 each other. A duplicate is recognized if any one holder has a record of the key.
@@ -35,6 +36,7 @@
 from ..daemons.frames import KeyBegin, KeyFinish, KeyState
 from ..errors import ErrorKind, Refusal
 from ..model import Endpoint, KeyStatus, StoredResponse
+from ..routing import Eligibility
 from .classify import ClassifiedRequest
 from .context import ForwardingContext, RequestProgress, ResponseSink
 from .recording_sink import RecordingSink
@@ -109,12 +111,13 @@
     if not 0 < len(key) <= MAX_KEY_CHARS:
         detail = f"an idempotency key must have 1 to {MAX_KEY_CHARS} characters"
         return Err(Refusal(ErrorKind.BAD_REQUEST, detail))
+    # Holders store the response, so they must be in the home regions too.
+    allowed = Eligibility(req.home_regions)
     endpoints = context.endpoints(head.service)
-    holders = select_holders(endpoints, head.service, head.tenant, key)
+    holders = select_holders(allowed.select(endpoints), head.service, head.tenant, key)
     if not holders:
-        return Err(
-            Refusal(ErrorKind.NO_BACKEND, f"no ready backend server of {head.service}")
-        )
+        detail = allowed.describe_lack(head.service, endpoints)
+        return Err(Refusal(ErrorKind.NO_BACKEND, detail))
     status = KeyStatus.NOT_RUN
     sink = RecordingSink(response)
     reservation = _Reservation()
--- a/src/berylmast/callers/tests/test_host_route_classifier.py
+++ b/src/berylmast/callers/tests/test_host_route_classifier.py
@@ -1,5 +1,6 @@
-"""Guards against requests that are forwarded with a wrong latency target."""
+"""Guards against wrong latency targets and homes of forwarded requests."""
 
+from dataclasses import replace
 from typing import Any
 
 import pytest
@@ -70,3 +71,26 @@
         for deadline_ms in deadlines_ms
     ]
     assert heads[-1].target_ms == target_ms
+
+
+@pytest.mark.parametrize(
+    ("route_homes", "expected"),
+    [(frozenset(), None), (frozenset({"a", "b"}), frozenset({"a", "b"}))],
+    ids=["none", "two"],
+)
+async def test_home_regions_of_the_route_apply(
+    route_homes: frozenset[str], expected: frozenset[str] | None
+) -> None:
+    """Guards against an absent restriction that is read as "no region"."""
+    route = replace(ROUTE, home_regions=route_homes)
+    active_document = ActiveDocument(lambda _spec: Ok(CONFIGURATION), Directory())
+    active_document.current = replace(CONFIGURATION, routes={"shop.test": (route,)})
+    classify = make_host_route_classifier(
+        active_document,
+        CallerHeaderInterface(lambda _h: "r1", read_deadline_ms, lambda h, _s: list(h)),
+        lambda route: route.parts[0].service,
+        lambda: AttemptId("e", 1, 1),
+        lambda: SERVICE,
+    )
+    classified = (await classify(make_scope(None))).unwrap()
+    assert classified.home_regions == expected
--- a/src/berylmast/routing/explain.py
+++ b/src/berylmast/routing/explain.py
@@ -10,6 +10,7 @@
 from ..errors import Refusal
 from ..model import Endpoint, ServiceSlice
 from .ejection import EjectionTracker
+from .eligibility import Eligibility
 from .leaving import LeavingBackends
 from .load_table import LoadTable
 from .locality import group_by_region
@@ -25,6 +26,7 @@
     ejections: EjectionTracker
     slow_start: SlowStart
     leaving: LeavingBackends
+    eligibility: Eligibility
 
 
 @dataclass(frozen=True, slots=True)
@@ -34,6 +36,8 @@
     ``own`` is the number of requests in flight from this entry. ``report_age_s`` is
     None if there is no load report. ``ramp_limit`` is None for a backend server that is
     not ramping up. ``hot`` is relative to the other endpoints of the same region.
+    ``left_out`` says why it may not get the request (homes, evacuation), empty if it
+    may.
     """
 
     backend: str
@@ -48,6 +52,7 @@
     ejected: bool
     draining: bool
     ramp_limit: int | None
+    left_out: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +98,8 @@
     if not service.ejection:
         return set()
     now_s = anyio.current_time()
-    usable = [e for e in endpoints if not state.loads.is_draining(e, now_s)]
+    allowed = state.eligibility.select(endpoints)
+    usable = [e for e in allowed if not state.loads.is_draining(e, now_s)]
     return {
         backend
         for group in group_by_region(usable).values()
@@ -134,6 +140,7 @@
         draining=state.loads.is_draining(endpoint, now_s)
         or state.leaving.contains(endpoint),
         ramp_limit=state.slow_start.get_limit(endpoint.backend, now_s),
+        left_out=state.eligibility.find_obstacle(endpoint),
     )
 
 
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -12,6 +12,7 @@
 from ..membership import Directory
 from ..model import AttemptResult, Endpoint, LoadReport, ServiceSlice
 from .ejection import EjectionTracker
+from .eligibility import Eligibility
 from .explain import Explanation, RoutingState, explain_choice
 from .leaving import LeavingBackends
 from .link_budget import LinkBudget
@@ -43,7 +44,10 @@
 
 
 class Router:
-    """Chooses endpoints by load reports, results of attempts and budgets."""
+    """Chooses endpoints by load reports, results of attempts and budgets.
+
+    ``get_evacuated`` returns the failure domains whose servers get no requests.
+    """
 
     def __init__(
         self,
@@ -54,6 +58,7 @@
         rng: Random,
         unix_time: Callable[[], float] = time.time,
         address: tuple[str, int] | None = None,
+        get_evacuated: Callable[[], frozenset[str]] = frozenset,
     ) -> None:
         self.probe_budget = ProbeBudget()
         self.link_budget = LinkBudget()
@@ -62,6 +67,7 @@
         self._failure_domain = failure_domain
         self._rng = rng
         self._peer_address = address
+        self._get_evacuated = get_evacuated
         # The steps of a shift start at Unix times. Everything else uses the monotonic
         # clock of the event loop.
         self._unix_time = unix_time
@@ -81,6 +87,7 @@
         exclude: Collection[str],
         body_bytes: int = 0,
         idempotent: bool = True,
+        home_regions: frozenset[str] | None = None,
     ) -> Result[Endpoint, Refusal]:
         """Choose a backend server for one attempt.
 
@@ -88,21 +95,28 @@
         length of the request body, which counts towards the network cost and the link
         budget. A request that is not ``idempotent`` becomes a readmission trial only if
         no idempotent request came within IDEMPOTENT_TRIAL_WAIT_S after it was due.
+        Only endpoints in ``home_regions`` are chosen, in all regions if it is None.
         """
         now_s = anyio.current_time()
         self._record_request(service, now_s, is_first_attempt=not exclude)
+        eligibility = Eligibility(home_regions, self._get_evacuated())
+        available = self._find_available(service.service, now_s, eligibility)
+        if not available:
+            return self._refuse_without_endpoint(service.service, eligibility)
         if service.policy == LEAST_DELAY:
-            return self._choose_by_delay(service, exclude, body_bytes, now_s)
-        groups = group_by_region(self._find_available(service.service, now_s))
-        kind, detail = ErrorKind.NO_BACKEND, f"no backend server of {service.service}"
+            return self._choose_by_delay(
+                service, available, exclude, body_bytes, eligibility, now_s
+            )
+        groups = group_by_region(available)
+        refusal: Refusal | None = None
         last_resort: Endpoint | None = None
         for region in self._order_regions(groups, service):
             untried = [e for e in groups[region] if e.backend not in exclude]
             if not untried:
                 continue
             if not self._has_link_budget(region, service, body_bytes, now_s):
-                kind = ErrorKind.LINK_BUDGET
                 detail = f"the link budget allows no request to region {region} now"
+                refusal = Refusal(ErrorKind.LINK_BUDGET, detail)
                 continue
             chosen = self._choose_in_region(
                 service, groups[region], untried, idempotent, now_s
@@ -112,16 +126,24 @@
             last_resort = last_resort or self._rng.choice(untried)
         if last_resort is not None:
             return self._record_choice(last_resort)
-        return Err(Refusal(kind, detail))
+        if refusal is not None:
+            return Err(refusal)
+        return self._refuse_without_endpoint(service.service, eligibility)
 
-    def has_alternative_in_region(self, service: str, exclude: Collection[str]) -> bool:
+    def has_alternative_in_region(
+        self,
+        service: str,
+        exclude: Collection[str],
+        home_regions: frozenset[str] | None = None,
+    ) -> bool:
         """Return whether the entry's region has another backend server to choose."""
         now_s = anyio.current_time()
+        eligibility = Eligibility(home_regions, self._get_evacuated())
         return any(
             e.region == self._region
             and e.backend not in exclude
             and not self._unreachable.is_excluded(e.backend, now_s)
-            for e in self._find_available(service, now_s)
+            for e in self._find_available(service, now_s, eligibility)
         )
 
     def record_start(self, backend: str, body_bytes: int = 0) -> None:
@@ -206,7 +228,12 @@
         }
 
     def explain(
-        self, service: ServiceSlice, *, idempotent: bool = True, body_bytes: int = 0
+        self,
+        service: ServiceSlice,
+        *,
+        idempotent: bool = True,
+        body_bytes: int = 0,
+        home_regions: frozenset[str] | None = None,
     ) -> Explanation:
         """Return the state of the candidates and the one that a request would get.
 
@@ -215,13 +242,18 @@
         endpoints = self._directory.endpoints(service.service)
         router_copy = self._copy_subset({endpoint.backend for endpoint in endpoints})
         chosen = router_copy.choose(
-            service, exclude=(), body_bytes=body_bytes, idempotent=idempotent
+            service,
+            exclude=(),
+            body_bytes=body_bytes,
+            idempotent=idempotent,
+            home_regions=home_regions,
         )
         state = RoutingState(
             router_copy._loads,
             self._ejections,
             router_copy._slow_start,
             self._leaving,
+            Eligibility(home_regions, self._get_evacuated()),
         )
         weights = service.get_region_weights(self._unix_time())
         location = (self._region, self._failure_domain)
@@ -272,17 +304,26 @@
             regions = regions[:1]
         return [endpoint for region in regions for endpoint in groups[region]]
 
-    def _find_available(self, service: str, now_s: float) -> list[Endpoint]:
+    def _find_available(
+        self, service: str, now_s: float, eligibility: Eligibility
+    ) -> list[Endpoint]:
         endpoints = self._directory.endpoints(service)
         for backend in self._slow_start.register_endpoints(endpoints, now_s):
             self._ejections.forget(backend)
             self._loads.reset_errors(backend)
         return [
             e
-            for e in endpoints
+            for e in eligibility.select(endpoints)
             if not self._loads.is_draining(e, now_s) and not self._leaving.contains(e)
         ]
 
+    def _refuse_without_endpoint(
+        self, service: str, eligibility: Eligibility
+    ) -> Result[Endpoint, Refusal]:
+        endpoints = self._directory.endpoints(service)
+        detail = eligibility.describe_lack(service, endpoints)
+        return Err(Refusal(ErrorKind.NO_BACKEND, detail))
+
     def _record_request(
         self, service: ServiceSlice, now_s: float, *, is_first_attempt: bool
     ) -> None:
@@ -348,8 +389,10 @@
     def _choose_by_delay(
         self,
         service: ServiceSlice,
+        available: Sequence[Endpoint],
         exclude: Collection[str],
         body_bytes: int,
+        eligibility: Eligibility,
         now_s: float,
     ) -> Result[Endpoint, Refusal]:
         """Choose the endpoint with the lowest expected delay in all regions.
@@ -358,15 +401,13 @@
         service is overloaded, timeouts would eject half of its backend servers just
         when all of them are needed.
         """
-        available = self._find_available(service.service, now_s)
         untried = [e for e in available if e.backend not in exclude]
         reachable = [
             e for e in untried if not self._unreachable.is_excluded(e.backend, now_s)
         ]
         untried = reachable or untried
         if not untried:
-            kind = ErrorKind.NO_BACKEND
-            return Err(Refusal(kind, f"no backend server of {service.service}"))
+            return self._refuse_without_endpoint(service.service, eligibility)
         sample = sample_endpoints(untried, self._failure_domain, self._rng)
         candidates = self._apply_slow_start(
             self._loads.make_candidates(sample, now_s), now_s
--- a/src/berylmast/tests/fakes.py
+++ b/src/berylmast/tests/fakes.py
@@ -122,13 +122,20 @@
             self._connections[endpoint.backend] = conn
         return conn
 
-    async def call(self, body: RequestBody | None = None, **changes: Any) -> Call:
+    async def call(
+        self,
+        body: RequestBody | None = None,
+        home_regions: frozenset[str] | None = None,
+        **changes: Any,
+    ) -> Call:
         """Make one call and wait until it has finished."""
         head = make_head(
             **{"attempt": self.forwarding_context.next_attempt(), **changes}
         )
         body = body or make_body(length=0)
-        req = ClassifiedRequest(head, self.fleet.slice, body.length)
+        req = ClassifiedRequest(
+            head, self.fleet.slice, body.length, home_regions=home_regions
+        )
         response, progress = FakeResponse(), RequestProgress()
         started_s = anyio.current_time()
         result = await forward_until_disconnect(
