Share the loops that watch and look at the store

The evacuations will be followed in the same way as the configuration. The loops move from document_sync to watch_loop; nothing else changes. The membership, daemons and platform tests pass.

--- a/src/berylmast/membership/document_sync.py
+++ b/src/berylmast/membership/document_sync.py
@@ -16,6 +16,7 @@
 from .fleet_view import FleetView
 from .store import Store, StoredDocument
 from .store_calls import Backoff, StoreStatus
+from .watch_loop import compute_look_interval_s, run_looks, run_watch
 from .watchers import WatchRole
 
 WATCH_TIMEOUTS_S = {WatchRole.FIRST: 3.5, WatchRole.BACKUP: 15.0}
@@ -23,28 +24,6 @@
 nothing for this long. For the first watcher, this leaves time to hear of and pass on a
 change that is made three seconds later and must be in force after two more."""
 
-WATCH_DELAY_S = 0.15
-"""Delay after a configuration change before the next watch, so that several changes in
-quick succession cost one call."""
-
-FLEET_SEARCH_TIME_S = 3.0
-"""Time after which a daemon that knows no other one starts to watch. When a whole fleet
-starts, nobody knows who the watchers are until the first records are stored."""
-
-_FLEET_SEARCH_POLL_S = 0.1
-
-ROLE_CHECK_INTERVAL_S = 1.0
-"""Interval at which a daemon checks whether it has become a watcher."""
-
-ISOLATION_CHECK_INTERVAL_S = 0.25
-
-LOOK_INTERVAL_PER_DAEMON_S = 1.0
-"""The interval between two looks of a daemon grows with the fleet, so that the fleet
-as a whole looks about once per second."""
-
-MIN_LOOK_INTERVAL_S = 3.0
-MAX_LOOK_INTERVAL_S = 120.0
-
 
 class DocumentSync:
     """Reads and watches the configuration.
@@ -73,8 +52,17 @@
         """Keep the configuration up to date until cancelled."""
         await self._read_first()
         async with anyio.create_task_group() as tg:
-            tg.start_soon(self._watch)
-            tg.start_soon(self._look)
+            backoffs = [self._make_backoff() for _ in range(2)]
+            tg.start_soon(
+                run_watch, self._fleet, backoffs[0], self._watch, self._log_role
+            )
+            tg.start_soon(
+                run_looks,
+                self._fleet,
+                backoffs[1],
+                self._look,
+                self._get_look_interval_s,
+            )
 
     async def _read_first(self) -> None:
         """Read the configuration, or return once another daemon has sent it.
@@ -92,37 +80,12 @@
             backoff.reset()
             return
 
-    async def _wait_for_fleet(self) -> None:
-        with anyio.move_on_after(FLEET_SEARCH_TIME_S):
-            while self._fleet.size == 1:
-                await anyio.sleep(_FLEET_SEARCH_POLL_S)
+    async def _watch(self, role: WatchRole) -> bool:
+        return await self._wait_for_change(WATCH_TIMEOUTS_S[role])
 
-    async def _watch(self) -> None:
-        await self._wait_for_fleet()
-        backoff = self._make_backoff()
-        last_role = WatchRole.NONE
-        while True:
-            role = self._fleet.get_watch_role()
-            if role is not last_role:
-                isolated = self._fleet.is_isolated
-                log_event("watch_role", role=role.value, isolated=isolated)
-                last_role = role
-            if role is WatchRole.NONE:
-                await self._wait_for_role_check()
-                continue
-            try:
-                changed = await self._wait_for_change(WATCH_TIMEOUTS_S[role])
-            except PlatformUnavailable as exc:
-                await backoff.wait(exc)
-                continue
-            backoff.reset()
-            if changed:
-                await anyio.sleep(WATCH_DELAY_S)
-
-    async def _wait_for_role_check(self) -> None:
-        with anyio.move_on_after(ROLE_CHECK_INTERVAL_S):
-            while not self._fleet.is_isolated:
-                await anyio.sleep(ISOLATION_CHECK_INTERVAL_S)
+    def _log_role(self, role: WatchRole) -> None:
+        isolated = self._fleet.is_isolated
+        log_event("watch_role", role=role.value, isolated=isolated)
 
     async def _wait_for_change(self, timeout_s: float) -> bool:
         """Wait for one change; return whether there was one."""
@@ -137,23 +100,11 @@
         return self._adopt(stored)
 
     async def _look(self) -> None:
-        backoff = self._make_backoff()
-        while True:
-            await anyio.sleep(self._get_look_interval_s())
-            if self._fleet.get_watch_role() is not WatchRole.NONE:
-                continue
-            try:
-                self._adopt(await self._store.read_document(stale=True))
-            except PlatformUnavailable as exc:
-                await backoff.wait(exc)
-                continue
-            backoff.reset()
+        self._adopt(await self._store.read_document(stale=True))
 
     def _get_look_interval_s(self) -> float:
-        interval_s = MIN_LOOK_INTERVAL_S
-        if self._active_document.current is not None:
-            interval_s = max(interval_s, self._fleet.size * LOOK_INTERVAL_PER_DAEMON_S)
-        return min(interval_s, MAX_LOOK_INTERVAL_S) * self._rng.uniform(0.5, 1.5)
+        known = self._active_document.current is not None
+        return compute_look_interval_s(self._fleet.size if known else 0, self._rng)
 
     def _adopt(self, stored: StoredDocument) -> bool:
         """Activate what was read; return whether the store sent a configuration."""
--- a/src/berylmast/membership/tests/test_configuration_spread.py
+++ b/src/berylmast/membership/tests/test_configuration_spread.py
@@ -15,7 +15,8 @@
 from ...platform.objects import Listing
 from ...platform.tests.fake_store import FakeStore
 from .. import gossip
-from ..document_sync import FLEET_SEARCH_TIME_S, WATCH_TIMEOUTS_S
+from ..document_sync import WATCH_TIMEOUTS_S
+from ..watch_loop import FLEET_SEARCH_TIME_S
 from ..watchers import WatchRole
 from .fleet import ENVIRONMENT, make_text, run_fleet
 from .started_fleets import (
