Track how current the configuration is, and refuse keys when it may be old

Cause: a daemon that was cut off, frozen or just restarted accepted a removed key for as long as it held the old configuration.

Change: where the settings have key_revocation, tenancy/freshness tracks the evidence that the configuration in force was current: linearizable answers of the store and other daemons' replies, which state the age of theirs.

--- a/src/berylmast/adapter.py
+++ b/src/berylmast/adapter.py
@@ -18,6 +18,7 @@
 from .model import AttemptId
 from .routes import Configuration
 from .settings import DaemonSettings, LiveSettings
+from .tenancy.freshness import Freshness
 
 HandleReport = Callable[[BackendReport], Awaitable[Result[None, str]]]
 HandleDeparture = Callable[[Departure], Awaitable[Result[None, str]]]
@@ -25,7 +26,14 @@
 """Called with the id of a backend server and the reason its message is invalid."""
 
 MakeClassifier = Callable[
-    [LiveSettings, Directory, ActiveDocument, Random, Callable[[], AttemptId]],
+    [
+        LiveSettings,
+        Directory,
+        ActiveDocument,
+        Random,
+        Callable[[], AttemptId],
+        Freshness | None,
+    ],
     RequestClassifier,
 ]
 
--- a/src/berylmast/callers/host_route_classifier.py
+++ b/src/berylmast/callers/host_route_classifier.py
@@ -11,6 +11,8 @@
 from ..membership.active_document import ActiveDocument
 from ..model import AttemptId, Headers, RequestHead
 from ..routes import Configuration, HostRoute, Tenant
+from ..telemetry import EventRateLimiter
+from ..tenancy.freshness import Freshness
 from ..tenancy.key_check import check_key
 from .caller_wait import CallerWaitEstimator
 from .classify import (
@@ -25,6 +27,9 @@
 
 MAX_HEADERS = 200
 
+REFUSAL_LINES_PER_S = 1.0
+"""Maximum rate of log lines for requests refused because of old evidence."""
+
 
 @dataclass(frozen=True, slots=True)
 class CallerHeaderInterface:
@@ -52,9 +57,15 @@
     choose_service: Callable[[HostRoute], str],
     next_attempt: Callable[[], AttemptId],
     get_caller_service: Callable[[], str],
+    freshness: Freshness | None = None,
 ) -> RequestClassifier:
-    """Return the classifier that uses the routes of the current configuration."""
+    """Return the classifier that uses the routes of the current configuration.
+
+    With ``freshness``, requests with a key are refused unless the configuration is
+    known to have been current lately.
+    """
     wait_estimator = CallerWaitEstimator()
+    refusal_log = EventRateLimiter(REFUSAL_LINES_PER_S)
 
     def drop_tenant_headers(headers: Headers) -> Headers:
         return header_interface.set_tenant(headers, "")
@@ -86,9 +97,14 @@
         if route is None:
             detail = f"no route for {host!r} {target!r} in configuration {cfg.version}"
             return Err(Refusal(ErrorKind.UNKNOWN_SERVICE, detail))
-        checked_tenant = _find_tenant(cfg, route, request_headers, header_interface)
+        checked_tenant = _find_tenant(
+            cfg, route, request_headers, header_interface, freshness
+        )
         if checked_tenant.is_err():
-            return Err(checked_tenant.unwrap_err())
+            refusal = checked_tenant.unwrap_err()
+            if refusal.kind is ErrorKind.KEYS_NOT_CURRENT and freshness is not None:
+                _record_old_evidence(freshness, refusal, cfg, refusal_log)
+            return Err(refusal)
         tenant = checked_tenant.unwrap()
         rank = _get_rank(route, tenant)
         headers = header_interface.set_caller_service(
@@ -145,10 +161,29 @@
     route: HostRoute,
     headers: Headers,
     header_interface: CallerHeaderInterface,
+    freshness: Freshness | None,
 ) -> Result[Tenant | None, Refusal]:
     if not cfg.tenants:
         return Ok(None)
-    return check_key(cfg, route, header_interface.read_key(headers), is_current=True)
+    is_current = freshness is None or freshness.is_current()
+    key = header_interface.read_key(headers)
+    return check_key(cfg, route, key, is_current=is_current)
+
+
+def _record_old_evidence(
+    freshness: Freshness,
+    refusal: Refusal,
+    cfg: Configuration,
+    refusal_log: EventRateLimiter,
+) -> None:
+    freshness.refusals += 1
+    refusal_log.write(
+        refusal.kind,
+        "keys_not_current",
+        tenant=refusal.tenant,
+        version=cfg.version,
+        age_ms=freshness.get_age_ms(),
+    )
 
 
 def _get_rank(route: HostRoute, tenant: Tenant | None) -> int:
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -46,6 +46,7 @@
     LocalBackend,
     make_attempt_id_factory,
     make_exchange_handler,
+    make_freshness,
     make_membership_report,
     make_request_counter,
     make_retry_budget,
@@ -73,6 +74,7 @@
     directory = Directory()
     registry = EndpointRegistry(directory)
     active_document = ActiveDocument(adapter.parse_configuration, directory)
+    freshness = make_freshness(cfg, active_document)
     lifecycle = Lifecycle()
     statsd = make_statsd_reporter(cfg.statsd)
     recorder = RequestRecorder(statsd)
@@ -96,7 +98,7 @@
             tg.start_soon(run_supervised, "statsd", statsd.run)
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
         tg.start_soon(run_supervised, "pool", pool.run)
-        gossip = Gossip(pool, registry, active_document, fleet_view, rng)
+        gossip = Gossip(pool, registry, active_document, fleet_view, rng, freshness)
         document_sync = DocumentSync(
             store,
             active_document,
@@ -104,6 +106,7 @@
             rng,
             fleet_view,
             gossip.spread_document,
+            freshness,
         )
         owner = local_backend.owner if local_backend else None
         listener = PeerListener(
@@ -158,7 +161,12 @@
             endpoints=directory.endpoints,
         )
         classify = adapter.make_classifier(
-            live, directory, active_document, rng, forwarding_context.next_attempt
+            live,
+            directory,
+            active_document,
+            rng,
+            forwarding_context.next_attempt,
+            freshness,
         )
         app = make_app(
             classify,
@@ -181,7 +189,9 @@
             lifecycle,
             local_backend.admission if local_backend else None,
             router.summarize,
-            make_membership_report(active_document, registry, store, store_status),
+            make_membership_report(
+                active_document, registry, store, store_status, freshness
+            ),
             make_explain_handler(directory, router),
         )
 
@@ -194,7 +204,12 @@
             render = make_metrics_renderer(
                 recorder,
                 make_metrics_reader(
-                    active_document, registry, store, store_status, local_backend
+                    active_document,
+                    registry,
+                    store,
+                    store_status,
+                    local_backend,
+                    freshness,
                 ),
             )
             tg.start_soon(make_server(make_metrics_app(render), cfg.metrics).serve)
--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -7,6 +7,7 @@
 from .membership.store import Store
 from .membership.store_calls import StoreStatus
 from .telemetry import Counter, Gauge, get_event_count
+from .tenancy.freshness import Freshness
 from .wiring import LocalBackend
 
 Metric = Gauge | Counter
@@ -18,6 +19,7 @@
     store: Store,
     store_status: StoreStatus,
     local_backend: LocalBackend | None,
+    freshness: Freshness | None = None,
 ) -> Callable[[], list[Metric]]:
     """Return a function that reads the current metric values of this daemon."""
 
@@ -34,6 +36,8 @@
             Counter("store_calls", "Calls to the store", store.calls),
         ]
         metrics += _read_rejections()
+        if freshness is not None:
+            metrics += _read_freshness(freshness)
         if local_backend is not None:
             metrics += _read_load(local_backend)
             metrics += _read_notices(local_backend)
@@ -43,6 +47,21 @@
     return read_values
 
 
+def _read_freshness(freshness: Freshness) -> list[Metric]:
+    return [
+        Gauge(
+            "configuration_current_age_ms",
+            "Time since the configuration is known to have been current, -1 if unknown",
+            freshness.get_age_ms(),
+        ),
+        Counter(
+            "keys_not_current",
+            "Requests with a key that were refused because that time is too long",
+            freshness.refusals,
+        ),
+    ]
+
+
 _FAULT_EVENTS = ("fault", "request_fault", "dispatch_fault", "task_failed")
 
 
--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -268,11 +268,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Compared:
-    """Reply to ``Compare`` with the peer's values; frames with differences follow."""
+    """Reply to ``Compare`` with the peer's values; frames with differences follow.
+
+    ``current_age_ms`` is the age of the peer's evidence that its configuration is
+    current (see ``tenancy.freshness``), -1 if it has none or doesn't track it.
+    """
 
     exchange: int
     version: int
     digest: str
+    current_age_ms: int = -1
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/berylmast/membership/fleet_view.py
+++ b/src/berylmast/membership/fleet_view.py
@@ -82,6 +82,18 @@
             candidates = self._peers.all
         return self._rng.choice(candidates) if candidates else None
 
+    def choose_evidence_peer(self) -> Endpoint | None:
+        """Choose the daemon to ask how current the configuration is.
+
+        It is a watcher of this region. A watcher asks the first one, and the first one
+        any daemon. None if no such daemon is known.
+        """
+        watchers = self._choose_watchers()
+        peers = [p for p in self._regional_peers if get_address(p) in watchers]
+        if self._own.address in watchers:
+            peers = [p for p in peers if get_address(p) == watchers[0]]
+        return self._rng.choice(peers) if peers else None
+
     def choose_record_targets(self) -> list[Endpoint]:
         """Choose the daemons to which a changed record is sent."""
         return self._sample(self._peers.all, MAX_BROADCAST_PEERS)
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -29,6 +29,7 @@
 from ..model import Endpoint
 from ..supervision import run_logged
 from ..telemetry import log_event
+from ..tenancy.freshness import UNKNOWN_AGE_MS, Freshness
 from .active_document import ActiveDocument
 from .digest import Digest, parse_digest
 from .fleet_view import FleetView
@@ -43,6 +44,11 @@
 """A round asks another daemon if the one before has not responded after the delay. It
 may be dead, and what is missed must be found before the next round is due."""
 
+FRESHNESS_CHECK_INTERVAL_S = 0.1
+MAX_FRESHNESS_CHECK_INTERVAL_S = 1.0
+"""Interval at which the evidence for the configuration is checked, and a watcher asked
+if it is old. It grows while that doesn't help."""
+
 FIRST_PEER_TIMEOUT_S = 3.0
 _FIRST_PEER_POLL_S = 0.1
 
@@ -54,7 +60,11 @@
 
 
 class Gossip:
-    """Sends, compares and receives records and the configuration for this daemon."""
+    """Sends, compares and receives records and the configuration for this daemon.
+
+    With ``freshness``, replies to comparisons are evidence for the configuration, and
+    watchers are asked if it gets old.
+    """
 
     def __init__(
         self,
@@ -63,7 +73,9 @@
         active_document: ActiveDocument,
         fleet: FleetView,
         rng: Random,
+        freshness: Freshness | None = None,
     ) -> None:
+        self._freshness = freshness
         self._pool = pool
         self._registry = registry
         self._active_document = active_document
@@ -78,6 +90,8 @@
             self._tg = tg
             try:
                 await self._wait_for_first_peer()
+                if self._freshness is not None:
+                    tg.start_soon(self._renew_evidence, self._freshness)
                 while True:
                     self._start(self._run_round)
                     interval_s = COMPARE_INTERVAL_S * self._rng.uniform(0.75, 1.25)
@@ -100,10 +114,24 @@
         if self._tg is not None:
             self._tg.start_soon(run_logged, "gossip", run)
 
-    async def _run_round(self) -> None:
-        """Compare with one daemon, and with others if it does not respond soon."""
-        for _ in range(MAX_PEERS_PER_ROUND):
-            peer = self._fleet.choose_comparison_peer()
+    async def _renew_evidence(self, freshness: Freshness) -> None:
+        interval_s = FRESHNESS_CHECK_INTERVAL_S
+        while True:
+            await anyio.sleep(interval_s)
+            if not freshness.needs_comparison():
+                interval_s = FRESHNESS_CHECK_INTERVAL_S
+                continue
+            await self._run_round(self._fleet.choose_evidence_peer())
+            interval_s = min(2 * interval_s, MAX_FRESHNESS_CHECK_INTERVAL_S)
+
+    async def _run_round(self, first_peer: Endpoint | None = None) -> None:
+        """Compare with one daemon, and with others if it does not respond soon.
+
+        They are chosen at random apart from ``first_peer``.
+        """
+        for attempt in range(MAX_PEERS_PER_ROUND):
+            peer = first_peer if attempt == 0 else None
+            peer = peer or self._fleet.choose_comparison_peer()
             if peer is None:
                 return
             responded = anyio.Event()
@@ -140,8 +168,10 @@
         try:
             with anyio.move_on_after(COMPARE_TIMEOUT_S):
                 async with self._pool.open_exchange(peer) as exchange:
+                    sent_s = self._get_question_time_s()
                     await exchange.send(self._make_compare(exchange))
-                    await self._receive_response(exchange)
+                    reply = await self._receive_response(exchange)
+                    self._record_evidence(sent_s, reply)
                     responded = True
                     on_response()
         except (ConnectionLost, ExchangeLost):
@@ -155,7 +185,12 @@
         version = self._active_document.version
         equal = own.total == peers.total
         await exchange.send(
-            Compared(exchange.id, version, own.format(with_buckets=not equal))
+            Compared(
+                exchange.id,
+                version,
+                own.format(with_buckets=not equal),
+                current_age_ms=self._get_evidence_age_ms(),
+            )
         )
         if not equal:
             await _send_records(exchange, self._list_differing(peers))
@@ -182,10 +217,23 @@
         buckets = self._registry.digest.find_differing_buckets(peers)
         return self._registry.list_buckets(buckets)
 
-    async def _receive_response(self, exchange: Exchange) -> None:
+    def _get_evidence_age_ms(self) -> int:
+        if self._freshness is None:
+            return UNKNOWN_AGE_MS
+        return self._freshness.get_age_ms()
+
+    def _get_question_time_s(self) -> float:
+        return 0.0 if self._freshness is None else self._freshness.get_time_s()
+
+    def _record_evidence(self, sent_s: float, reply: Compared | None) -> None:
+        if self._freshness is not None and reply is not None:
+            self._freshness.record_reply(sent_s, reply.current_age_ms, reply.version)
+
+    async def _receive_response(self, exchange: Exchange) -> Compared | None:
+        """Receive the reply to a comparison and what follows it, and adopt it."""
         frame = await exchange.receive()
         if not isinstance(frame, Compared):
-            return
+            return None
         peers = parse_digest(frame.digest)
         records = await self._receive_state(exchange)
         own = self._registry.digest
@@ -197,6 +245,7 @@
         if frame.version < self._active_document.version:
             await self._send_document(exchange)
         await exchange.send(End(exchange.id))
+        return frame
 
     async def _receive_state(self, exchange: Exchange) -> list[Endpoint]:
         """Receive and merge records and a document up to the end of the exchange.
--- a/src/berylmast/membership/store.py
+++ b/src/berylmast/membership/store.py
@@ -12,11 +12,15 @@
 
     ``spec`` is the decoded JSON, None if there is no configuration or no newer one.
     ``revision`` is the one from which to wait for the next change, None if a stale read
-    found no configuration.
+    found no configuration. ``era`` is the era of the store that the revision belongs to
+    (see ``platform.objects.Listing``). ``expired`` is set if a watch ended without any
+    change.
     """
 
     revision: int | None
     spec: object | None
+    era: int = 0
+    expired: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,10 +50,13 @@
     def calls(self) -> int:
         """Return the number of calls made so far."""
 
-    async def read_document(self, *, stale: bool = False) -> StoredDocument:
+    async def read_document(
+        self, *, stale: bool = False, timeout_s: float | None = None
+    ) -> StoredDocument:
         """Read the configuration.
 
-        With ``stale``, what is read may be seconds old, which is cheaper.
+        With ``stale``, what is read may be seconds old, which is cheaper. ``timeout_s``
+        replaces the time within which the store must answer.
         """
 
     async def wait_document(self, revision: int, wait_s: float) -> StoredDocument:
--- a/src/berylmast/own_interface.py
+++ b/src/berylmast/own_interface.py
@@ -22,6 +22,7 @@
 from .platform.store_client import StoreClient
 from .routes import Configuration
 from .settings import DaemonSettings, LiveSettings
+from .tenancy.freshness import Freshness
 
 READY_PATH = "/ready"
 
@@ -56,6 +57,7 @@
     active_document: ActiveDocument,
     rng: Random,
     next_attempt: Callable[[], AttemptId],
+    freshness: Freshness | None,
 ) -> RequestClassifier:
     return make_classifier(directory, live.cfg.limits, next_attempt)
 
--- a/src/berylmast/platform/adapter.py
+++ b/src/berylmast/platform/adapter.py
@@ -16,6 +16,7 @@
 from ..model import AttemptId
 from ..routing.split import SplitChooser
 from ..settings import DaemonSettings, LiveSettings
+from ..tenancy.freshness import Freshness
 from . import configuration
 from .backend_reports import make_report_app
 from .platform_store import PlatformStore
@@ -50,6 +51,7 @@
     active_document: ActiveDocument,
     rng: Random,
     next_attempt: Callable[[], AttemptId],
+    freshness: Freshness | None,
 ) -> RequestClassifier:
     choose_service = SplitChooser(rng).choose
     return make_host_route_classifier(
@@ -58,6 +60,7 @@
         choose_service,
         next_attempt,
         lambda: live.cfg.service or "",
+        freshness,
     )
 
 
--- a/src/berylmast/platform/objects.py
+++ b/src/berylmast/platform/objects.py
@@ -80,10 +80,13 @@
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Read one object; None if it does not exist."""
 
-    async def list(self, kind: str, *, stale: bool = False) -> Listing:
+    async def list(
+        self, kind: str, *, stale: bool = False, timeout_s: float | None = None
+    ) -> Listing:
         """Read all objects of a kind.
 
         A ``stale`` read costs a tenth and may return data that is seconds old.
+        ``timeout_s`` replaces the time within which each page must arrive.
         """
 
     async def put(
--- a/src/berylmast/platform/store_client.py
+++ b/src/berylmast/platform/store_client.py
@@ -119,8 +119,13 @@
             return None
         return _parse_object(reply)
 
-    async def list(self, kind: str, *, stale: bool = False) -> Listing:
-        """Read all objects of a kind; a ``stale`` read may be seconds old."""
+    async def list(
+        self, kind: str, *, stale: bool = False, timeout_s: float | None = None
+    ) -> Listing:
+        """Read all objects of a kind; a ``stale`` read may be seconds old.
+
+        ``timeout_s`` replaces the time within which each page must arrive.
+        """
         items: list[StoredObject] = []
         after = ""
         while True:
@@ -128,7 +133,9 @@
             if after:
                 options["after"] = after
             query = f"?{urlencode(options, errors=_NAME_ERRORS)}" if options else ""
-            reply = await self._call("GET", _make_path(kind) + query)
+            path = _make_path(kind) + query
+            limit_s = CALL_TIMEOUT_S if timeout_s is None else timeout_s
+            reply = await self._call("GET", path, timeout_s=limit_s)
             if reply.status != 200:
                 raise _make_status_error(reply)
             page = _validate(_ListPage, reply.data)
--- a/src/berylmast/platform/tests/fake_store.py
+++ b/src/berylmast/platform/tests/fake_store.py
@@ -46,8 +46,14 @@
         entry = self.table.get(kind, name)
         return None if entry is None else make_stored_object(entry)
 
-    async def list(self, kind: str, *, stale: bool = False) -> Listing:
-        await self._call("stale list" if stale else "list", kind)
+    async def list(
+        self, kind: str, *, stale: bool = False, timeout_s: float | None = None
+    ) -> Listing:
+        try:
+            with anyio.fail_after(timeout_s):
+                await self._call("stale list" if stale else "list", kind)
+        except TimeoutError as exc:
+            raise PlatformUnavailable("no response") from exc
         if stale and kind in self.stale_listings:
             return self.stale_listings[kind]
         items = tuple(
--- a/src/berylmast/tests/golden_control.py
+++ b/src/berylmast/tests/golden_control.py
@@ -48,7 +48,9 @@
         self._log_response(format_object(found))
         return found
 
-    async def list(self, kind: str, *, stale: bool = False) -> Listing:
+    async def list(
+        self, kind: str, *, stale: bool = False, timeout_s: float | None = None
+    ) -> Listing:
         self._log_request(f"{'STALE ' if stale else ''}LIST {kind}")
         listing = await super().list(kind, stale=stale)
         items = "; ".join(format_object(item) for item in listing.items)
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -31,6 +31,7 @@
 from .routing import Router
 from .settings import DaemonSettings, LiveSettings
 from .telemetry import log_event
+from .tenancy.freshness import Freshness
 
 BACKEND_CONNECTIONS = 1_000
 """Far above the slots of a backend server: only admission limits its requests."""
@@ -262,20 +263,37 @@
     registry: EndpointRegistry,
     store: Store,
     store_status: StoreStatus,
+    freshness: Freshness | None = None,
 ) -> Callable[[], object]:
-    """Return a function that builds the membership section of the status report."""
+    """Return a function that builds the membership section of the status report.
+
+    With ``freshness``, it contains the age in ms of the evidence that the version is
+    current, -1 without evidence.
+    """
 
     def report() -> object:
-        return {
+        state: dict[str, object] = {
             "version": active_document.version,
             "records": len(registry.records()),
             "store_up": store_status.up,
             "store_calls": store.calls,
         }
+        if freshness is not None:
+            state["current_age_ms"] = freshness.get_age_ms()
+        return state
 
     return report
 
 
+def make_freshness(
+    cfg: DaemonSettings, active_document: ActiveDocument
+) -> Freshness | None:
+    """Return what tracks how current the keys are, None if nothing depends on it."""
+    if cfg.key_revocation is None:
+        return None
+    return Freshness(cfg.key_revocation.within_s, lambda: active_document.version)
+
+
 def make_request_counter(
     listener: PeerListener, admission: Admission | None
 ) -> Callable[[], int]:
