Follow and spread evacuations of failure domains

Where the settings have the section evacuations, the watchers of the configuration also watch the kind evacuations of the store. Comparisons between daemons carry the value (era, revision, failure domains); the greater order wins. Routers leave out servers of evacuated failure domains; their owners refuse new and queued requests without reporting that they drain. Without the section, frames and store calls are unchanged: Compare and Compared leave out trailing defaults.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -20,6 +20,7 @@
 from .membership import Directory
 from .membership.active_document import ActiveDocument
 from .membership.document_sync import DocumentSync
+from .membership.evacuation_sync import EvacuationSync
 from .membership.fleet_view import FleetView
 from .membership.gossip import Gossip
 from .membership.record_sync import RecordSync
@@ -45,6 +46,7 @@
     DaemonComponents,
     LocalBackend,
     make_attempt_id_factory,
+    make_evacuations,
     make_exchange_handler,
     make_membership_report,
     make_request_counter,
@@ -82,10 +84,14 @@
         failure_domain=cfg.failure_domain,
         rng=rng,
         address=own_address,
+        get_evacuated=lambda: (
+            frozenset() if evacuations is None else evacuations.failure_domains
+        ),
     )
     local_backend = LocalBackend.make(
         cfg, identity, adapter, limits, directory, router.get_median_full_slowdown
     )
+    evacuations = make_evacuations(cfg, local_backend)
     location = DaemonLocation(*own_address, cfg.region, cfg.failure_domain)
     fleet_view = FleetView(registry, location, rng)
     store = adapter.make_store(cfg)
@@ -96,7 +102,7 @@
             tg.start_soon(run_supervised, "statsd", statsd.run)
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
         tg.start_soon(run_supervised, "pool", pool.run)
-        gossip = Gossip(pool, registry, active_document, fleet_view, rng)
+        gossip = Gossip(pool, registry, active_document, fleet_view, rng, evacuations)
         document_sync = DocumentSync(
             store,
             active_document,
@@ -105,6 +111,17 @@
             fleet_view,
             gossip.spread_document,
         )
+        evacuation_sync: EvacuationSync | None = None
+        if evacuations is not None and cfg.evacuations is not None:
+            evacuation_sync = EvacuationSync(
+                store,
+                evacuations,
+                store_status,
+                rng,
+                fleet_view,
+                gossip.spread_document,
+                cfg.evacuations.within_s,
+            )
         owner = local_backend.owner if local_backend else None
         listener = PeerListener(
             cfg.peers,
@@ -135,6 +152,8 @@
             local_backend.start_tracking(tg, live, adapter, components)
         tg.start_soon(run_supervised, "record_sync", record_sync.run)
         tg.start_soon(run_supervised, "document_sync", document_sync.run)
+        if evacuation_sync is not None:
+            tg.start_soon(run_supervised, "evacuation_sync", evacuation_sync.run)
         tg.start_soon(run_supervised, "gossip", gossip.run)
         tg.start_soon(run_supervised, "settings", partial(follow_settings, live))
         prober = Prober(
@@ -181,11 +200,15 @@
             lifecycle,
             local_backend.admission if local_backend else None,
             router.summarize,
-            make_membership_report(active_document, registry, store, store_status),
+            make_membership_report(
+                active_document, registry, store, store_status, evacuations
+            ),
             make_explain_handler(directory, router),
         )
 
         def is_ready() -> bool:
+            if evacuation_sync is not None and not evacuation_sync.settled:
+                return False
             return active_document.current is not None and not lifecycle.leaving
 
         admin_with_readiness = add_readiness_path(admin, adapter.ready_path, is_ready)
@@ -194,7 +217,12 @@
             render = make_metrics_renderer(
                 recorder,
                 make_metrics_reader(
-                    active_document, registry, store, store_status, local_backend
+                    active_document,
+                    registry,
+                    store,
+                    store_status,
+                    local_backend,
+                    evacuations,
                 ),
             )
             tg.start_soon(make_server(make_metrics_app(render), cfg.metrics).serve)
--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 
 from .membership.active_document import ActiveDocument
+from .membership.active_evacuations import ActiveEvacuations
 from .membership.registry import EndpointRegistry
 from .membership.store import Store
 from .membership.store_calls import StoreStatus
@@ -18,6 +19,7 @@
     store: Store,
     store_status: StoreStatus,
     local_backend: LocalBackend | None,
+    evacuations: ActiveEvacuations | None = None,
 ) -> Callable[[], list[Metric]]:
     """Return a function that reads the current metric values of this daemon."""
 
@@ -34,6 +36,8 @@
             Counter("store_calls", "Calls to the store", store.calls),
         ]
         metrics += _read_rejections()
+        if evacuations is not None:
+            metrics += _read_evacuations(evacuations)
         if local_backend is not None:
             metrics += _read_load(local_backend)
             metrics += _read_notices(local_backend)
@@ -43,6 +47,22 @@
     return read_values
 
 
+def _read_evacuations(evacuations: ActiveEvacuations) -> list[Metric]:
+    known = evacuations.current
+    return [
+        Gauge(
+            "evacuated_failure_domains",
+            "Failure domains that get no requests, -1 if not known",
+            -1 if known is None else len(known.failure_domains),
+        ),
+        Gauge(
+            "evacuations_age_seconds",
+            "Time since the evacuations in force were last heard of",
+            evacuations.age_s,
+        ),
+    ]
+
+
 _FAULT_EVENTS = ("fault", "request_fault", "dispatch_fault", "task_failed")
 
 
--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -11,6 +11,7 @@
 from ..model import (
     AttemptId,
     AttemptState,
+    Evacuations,
     Headers,
     KeyStatus,
     LoadReport,
@@ -258,21 +259,26 @@
     """Opens an exchange: compares endpoint records and configuration with the peer's.
 
     ``digest`` is a digest of the sender's endpoint records. ``version`` is the version
-    of its configuration.
+    of its configuration. ``evacuations`` is None unless the sender knows them.
     """
 
     exchange: int
     version: int
     digest: str
+    evacuations: Evacuations | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Compared:
-    """Reply to ``Compare`` with the peer's values; frames with differences follow."""
+    """Reply to ``Compare`` with the peer's values; frames with differences follow.
+
+    ``evacuations`` as in ``Compare``.
+    """
 
     exchange: int
     version: int
     digest: str
+    evacuations: Evacuations | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/berylmast/limits/admission.py
+++ b/src/berylmast/limits/admission.py
@@ -14,6 +14,10 @@
 from .moving_average import MovingAverage
 from .tenant_queue import Waiter
 
+EVACUATED_REFUSAL = Refusal(
+    ErrorKind.DRAINING, "the failure domain of the backend server is evacuated"
+)
+
 
 class Permit:
     """The right to send one request to the backend server; released exactly once."""
@@ -34,10 +38,13 @@
 class Admission(Protocol):
     """Admits, queues or refuses requests to one backend server.
 
-    While ``draining`` is set, all new requests are refused.
+    While ``draining`` is set, all new requests are refused. While ``evacuated`` is set,
+    so are the queued ones; load reports don't state it, because entries keep them after
+    the evacuation has ended.
     """
 
     draining: bool
+    evacuated: bool
 
     @property
     def in_flight(self) -> int:
@@ -66,6 +73,7 @@
         get_slice: Callable[[], ServiceSlice | None],
     ) -> None:
         self.draining = False
+        self._evacuated = False
         self._backend = backend
         self._incarnation = incarnation
         self._get_slice = get_slice
@@ -81,6 +89,20 @@
         """Return the number of requests that the backend server is processing."""
         return self._in_flight
 
+    @property
+    def evacuated(self) -> bool:
+        """Return whether the failure domain of the backend server is evacuated."""
+        return self._evacuated
+
+    @evacuated.setter
+    def evacuated(self, evacuated: bool) -> None:
+        """Refuse all requests, also queued ones, or admit them again."""
+        self._evacuated = evacuated
+        if not evacuated:
+            return
+        for waiter in self._queue.remove_all():
+            _refuse_waiter(waiter, EVACUATED_REFUSAL)
+
     def set_backend(self, backend: str, incarnation: int) -> None:
         """Report the load of another backend server or incarnation from now on."""
         self._backend, self._incarnation = backend, incarnation
@@ -96,6 +118,8 @@
         service = self._get_slice()
         if self.draining:
             return _make_refusal(ErrorKind.DRAINING, "the backend server is draining")
+        if self._evacuated:
+            return Err(EVACUATED_REFUSAL)
         if service is None:
             return _make_refusal(
                 ErrorKind.NO_BACKEND, "no document for the service yet"
--- a/src/berylmast/limits/admission_queue.py
+++ b/src/berylmast/limits/admission_queue.py
@@ -101,6 +101,15 @@
             return waiter, Refusal(ErrorKind.TENANT_LIMIT, detail)
         return waiter, Refusal(ErrorKind.OVERLOADED, "the queue is full")
 
+    def remove_all(self) -> list[Waiter]:
+        """Remove and return all queued requests."""
+        removed = []
+        for priority_class in self._classes:
+            for waiter in list(priority_class.queue):
+                priority_class.queue.remove(waiter)
+                removed.append(waiter)
+        return removed
+
     def get_max_wait_s(self, priority_class: PriorityClass, limit: int) -> float:
         """Return the longest time in seconds that a request of a class may wait.
 
--- a/src/berylmast/limits/slot_admission.py
+++ b/src/berylmast/limits/slot_admission.py
@@ -11,7 +11,7 @@
 from ..errors import ErrorKind, Refusal
 from ..model import AttemptResult, LoadReport, RequestHead, ServiceSlice
 from .active_entries import ActiveEntries
-from .admission import Permit
+from .admission import EVACUATED_REFUSAL, Permit
 from .backend_notices import BackendNotices, NoNotices
 from .full_slowdown import UNKNOWN_SLOWDOWN, FullSlowdownEstimator
 from .moving_average import MovingAverage
@@ -92,6 +92,7 @@
         self._rate_limiter = RateLimiter()
         self._entries = ActiveEntries()
         self._draining = False
+        self._evacuated = False
         self._backend = backend
         self._incarnation = incarnation
         self._get_slice = get_slice
@@ -120,10 +121,20 @@
         unknown time after it was announced as leaving.
         """
         self._draining = draining
-        if not draining:
-            return
-        for request in list(self._queue):
-            self._settle_refused(request, _DRAINING_REFUSAL)
+        if draining:
+            self._refuse_queued(_DRAINING_REFUSAL)
+
+    @property
+    def evacuated(self) -> bool:
+        """Return whether the failure domain of the backend server is evacuated."""
+        return self._evacuated
+
+    @evacuated.setter
+    def evacuated(self, evacuated: bool) -> None:
+        """Refuse all requests, also queued ones, or admit them again."""
+        self._evacuated = evacuated
+        if evacuated:
+            self._refuse_queued(EVACUATED_REFUSAL)
 
     def set_backend(self, backend: str, incarnation: int) -> None:
         """Report the load of another backend server or incarnation from now on.
@@ -146,8 +157,9 @@
         """
         service = self._get_slice()
         self._entries.record(head.attempt.entry, anyio.current_time())
-        if self._draining:
-            return Err(_DRAINING_REFUSAL)
+        closed = self._find_closed_refusal()
+        if closed is not None:
+            return Err(closed)
         if service is None:
             return _make_refusal(ErrorKind.NO_BACKEND, "no backend server has reported")
         if service.service != head.service:
@@ -157,8 +169,9 @@
         request = self._make_pending(head, kind, anyio.current_time())
         if head.may_spill and await self._should_spill(request, service.slots):
             return _make_refusal(ErrorKind.BUSY, "backend server busy; try another one")
-        if self._draining:
-            return Err(_DRAINING_REFUSAL)
+        closed = self._find_closed_refusal()
+        if closed is not None:
+            return Err(closed)
         now_s = anyio.current_time()
         self._queue.add(request, now_s)
         self._dispatch(service.slots, now_s)
@@ -204,6 +217,16 @@
         """Return the number of requests that the backend server is processing."""
         return self._in_flight
 
+    def _find_closed_refusal(self) -> Refusal | None:
+        """Return why all requests are refused, None if they are admitted."""
+        if self._draining:
+            return _DRAINING_REFUSAL
+        return EVACUATED_REFUSAL if self._evacuated else None
+
+    def _refuse_queued(self, refusal: Refusal) -> None:
+        for request in list(self._queue):
+            self._settle_refused(request, refusal)
+
     def _make_pending(
         self, head: RequestHead, kind: str, now_s: float
     ) -> _PendingRequest:
--- a/src/berylmast/limits/tenant_queue.py
+++ b/src/berylmast/limits/tenant_queue.py
@@ -8,6 +8,7 @@
 """
 
 from collections import deque
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 
 import anyio
@@ -52,6 +53,10 @@
     def __len__(self) -> int:
         return self._size
 
+    def __iter__(self) -> Iterator[Waiter]:
+        """Iterate over the requests, tenant by tenant."""
+        return (w for state in self._backlogged.values() for w in state.waiters)
+
     @property
     def tracked_tenants(self) -> int:
         """Return the number of tenants with a tag in memory."""
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -26,10 +26,11 @@
     Endpoints,
     Tell,
 )
-from ..model import Endpoint
+from ..model import Endpoint, Evacuations
 from ..supervision import run_logged
 from ..telemetry import log_event
 from .active_document import ActiveDocument
+from .active_evacuations import ActiveEvacuations
 from .digest import Digest, parse_digest
 from .fleet_view import FleetView
 from .records import pack_record, split_records, unpack_records
@@ -54,7 +55,10 @@
 
 
 class Gossip:
-    """Sends, compares and receives records and the configuration for this daemon."""
+    """Sends, compares and receives records and the configuration for this daemon.
+
+    With ``evacuations``, also these are compared and passed on.
+    """
 
     def __init__(
         self,
@@ -63,7 +67,9 @@
         active_document: ActiveDocument,
         fleet: FleetView,
         rng: Random,
+        evacuations: ActiveEvacuations | None = None,
     ) -> None:
+        self._evacuations = evacuations
         self._pool = pool
         self._registry = registry
         self._active_document = active_document
@@ -121,7 +127,10 @@
             self._start(partial(self._send_to_peer, peer, frame))
 
     def spread_document(self) -> None:
-        """Pass a configuration from the store on to other daemons in the background."""
+        """Pass a configuration from the store on to other daemons in the background.
+
+        Evacuations are passed on by the same comparisons.
+        """
         self._compare_soon(self._fleet.choose_document_targets())
         self._spread_in_region()
 
@@ -151,11 +160,17 @@
 
     async def serve_comparison(self, exchange: Exchange, frame: Compare) -> None:
         """Serve the exchange that another daemon opened with a ``Compare`` frame."""
+        self._adopt_evacuations(frame.evacuations)
         own, peers = self._registry.digest, parse_digest(frame.digest)
         version = self._active_document.version
         equal = own.total == peers.total
         await exchange.send(
-            Compared(exchange.id, version, own.format(with_buckets=not equal))
+            Compared(
+                exchange.id,
+                version,
+                own.format(with_buckets=not equal),
+                evacuations=self._get_evacuations(),
+            )
         )
         if not equal:
             await _send_records(exchange, self._list_differing(peers))
@@ -169,7 +184,8 @@
         # The digests of the buckets are sent only while another daemon may differ.
         digest = self._registry.digest
         text = digest.format(with_buckets=digest.total != self._agreed_total)
-        return Compare(exchange.id, self._active_document.version, text)
+        version = self._active_document.version
+        return Compare(exchange.id, version, text, evacuations=self._get_evacuations())
 
     def _list_differing(self, peers: Digest) -> list[Endpoint]:
         """Return the records that a daemon with another digest may lack.
@@ -186,6 +202,7 @@
         frame = await exchange.receive()
         if not isinstance(frame, Compared):
             return
+        self._adopt_evacuations(frame.evacuations)
         peers = parse_digest(frame.digest)
         records = await self._receive_state(exchange)
         own = self._registry.digest
@@ -231,8 +248,20 @@
         except (zlib.error, ValueError) as exc:
             log_event("document_unreadable", source="peer", reason=repr(exc))
             return
-        if not self._active_document.adopt_text(text, "peer"):
+        if self._active_document.adopt_text(text, "peer"):
+            self._relay()
+
+    def _get_evacuations(self) -> Evacuations | None:
+        return None if self._evacuations is None else self._evacuations.current
+
+    def _adopt_evacuations(self, value: Evacuations | None) -> None:
+        if self._evacuations is None or value is None:
             return
+        if self._evacuations.adopt(value, "peer"):
+            self._relay()
+
+    def _relay(self) -> None:
+        """Pass on what another daemon has told."""
         self._compare_soon(self._fleet.choose_relay_targets())
         if self._fleet.get_watch_role() is not WatchRole.NONE:
             self._spread_in_region()
--- a/src/berylmast/membership/store.py
+++ b/src/berylmast/membership/store.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ..model import Endpoint
+from ..model import Endpoint, Evacuations
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +58,20 @@
         Raises RevisionExpired if the store no longer knows the revision.
         """
 
+    async def read_evacuations(self, *, stale: bool = False) -> Evacuations:
+        """Read which failure domains are evacuated.
+
+        What is read with ``stale`` may be seconds old, which is cheaper; its revision
+        is 0, because the store does not tell how old it is.
+        """
+
+    async def wait_evacuations(self, known: Evacuations, wait_s: float) -> Evacuations:
+        """Wait at most ``wait_s`` seconds for a change; return what then holds.
+
+        Raises RevisionExpired if the store no longer knows the revision of ``known``,
+        or answers from another era.
+        """
+
     async def list_records(self, *, stale: bool = False) -> list[StoredRecord]:
         """Read all endpoint records; those that cannot be decoded are left out.
 
--- a/src/berylmast/model.py
+++ b/src/berylmast/model.py
@@ -169,6 +169,24 @@
         return (self.incarnation, self.seq)
 
 
+@dataclass(frozen=True, slots=True)
+class Evacuations:
+    """The evacuated failure domains at one revision of the store.
+
+    Revisions are comparable within one ``era`` only, which rises when the store comes
+    back from a copy of its data. ``failure_domains`` are sorted.
+    """
+
+    era: int
+    revision: int
+    failure_domains: tuple[str, ...] = ()
+
+    @property
+    def order(self) -> tuple[int, int]:
+        """Return the sort key: the highest one is the newest."""
+        return (self.era, self.revision)
+
+
 @dataclass(frozen=True, slots=True)
 class Route:
     """The settings of requests with certain methods and a path prefix.
--- a/src/berylmast/platform/adapter.py
+++ b/src/berylmast/platform/adapter.py
@@ -18,6 +18,7 @@
 from ..settings import DaemonSettings, LiveSettings
 from . import configuration
 from .backend_reports import make_report_app
+from .evacuations import EVACUATION_KIND
 from .platform_store import PlatformStore
 from .requests import (
     PLATFORM_INTERFACE,
@@ -36,7 +37,10 @@
 def _make_store(cfg: DaemonSettings) -> Store:
     client = StoreClient(cfg.platform)
     return PlatformStore(
-        client, configuration.CONFIGURATION_KIND, configuration.CONFIGURATION_NAME
+        client,
+        configuration.CONFIGURATION_KIND,
+        configuration.CONFIGURATION_NAME,
+        EVACUATION_KIND,
     )
 
 
--- a/src/berylmast/platform/objects.py
+++ b/src/berylmast/platform/objects.py
@@ -26,11 +26,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredObject:
-    """One object of the store at the revision of its last change."""
+    """One object of the store at the revision of its last change.
+
+    ``deleting`` is set while its deletion waits for other programs.
+    """
 
     name: str
     revision: int
     spec: Any
+    deleting: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/berylmast/platform/platform_store.py
+++ b/src/berylmast/platform/platform_store.py
@@ -1,20 +1,33 @@
 """Implements the daemon's ``Store`` interface with the platform's object store."""
 
+import anyio
+
 from ..identifiers import MAX_ID_LENGTH
 from ..membership.store import StoredDocument, StoredRecord, UndecodedRecord
-from ..model import Endpoint
+from ..model import Endpoint, Evacuations
 from ..telemetry import escape_text, log_event
 from . import records
-from .objects import ObjectStore, StoredObject
+from .evacuations import make_evacuations
+from .objects import ObjectStore, RevisionExpired, StoredObject
 
 
 class PlatformStore:
-    """Reads and writes endpoint records and reads one configuration object."""
+    """Reads and writes endpoint records and reads one configuration object.
+
+    Without ``evacuation_kind``, no failure domain is ever evacuated.
+    """
 
-    def __init__(self, client: ObjectStore, kind: str, name: str) -> None:
+    def __init__(
+        self,
+        client: ObjectStore,
+        kind: str,
+        name: str,
+        evacuation_kind: str | None = None,
+    ) -> None:
         self._client = client
         self._kind = kind
         self._name = name
+        self._evacuation_kind = evacuation_kind
 
     @property
     def calls(self) -> int:
@@ -42,6 +55,34 @@
         ]
         return StoredDocument(changes.revision, specs[-1] if specs else None)
 
+    async def read_evacuations(self, *, stale: bool = False) -> Evacuations:
+        """Read the objects of evacuated failure domains."""
+        if self._evacuation_kind is None:
+            return Evacuations(0, 0)
+        listing = await self._client.list(self._evacuation_kind, stale=stale)
+        names = [item.name for item in listing.items if not item.deleting]
+        revision = 0 if stale else listing.revision
+        return make_evacuations(listing.era, revision, names)
+
+    async def wait_evacuations(self, known: Evacuations, wait_s: float) -> Evacuations:
+        """Wait for a change of the objects of evacuated failure domains."""
+        if self._evacuation_kind is None:
+            await anyio.sleep(wait_s)
+            return known
+        changes = await self._client.wait_changes(
+            self._evacuation_kind, known.revision, wait_s
+        )
+        if changes.era != known.era:
+            raise RevisionExpired(f"revision {known.revision} is of another era")
+        names = set(known.failure_domains)
+        for change in changes.changes:
+            if change.deleted or change.object.deleting:
+                names.discard(change.object.name)
+            else:
+                names.add(change.object.name)
+        revision = max(changes.revision, known.revision)
+        return make_evacuations(known.era, revision, names)
+
     async def list_records(self, *, stale: bool = False) -> list[StoredRecord]:
         """Read all valid endpoint records; log and skip the others."""
         listing = await self._client.list(records.ENDPOINT_KIND, stale=stale)
--- a/src/berylmast/platform/store_client.py
+++ b/src/berylmast/platform/store_client.py
@@ -273,4 +273,5 @@
 
 
 def _make_stored_object(item: _Object) -> StoredObject:
-    return StoredObject(item.metadata.name, item.metadata.revision, item.spec)
+    metadata = item.metadata
+    return StoredObject(metadata.name, metadata.revision, item.spec, metadata.deleting)
--- a/src/berylmast/platform/tests/fake_store.py
+++ b/src/berylmast/platform/tests/fake_store.py
@@ -116,4 +116,6 @@
 def make_stored_object(entry: ObjectJson) -> StoredObject:
     """Convert a table entry to the client's type."""
     metadata = entry["metadata"]
-    return StoredObject(metadata["name"], metadata["revision"], entry["spec"])
+    return StoredObject(
+        metadata["name"], metadata["revision"], entry["spec"], metadata["deleting"]
+    )
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -22,6 +22,7 @@
 from .limits import Admission, AdmissionInputs, Limits, RetryBudget
 from .membership import Directory
 from .membership.active_document import ActiveDocument
+from .membership.active_evacuations import ActiveEvacuations
 from .membership.gossip import Gossip
 from .membership.record_sync import RecordSync
 from .membership.registry import EndpointRegistry
@@ -262,16 +263,20 @@
     registry: EndpointRegistry,
     store: Store,
     store_status: StoreStatus,
+    evacuations: ActiveEvacuations | None = None,
 ) -> Callable[[], object]:
     """Return a function that builds the membership section of the status report."""
 
     def report() -> object:
-        return {
+        values: dict[str, object] = {
             "version": active_document.version,
             "records": len(registry.records()),
             "store_up": store_status.up,
             "store_calls": store.calls,
         }
+        if evacuations is not None:
+            values["evacuations"] = evacuations.report()
+        return values
 
     return report
 
@@ -291,6 +296,26 @@
     return count_requests
 
 
+def make_evacuations(
+    cfg: DaemonSettings, local_backend: LocalBackend | None
+) -> ActiveEvacuations | None:
+    """Return the evacuations, which the local backend server's admission follows.
+
+    Returns None if the settings have no section for them.
+    """
+    if cfg.evacuations is None:
+        return None
+    evacuations = ActiveEvacuations()
+    if local_backend is not None:
+        admission = local_backend.admission
+
+        def set_evacuated(failure_domains: frozenset[str]) -> None:
+            admission.evacuated = cfg.failure_domain in failure_domains
+
+        evacuations.add_listener(set_evacuated)
+    return evacuations
+
+
 def make_retry_budget(live: LiveSettings, registry: EndpointRegistry) -> RetryBudget:
     """Return this daemon's share of the fleet's retry budget.
 
