Test evacuations: decisions, spreading, admission and the store's objects

The stand-in table can go back to a copy in a later era. A first watch ends one second before the bound, since the client notices silence half a second late: with half a second, a change during a silent watch took up to 5.5 s.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -102,7 +102,14 @@
             tg.start_soon(run_supervised, "statsd", statsd.run)
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
         tg.start_soon(run_supervised, "pool", pool.run)
-        gossip = Gossip(pool, registry, active_document, fleet_view, rng, evacuations)
+        gossip = Gossip(
+            pool,
+            registry,
+            active_document,
+            fleet_view,
+            rng,
+            evacuations=evacuations,
+        )
         document_sync = DocumentSync(
             store,
             active_document,
--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -6,7 +6,14 @@
 import pytest
 
 from ...errors import ErrorKind
-from ...model import AttemptId, AttemptState, KeyStatus, LoadReport, RequestHead
+from ...model import (
+    AttemptId,
+    AttemptState,
+    Evacuations,
+    KeyStatus,
+    LoadReport,
+    RequestHead,
+)
 from .. import frames
 from ..codec import FrameReader, ProtocolError, decode_frame, encode_frame
 
@@ -41,6 +48,8 @@
     frames.Fail(1, ErrorKind.BACKEND_CUT, "reset", LOAD),
     frames.Compare(1, 3, "d1"),
     frames.Compared(1, 3, "d2"),
+    frames.Compare(1, 3, "d1", Evacuations(2, 9, ("z1", "z2"))),
+    frames.Compared(1, 3, "d2", Evacuations(2, 9)),
     frames.Tell(0, (RECORD,)),
     frames.Probe(1),
     frames.Load(1, LOAD),
@@ -114,6 +123,16 @@
     assert list(FrameReader().feed(encode_frame(frame))) == [frame]
 
 
+@pytest.mark.parametrize(
+    "frame", [frames.Compare(1, 3, "d1"), frames.Compared(1, 3, "d2")]
+)
+def test_comparisons_without_evacuations_are_as_before(frame: frames.Frame) -> None:
+    """A peer of an earlier version rejects longer ones."""
+    items = msgpack.unpackb(encode_frame(frame))
+    assert items[1:] == [1, 3, frame.digest]  # type: ignore[union-attr]
+    assert decode_frame([*items, None, "later", [1]]) == frame
+
+
 def test_fields_of_a_later_version_are_ignored() -> None:
     tag, exchange, _ = msgpack.unpackb(encode_frame(frames.Load(1, LOAD)))
     load = [*astuple(LOAD), "field of a later version", 7]
--- a/src/berylmast/membership/evacuation_sync.py
+++ b/src/berylmast/membership/evacuation_sync.py
@@ -22,8 +22,9 @@
 from .watch_loop import compute_look_interval_s, run_looks, run_watch
 from .watchers import WatchRole
 
-SPREAD_TIME_S = 0.5
-"""Part of the bound that is left after a silent watch for passing a change on."""
+SPREAD_TIME_S = 1.0
+"""Part of the bound that is left after a silent watch. The store's client ends it half
+a second late; the rest is for reading the change and passing it on."""
 
 MIN_WATCH_S = 1.0
 
--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -17,12 +17,15 @@
 from ...model import DaemonLocation, Endpoint, EndpointState
 from ...operators.revisions import DOCUMENT_KIND
 from ...own_interface import parse_revision
+from ...platform.evacuations import EVACUATION_KIND
 from ...platform.platform_store import PlatformStore
 from ...platform.tests.fake_store import FakeStore
 from ...supervision import run_supervised
 from .. import Directory
 from ..active_document import ActiveDocument
+from ..active_evacuations import ActiveEvacuations
 from ..document_sync import DocumentSync
+from ..evacuation_sync import EvacuationSync
 from ..fleet_view import FleetView
 from ..gossip import Gossip
 from ..record_sync import RecordSync
@@ -57,6 +60,8 @@
     directory: Directory
     platform: FakeStore
     record: Endpoint | None
+    evacuations: ActiveEvacuations | None = None
+    evacuation_sync: EvacuationSync | None = None
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     tg: TaskGroup | None = None
 
@@ -179,7 +184,8 @@
 class Fleet:
     """All daemons of a test; ``cut`` holds pairs of names that cannot communicate.
 
-    ``dial_failure_s`` is the time after which connecting to a dead daemon fails.
+    ``dial_failure_s`` is the time after which connecting to a dead daemon fails. With
+    ``evacuate_within_s``, the daemons follow evacuations.
     """
 
     tg: TaskGroup
@@ -195,6 +201,7 @@
     )
     start_count: int = 0
     dial_failure_s: float = 0.5
+    evacuate_within_s: float | None = None
 
     def start(
         self, name: str, domain: str = "n1", service: str | None = "orders"
@@ -211,12 +218,19 @@
         document = ActiveDocument(parse_revision, directory)
         platform = self.make_store(self.table, name)
         rng = Random(f"{name}/{self.start_count}")
-        store = PlatformStore(platform, DOCUMENT_KIND, ENVIRONMENT)
+        store = PlatformStore(
+            platform, DOCUMENT_KIND, ENVIRONMENT, evacuation_kind=EVACUATION_KIND
+        )
         pool: Any = FakePool(self, name)
         status = StoreStatus()
         location = DaemonLocation(name, 1, domain[0], domain)
         fleet_view = FleetView(registry, location, rng)
-        gossip = Gossip(pool, registry, document, fleet_view, rng)
+        evacuations = None
+        if self.evacuate_within_s is not None:
+            evacuations = ActiveEvacuations()
+        gossip = Gossip(
+            pool, registry, document, fleet_view, rng, evacuations=evacuations
+        )
         record_sync = RecordSync(store, registry, (name, 1), status, rng)
         document_sync = DocumentSync(
             store,
@@ -226,6 +240,17 @@
             fleet_view,
             gossip.spread_document,
         )
+        evacuation_sync = None
+        if evacuations is not None and self.evacuate_within_s is not None:
+            evacuation_sync = EvacuationSync(
+                store,
+                evacuations,
+                status,
+                rng,
+                fleet_view,
+                gossip.spread_document,
+                self.evacuate_within_s,
+            )
         daemon = Daemon(
             record_sync,
             document_sync,
@@ -236,6 +261,8 @@
             directory,
             platform,
             record,
+            evacuations,
+            evacuation_sync,
         )
         self.daemons[name] = daemon
         self.tg.start_soon(_run, daemon)
@@ -262,6 +289,23 @@
         spec = {"version": version, "text": make_text(**slots)}
         self.table.put(DOCUMENT_KIND, ENVIRONMENT, spec, None)
 
+    def evacuate(self, *failure_domains: str) -> None:
+        """Write evacuations to the store."""
+        for failure_domain in failure_domains:
+            self.table.put(EVACUATION_KIND, failure_domain, {}, None)
+
+    def end_evacuation(self, failure_domain: str) -> None:
+        """Remove an evacuation from the store."""
+        self.table.delete(EVACUATION_KIND, failure_domain, None)
+
+    def list_evacuated(self) -> set[frozenset[str]]:
+        """Return the sets of evacuated failure domains that daemons act on."""
+        return {
+            d.evacuations.failure_domains
+            for d in self.daemons.values()
+            if d.evacuations is not None
+        }
+
     def set_store_down(self, down: bool) -> None:
         """Start or end a store outage."""
         for daemon in self.daemons.values():
@@ -297,6 +341,9 @@
             daemon.tg = tg
             tg.start_soon(run_supervised, "record_sync", daemon.record_sync.run)
             tg.start_soon(run_supervised, "document_sync", daemon.document_sync.run)
+            if daemon.evacuation_sync is not None:
+                run = daemon.evacuation_sync.run
+                tg.start_soon(run_supervised, "evacuation_sync", run)
             tg.start_soon(daemon.gossip.run)
             # Gossip sends nothing before its task has started.
             await anyio.sleep(0)
--- a/src/berylmast/platform/tests/fake_store.py
+++ b/src/berylmast/platform/tests/fake_store.py
@@ -53,7 +53,7 @@
         items = tuple(
             make_stored_object(item) for item in self.table.list_objects(kind)
         )
-        return Listing(self.table.revision, items)
+        return Listing(self.table.revision, items, self.table.era)
 
     async def put(
         self, kind: str, name: str, spec: object, revision: int | None
@@ -98,9 +98,10 @@
                             ObjectChange(make_stored_object(c.object), c.deleted)
                             for c in changes
                         ),
+                        self.table.era,
                     )
                 await self.table.wait_for_change()
-        return Changes(self.table.revision, ())
+        return Changes(self.table.revision, (), self.table.era)
 
     async def _call(self, verb: str, kind: str) -> None:
         self.calls += 1
--- a/src/berylmast_dev/objects.py
+++ b/src/berylmast_dev/objects.py
@@ -24,11 +24,23 @@
     object: ObjectJson
 
 
+@dataclass(frozen=True, slots=True)
+class TableCopy:
+    """The objects of a table at one revision."""
+
+    revision: int
+    objects: dict[tuple[str, str], ObjectJson]
+
+
 class ObjectTable:
-    """Objects by kind and name; each change increments the revision of the store."""
+    """Objects by kind and name; each change increments the revision of the store.
+
+    ``era`` rises each time the table is replaced by a copy.
+    """
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 1
         self._objects: dict[tuple[str, str], ObjectJson] = {}
         self._history: list[Change] = []
         self._history_start = 1
@@ -84,6 +96,23 @@
         self._record(Change(self.revision, kind, True, last))
         return 200
 
+    def copy(self) -> TableCopy:
+        """Return a copy to go back to."""
+        return TableCopy(self.revision, dict(self._objects))
+
+    def restore(self, copy: TableCopy) -> None:
+        """Go back to a copy; what was written since is lost.
+
+        Revisions since the copy are assigned again.
+        """
+        self.era += 1
+        self.revision = copy.revision
+        self._objects = dict(copy.objects)
+        self._history = [c for c in self._history if c.revision <= copy.revision]
+        self._history_start = min(self._history_start, copy.revision)
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def compact(self) -> None:
         """Discard the history: watches from older revisions get status 410."""
         self._history.clear()
@@ -91,7 +120,7 @@
 
     def has_history_since(self, revision: int) -> bool:
         """Return whether the history holds all changes after a revision."""
-        return revision >= self._history_start
+        return self._history_start <= revision <= self.revision
 
     def get_changes_since(self, kind: str, revision: int) -> list[Change]:
         """Return the changes of a kind after a revision, oldest first."""
