--- a/src/berylmast_dev/platform_fleet.py
+++ b/src/berylmast_dev/platform_fleet.py
@@ -3,11 +3,12 @@
 import json
 import tempfile
 from collections import Counter
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from pathlib import Path
 from random import Random
+from types import MappingProxyType
 from typing import Any
 from uuid import uuid4
 
@@ -117,7 +118,12 @@
 
 
 class PlatformFleet(Fleet):
-    """The processes of one deployment on the platform; stopped by process id."""
+    """The processes of one deployment on the platform; stopped by process id.
+
+    ``sections`` are added to the settings of each daemon.
+    """
+
+    sections: Mapping[str, Any] = MappingProxyType({})
 
     def start_platform_backend(self, member: PlatformMember) -> None:
         """Start the simulated backend server of one member."""
@@ -151,6 +157,7 @@
             "platform": f"{HOST}:{self.platform_port}",
             "drain": {"grace_s": "1000ms", "timeout_s": "3s"},
             "retries": {"ratio": 0.2, "slack": 64, "window_s": "10s"},
+            **self.sections,
         }
 
     def start_platform_daemon(self, member: PlatformMember) -> None:
@@ -169,6 +176,21 @@
                 res = await pool.request("PUT", f"{base}/main", content=body)
         return res.status in (200, 201)
 
+    async def evacuate(self, zone: str) -> None:
+        """Store the evacuation of a zone; return once the store has it."""
+        body = json.dumps({"metadata": {"name": zone}, "spec": {}}).encode()
+        await self._call_evacuations("POST", "", body)
+
+    async def end_evacuation(self, zone: str) -> None:
+        """Remove the evacuation of a zone; return once the store has done so."""
+        await self._call_evacuations("DELETE", f"/{zone}", b"")
+
+    async def _call_evacuations(self, method: str, path: str, body: bytes) -> None:
+        base = f"http://{HOST}:{self.platform_port}/v1/objects/evacuations"
+        async with httpcore.AsyncConnectionPool() as pool:
+            res = await pool.request(method, base + path, content=body)
+        assert res.status in (200, 201), res.status
+
     async def control_store(self, **control: object) -> None:
         """Set the faults of the simulated store."""
         url = f"http://{HOST}:{self.platform_port}/control"
@@ -183,14 +205,18 @@
 
 @asynccontextmanager
 async def run_platform_fleet(
-    members: list[PlatformMember], spec: Any
+    members: list[PlatformMember],
+    spec: Any,
+    sections: Mapping[str, Any] = MappingProxyType({}),
 ) -> AsyncIterator[PlatformFleet]:
     """Run a store, backend servers and daemons; stop them when the block ends.
 
+    ``sections`` are added to the settings of each daemon.
     Raises FleetNotReady if a daemon does not become ready.
     """
     with tempfile.TemporaryDirectory(prefix="berylmast-") as folder:
         fleet = PlatformFleet(Path(folder), reserve_ports(1))
+        fleet.sections = sections
         try:
             fleet.start_platform()
             await fleet.wait_for_platform()
--- a/src/berylmast_dev/store.py
+++ b/src/berylmast_dev/store.py
@@ -17,6 +17,7 @@
 MAX_PAGE_ITEMS = 500
 MAX_WATCH_WAIT_MS = 30_000
 ENDPOINT_KIND = "berylmast-endpoints"
+ERA_HEADER = b"store-era"
 WRITE_VERBS = ("create", "put", "delete")
 
 
@@ -54,6 +55,7 @@
 
     async def app(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Serve the object store, ``/control`` and ``/calls`` over ASGI."""
+        send = self._add_era(send)
         segments = scope["path"].strip("/").split("/")
         if segments == ["calls"]:
             await send_json(send, 200, self.get_call_report())
@@ -65,6 +67,15 @@
         else:
             await send_json(send, 404, {"error": "no such path"})
 
+    def _add_era(self, send: Any) -> Any:
+        async def send_with_era(message: dict[str, Any]) -> None:
+            if message["type"] == "http.response.start":
+                era = (ERA_HEADER, str(self.table.era).encode())
+                message = {**message, "headers": [*message["headers"], era]}
+            await send(message)
+
+        return send_with_era
+
     def get_call_report(self) -> dict[str, Any]:
         """Return the calls so far by verb and kind, and the open watches by kind."""
         return {
--- /dev/null
+++ b/src/berylmast_dev/tests/test_evacuation.py
@@ -0,0 +1,72 @@
+"""Guards against requests to an evacuated zone, and against one that stays unused.
+
+Runs real processes.
+"""
+
+import time
+from typing import Any
+
+import anyio
+import pytest
+
+from ..platform_fleet import (
+    PlatformFleet,
+    PlatformLoad,
+    make_configuration,
+    make_platform_members,
+    make_route,
+    read_arrivals_s,
+    run_platform_fleet,
+    run_platform_load,
+)
+
+pytestmark = pytest.mark.anyio
+
+READS = PlatformLoad("/orders/", 80)
+WRITES = PlatformLoad("/pay/", 40, "POST", b"x" * 400)
+ZONES = [("n", "n1"), ("n", "n2"), ("s", "s1")]
+WITHIN_S = 5.0
+EVACUATED_FOR_S = 7.0
+USED_AGAIN_S = 3.0
+SPEC = make_configuration(
+    1,
+    [
+        make_route("orders", "/orders/", idempotent=True),
+        make_route("orders", "/pay/", idempotent=False),
+    ],
+)
+SECTIONS = {"evacuations": {"within_s": WITHIN_S}}
+
+
+@pytest.fixture
+def anyio_backend(real_clock: tuple[str, dict[str, Any]]) -> tuple[str, dict[str, Any]]:
+    return real_clock
+
+
+async def test_evacuated_zone_gets_no_requests_until_the_removal() -> None:
+    members = make_platform_members({"orders": 10.0}, ZONES)
+    evacuated_s = removed_s = 0.0
+
+    async def evacuate(fleet: PlatformFleet) -> None:
+        nonlocal evacuated_s, removed_s
+        await anyio.sleep(2.0)
+        await fleet.evacuate("n1")
+        evacuated_s = time.monotonic()
+        await anyio.sleep(EVACUATED_FOR_S)
+        removed_s = time.monotonic()
+        await fleet.end_evacuation("n1")
+
+    async with run_platform_fleet(members, SPEC, SECTIONS) as fleet:
+        async with anyio.create_task_group() as tg:
+            tg.start_soon(evacuate, fleet)
+            load_s = 2.0 + EVACUATED_FOR_S + USED_AGAIN_S
+            results = await run_platform_load(members, [READS, WRITES], load_s)
+        arrivals_s = await read_arrivals_s(members[0])
+    before = [s for s in arrivals_s if s < evacuated_s]
+    during = [s for s in arrivals_s if evacuated_s + WITHIN_S < s < removed_s]
+    after = [s for s in arrivals_s if s > removed_s]
+    assert before
+    assert during == []
+    assert after
+    for result in results.values():
+        assert set(result.statuses) == {200}
