--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -13,6 +13,7 @@
 from ..model import (
     AttemptId,
     AttemptState,
+    Evacuations,
     Headers,
     KeyStatus,
     LoadReport,
@@ -263,12 +264,13 @@
     """Opens an exchange: compares endpoint records and configuration with the peer's.
 
     ``digest`` is a digest of the sender's endpoint records. ``version`` is the version
-    of its configuration.
+    of its configuration. ``evacuations`` is None unless the sender knows them.
     """
 
     exchange: int
     version: int
     digest: str
+    evacuations: Evacuations | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -277,12 +279,14 @@
 
     ``current_age_ms`` is the age of the peer's evidence that its configuration is
     current (see ``tenancy.freshness``), -1 if it has none or doesn't track it.
+    ``evacuations`` as in ``Compare``.
     """
 
     exchange: int
     version: int
     digest: str
     current_age_ms: int = -1
+    evacuations: Evacuations | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/berylmast/platform/adapter.py
+++ b/src/berylmast/platform/adapter.py
@@ -19,6 +19,7 @@
 from ..tenancy.freshness import Freshness
 from . import configuration
 from .backend_reports import make_report_app
+from .evacuations import EVACUATION_KIND
 from .platform_store import PlatformStore
 from .requests import (
     PLATFORM_INTERFACE,
@@ -41,7 +42,10 @@
 def _make_store(cfg: DaemonSettings) -> Store:
     client = StoreClient(cfg.platform)
     return PlatformStore(
-        client, configuration.CONFIGURATION_KIND, configuration.CONFIGURATION_NAME
+        client,
+        configuration.CONFIGURATION_KIND,
+        configuration.CONFIGURATION_NAME,
+        EVACUATION_KIND,
     )
 
 
--- a/src/berylmast/platform/tests/fake_store.py
+++ b/src/berylmast/platform/tests/fake_store.py
@@ -59,7 +59,7 @@
         items = tuple(
             make_stored_object(item) for item in self.table.list_objects(kind)
         )
-        return Listing(self.table.revision, items)
+        return Listing(self.table.revision, items, self.table.era)
 
     async def put(
         self, kind: str, name: str, spec: object, revision: int | None
@@ -104,9 +104,10 @@
                             ObjectChange(make_stored_object(c.object), c.deleted)
                             for c in changes
                         ),
+                        self.table.era,
                     )
                 await self.table.wait_for_change()
-        return Changes(self.table.revision, ())
+        return Changes(self.table.revision, (), self.table.era)
 
     async def _call(self, verb: str, kind: str) -> None:
         self.calls += 1
@@ -122,4 +123,6 @@
 def make_stored_object(entry: ObjectJson) -> StoredObject:
     """Convert a table entry to the client's type."""
     metadata = entry["metadata"]
-    return StoredObject(metadata["name"], metadata["revision"], entry["spec"])
+    return StoredObject(
+        metadata["name"], metadata["revision"], entry["spec"], metadata["deleting"]
+    )
