Limit the requests to cold backend servers

Cause: an owner sent as many requests to a cold server as it has slots, and a server that became cold between two reports got the full load. Change: the owner tracks reports, health responses and unknown state, keeps the rate of a cold server, and bounds the starts since the last confirmation of warmth within any second, also just after its own start. Off without the settings section cold_servers or the service's rate.

--- a/src/berylmast/backends/backend_state.py
+++ b/src/berylmast/backends/backend_state.py
@@ -1,5 +1,6 @@
 """Tracks the state that the local backend server reports about itself."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 MAX_DEPARTED = 64
@@ -56,6 +57,11 @@
         self.current: BackendReport | None = None
         self.left = False
         self._departures: dict[str, int] = {}
+        self._on_report: Callable[[BackendReport], None] = lambda _report: None
+
+    def set_report_listener(self, listener: Callable[[BackendReport], None]) -> None:
+        """Call ``listener`` with each report that becomes the current one."""
+        self._on_report = listener
 
     @property
     def serving(self) -> BackendReport | None:
@@ -72,8 +78,7 @@
             return False
         if self.has_departed(report):
             return False
-        self.current = report
-        self.left = False
+        self.replace_current(report)
         return True
 
     def has_departed(self, report: BackendReport) -> bool:
@@ -84,6 +89,7 @@
         """Take the sender of a report for the current server, whenever it started."""
         self.current = report
         self.left = False
+        self._on_report(report)
 
     def apply_departure(self, departure: Departure) -> bool:
         """Record a departure; return False if it is not of the current server."""
--- a/src/berylmast/backends/load_monitor.py
+++ b/src/berylmast/backends/load_monitor.py
@@ -20,12 +20,16 @@
 wrong data."""
 
 
+HealthListener = Callable[[float, int, Headers], None]
+
+
 class LoadMonitor:
     """Keeps the latest load that the local backend server stated.
 
     ``get_path`` returns the path of the endpoint whose response headers state the load,
     empty if there is none. ``on_response`` is called with the headers of each response.
-    Concurrent calls of ``refresh`` share one query.
+    ``on_health`` is called with the time at which the query was sent, the status and
+    the headers. Concurrent calls share one query.
     """
 
     def __init__(
@@ -35,13 +39,16 @@
         get_path: Callable[[], str],
         read_load: Callable[[Headers], BackendLoad | None],
         on_response: Callable[[Headers], None] = lambda _headers: None,
+        on_health: HealthListener = lambda _sent_s, _status, _headers: None,
     ) -> None:
         self.query_count = 0
+        self._response_count = 0
         self._headers = [(b"host", str(address).encode())]
         self._client = client
         self._get_path = get_path
         self._read_load = read_load
         self._on_response = on_response
+        self._on_health = on_health
         self._slowdown = 1.0
         self._recorded_s = float("-inf")
         self._query_done: anyio.Event | None = None
@@ -70,25 +77,52 @@
         fresh = now_s - self._recorded_s <= MAX_FRESH_AGE_S
         if not path or fresh or now_s < self._backoff_until_s:
             return
+        await self._query_shared(path, QUERY_TIMEOUT_S)
+
+    async def query(self, timeout_s: float) -> None:
+        """Query the health path now, or wait for a query that is in progress.
+
+        Queries itself if the one in progress, whose caller may leave, gets no response.
+        Does nothing without a health path.
+        """
+        path = self._get_path()
+        if not path:
+            return
+        responses = self._response_count
         if self._query_done is not None:
-            await self._query_done.wait()
+            await self._wait_for_query(self._query_done, timeout_s)
+            if self._response_count > responses:
+                return
+        await self._query_shared(path, timeout_s)
+
+    async def _query_shared(self, path: str, timeout_s: float) -> None:
+        if self._query_done is not None:
+            await self._wait_for_query(self._query_done, timeout_s)
             return
         self._query_done = anyio.Event()
         try:
-            await self._query(path)
+            await self._query(path, timeout_s)
         finally:
             self._query_done.set()
             self._query_done = None
 
-    async def _query(self, path: str) -> None:
+    @staticmethod
+    async def _wait_for_query(done: anyio.Event, timeout_s: float) -> None:
+        with anyio.move_on_after(timeout_s):
+            await done.wait()
+
+    async def _query(self, path: str, timeout_s: float) -> None:
         self.query_count += 1
+        sent_s = anyio.current_time()
         load: BackendLoad | None = None
         try:
-            with anyio.fail_after(QUERY_TIMEOUT_S):
+            with anyio.fail_after(timeout_s):
                 call = self._client.send("GET", path, self._headers, None)
                 async with call as response:
+                    self._response_count += 1
                     load = self._read_load(response.headers)
                     self._on_response(response.headers)
+                    self._on_health(sent_s, response.status, response.headers)
                     await discard_body(response)
         except (ServerUnreachable, ConnectionCut, TimeoutError):
             # Real requests will report what is wrong with the backend server.
--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Callable
 
+import anyio
+
 from .membership.active_document import ActiveDocument
 from .membership.registry import EndpointRegistry
 from .membership.store import Store
@@ -38,6 +40,7 @@
             metrics += _read_load(local_backend)
             metrics += _read_notices(local_backend)
             metrics += _read_attempts(local_backend)
+            metrics += _read_warmth(local_backend)
         return metrics
 
     return read_values
@@ -114,6 +117,29 @@
     ]
 
 
+def _read_warmth(local_backend: LocalBackend) -> list[Metric]:
+    guard = local_backend.cold_guard
+    if guard is None:
+        return []
+    return [
+        Gauge(
+            "backend_cold",
+            "1 if the server is limited because it is or may be cold",
+            int(guard.is_cold(anyio.current_time())),
+        ),
+        Counter(
+            "backend_cold_questions",
+            "Health queries that asked whether the server is cold",
+            guard.query_count,
+        ),
+        Counter(
+            "backend_invalid_cold_times",
+            "Health responses with a cold time that can't be used",
+            guard.invalid_statement_count,
+        ),
+    ]
+
+
 def _read_attempts(local_backend: LocalBackend) -> list[Metric]:
     counts = local_backend.owner.counts
     return [
--- a/src/berylmast/limits/__init__.py
+++ b/src/berylmast/limits/__init__.py
@@ -11,6 +11,7 @@
 from ..model import ServiceSlice
 from .admission import AdaptiveAdmission, Admission, Permit
 from .backend_notices import BackendNotices
+from .cold_limit import ColdLimit
 from .retry_budget import RetryBudget
 from .shedder import AdaptiveShedder, NoShedder, Shedder
 from .slot_admission import SlotAdmission
@@ -24,7 +25,8 @@
     ``get_slice`` returns the service slice, None while there is none. ``meter`` and
     ``notices`` hold what the backend server states about itself.
     ``get_median_full_slowdown`` returns the slowdown that other backend servers usually
-    have while they are nearly full.
+    have while they are nearly full. ``cold_limit`` bounds the requests to a cold
+    server, None without such a bound.
     """
 
     daemon_id: str
@@ -33,6 +35,7 @@
     meter: SlowdownMeter
     get_median_full_slowdown: Callable[[], float]
     notices: BackendNotices
+    cold_limit: ColdLimit | None = None
 
 
 AdmissionFactory = Callable[[AdmissionInputs], Admission]
@@ -52,6 +55,7 @@
         inputs.meter,
         get_median_full_slowdown=inputs.get_median_full_slowdown,
         notices=inputs.notices,
+        cold_limit=inputs.cold_limit,
     )
 
 
@@ -79,6 +83,7 @@
     "Admission",
     "AdmissionInputs",
     "BackendNotices",
+    "ColdLimit",
     "Limits",
     "NoShedder",
     "Permit",
--- a/src/berylmast/limits/slot_admission.py
+++ b/src/berylmast/limits/slot_admission.py
@@ -13,6 +13,7 @@
 from .active_entries import ActiveEntries
 from .admission import Permit
 from .backend_notices import BackendNotices, NoNotices
+from .cold_limit import ColdLimit, NoColdLimit
 from .full_slowdown import UNKNOWN_SLOWDOWN, FullSlowdownEstimator
 from .moving_average import MovingAverage
 from .rate_limiter import RateLimiter
@@ -75,7 +76,8 @@
 
     ``get_slice`` returns the service slice with the slots of the current backend
     server, or None while there is no such server. ``notices`` holds the rate limit that
-    the server states; all requests pass here, so it holds for all entries together.
+    the server states, ``cold_limit`` the bound while it is or may be cold; all requests
+    pass here, so they hold for all entries together.
     """
 
     def __init__(
@@ -87,8 +89,11 @@
         rng: Random | None = None,
         get_median_full_slowdown: Callable[[], float] = lambda: UNKNOWN_SLOWDOWN,
         notices: BackendNotices | None = None,
+        cold_limit: ColdLimit | None = None,
     ) -> None:
         self._notices = notices or NoNotices()
+        self._cold_limit = cold_limit or NoColdLimit()
+        self._cold_limit.set_listener(self._dispatch_waiting)
         self._rate_limiter = RateLimiter()
         self._entries = ActiveEntries()
         self._draining = False
@@ -179,7 +184,7 @@
         """Return the current load of the backend server."""
         self._seq += 1
         service = self._get_slice()
-        rate_limit = self._notices.rate_limit
+        rate_limit = self._get_rate_limit()
         return LoadReport(
             backend=self._backend,
             incarnation=self._incarnation,
@@ -250,8 +255,31 @@
 
     def _get_rate_wait_s(self, now_s: float) -> float:
         """Return the time in seconds until the rate limit allows a start."""
-        self._rate_limiter.set_rate(self._notices.rate_limit, now_s)
-        return self._rate_limiter.get_wait_s(now_s)
+        self._rate_limiter.set_rate(self._get_rate_limit(), now_s)
+        return max(
+            self._rate_limiter.get_wait_s(now_s), self._cold_limit.get_wait_s(now_s)
+        )
+
+    def _get_expected_wait_s(self, now_s: float) -> float:
+        """Return the expected time in seconds until a start is allowed."""
+        return max(
+            self._rate_limiter.get_wait_s(now_s),
+            self._cold_limit.get_expected_wait_s(now_s),
+        )
+
+    def _get_rate_limit(self) -> float | None:
+        """Return the lower of the stated limit and that of a cold server."""
+        stated = self._notices.rate_limit
+        cold = self._cold_limit.get_rate_limit()
+        if stated is None or cold is None:
+            return cold if stated is None else stated
+        return min(stated, cold)
+
+    def _dispatch_waiting(self) -> None:
+        """Grant or refuse waiting requests after a limit has changed."""
+        service = self._get_slice()
+        if service is not None and len(self._queue):
+            self._dispatch(service.slots, anyio.current_time())
 
     def _dispatch(self, slots: int, now_s: float) -> None:
         """Grant free slots, then refuse requests that cannot meet their deadlines."""
@@ -268,7 +296,7 @@
         expected_starts = sum_up_waits(
             self._queue.list_in_order(now_s),
             slots,
-            max(self._service_times.mean_s / slots, self._get_rate_wait_s(now_s)),
+            max(self._service_times.mean_s / slots, self._get_expected_wait_s(now_s)),
             0.0 if rate_per_s is None else 1 / rate_per_s,
         )
         backlog_s = expected_starts[-1].wait_s if expected_starts else 0.0
@@ -286,6 +314,7 @@
             self._queue.discard(request)
             self._in_flight += 1
             self._rate_limiter.record_start(now_s)
+            self._cold_limit.record_start(now_s)
             request.in_flight = self._in_flight
             request.granted = True
             request.changed.set()
--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from ..backends.interface import BackendInterface, ResponseClass
+from ..backends.warmth import ColdStatement
 from ..callers.response import ERROR_HEADER, OUTCOME_HEADER, ErrorResponse
 from ..errors import ErrorKind, Outcome, Refusal
 from ..model import BackendLoad, BackendNotice, Headers, RequestHead
@@ -25,6 +26,8 @@
 LEAVING_HEADER = b"server-leaving"
 # The id of the server that sent a health response.
 INSTANCE_ID_HEADER = b"x-instance-id"
+# Milliseconds for which the server that sent a health response stays cold.
+COLD_MS_HEADER = b"x-cold-ms"
 
 _OVERWRITTEN_HEADERS = frozenset(
     {DEADLINE_MS_HEADER, TARGET_INSTANCE_HEADER, CALLER_SERVICE_HEADER}
@@ -34,6 +37,10 @@
 MAX_DEADLINE_MS = 24 * 3600 * 1000
 """Longest deadline that counts; a caller that waits longer waits for as long."""
 
+MS_PER_S = 1000
+
+_OK = 200
+_MULTIPLE_CHOICES = 300
 _MISDIRECTED_REQUEST = 421
 _NORMAL_SLOWDOWN_PERCENT = 100.0
 
@@ -179,6 +186,28 @@
     return _get_header(headers, INSTANCE_ID_HEADER).decode("latin-1")
 
 
+def read_warmth(backend: str, status: int, headers: Headers) -> ColdStatement:
+    """Return what a health response states about the warm-up of its server.
+
+    A response that names another server states nothing. One without the header states
+    that the server is warm if it is a success and names the server.
+    """
+    sender = read_health_sender(headers)
+    if sender and sender != backend:
+        return ColdStatement()
+    text = _get_header(headers, COLD_MS_HEADER).decode("latin-1").strip()
+    if not text:
+        success = _OK <= status < _MULTIPLE_CHOICES
+        return ColdStatement(0.0 if success and sender else None)
+    try:
+        cold_ms = float(text)
+    except ValueError:
+        cold_ms = math.nan
+    if not math.isfinite(cold_ms) or cold_ms < 0:
+        return ColdStatement(invalid=True)
+    return ColdStatement(cold_ms / MS_PER_S)
+
+
 def _parse_notice(headers: Headers) -> BackendNotice:
     leaving = _get_header(headers, LEAVING_HEADER).strip() == b"1"
     text = _get_header(headers, RATE_LIMIT_HEADER).decode("latin-1").strip()
@@ -201,6 +230,7 @@
     read_notice=read_notice,
     read_health_notice=read_health_notice,
     read_health_sender=read_health_sender,
+    read_warmth=read_warmth,
     read_ahead_bytes=READ_AHEAD_BYTES,
 )
 
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -2,14 +2,17 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
+from functools import partial
 from itertools import count
 
+import anyio
 from anyio.abc import TaskGroup
 
 from ._http_server import make_server
 from .adapter import Adapter
 from .backends import AttemptLedger, Owner
 from .backends.backend_state import BackendReport, BackendState
+from .backends.cold_start_guard import ColdStartGuard
 from .backends.health import Health, make_http_check, monitor_health
 from .backends.load_monitor import LoadMonitor
 from .backends.notice_tracker import NoticeTracker
@@ -30,11 +33,15 @@
 from .model import AttemptId, DaemonLocation, Endpoint, Headers, ServiceSlice
 from .routing import Router
 from .settings import DaemonSettings, LiveSettings
+from .supervision import run_supervised
 from .telemetry import log_event
 
 BACKEND_CONNECTIONS = 1_000
 """Far above the slots of a backend server: only admission limits its requests."""
 
+HEALTH_QUERY_TIMEOUT_S = 0.2
+"""Longest wait for the health response that confirms that the server is warm."""
+
 PublishEndpoint = Callable[[Endpoint], None]
 
 
@@ -62,6 +69,7 @@
     load_monitor: LoadMonitor
     notices: NoticeTracker
     ask_sender: Callable[[], Awaitable[str]]
+    cold_guard: ColdStartGuard | None
 
     @classmethod
     def make(
@@ -98,13 +106,20 @@
             if notice is not None:
                 notices.record_health(backend, notice)
 
+        def record_warmth(sent_s: float, status: int, headers: Headers) -> None:
+            if cold_guard is not None:
+                statement = adapter.backend.read_warmth(get_backend(), status, headers)
+                cold_guard.record_health(statement, sent_s)
+
         load_monitor = LoadMonitor(
             cfg.backend,
             client,
             get_health_path,
             adapter.backend.read_load,
             record_health_notice,
+            record_warmth,
         )
+        cold_guard = _make_cold_guard(cfg, backend_state, get_slice, load_monitor)
         admission = limits.make_admission(
             AdmissionInputs(
                 cfg.daemon_id,
@@ -113,6 +128,7 @@
                 load_monitor,
                 get_median_full_slowdown,
                 notices,
+                cold_guard,
             )
         )
         owner = Owner(
@@ -128,7 +144,15 @@
         ask_sender = make_sender_query(
             cfg.backend, client, get_health_path, adapter.backend.read_health_sender
         )
-        return cls(admission, owner, backend_state, load_monitor, notices, ask_sender)
+        return cls(
+            admission,
+            owner,
+            backend_state,
+            load_monitor,
+            notices,
+            ask_sender,
+            cold_guard,
+        )
 
     def start_tracking(
         self,
@@ -162,6 +186,8 @@
                 components.listener.send_goaway()
 
         components.lifecycle.add_listener(on_change)
+        if self.cold_guard is not None:
+            tg.start_soon(run_supervised, "cold_guard", self.cold_guard.run)
         if cfg.announcements is not None:
             app = adapter.make_report_app(
                 report_handler.handle_report,
@@ -177,6 +203,23 @@
             start_health_monitor(tg, cfg, components.lifecycle)
 
 
+def _make_cold_guard(
+    cfg: DaemonSettings,
+    backend_state: BackendState,
+    get_slice: Callable[[], ServiceSlice | None],
+    load_monitor: LoadMonitor,
+) -> ColdStartGuard | None:
+    """Return the guard of a cold server, None if the settings ask for none."""
+    if cfg.cold_servers is None:
+        return None
+    query_health = partial(load_monitor.query, HEALTH_QUERY_TIMEOUT_S)
+    guard = ColdStartGuard(
+        cfg.cold_servers, get_slice, query_health, anyio.current_time()
+    )
+    backend_state.set_report_listener(guard.record_report)
+    return guard
+
+
 def _log_invalid_message(backend: str, reason: str) -> None:
     log_event("report_unusable", backend=backend, reason=reason)
 
