--- a/src/berylmast/backends/cold_start_guard.py
+++ b/src/berylmast/backends/cold_start_guard.py
@@ -16,7 +16,7 @@
 from .backend_state import BackendReport
 from .warmth import ColdStatement, WarmthTracker
 
-CONFIRM_FRACTION = 0.75
+CONFIRM_FRACTION = 0.85
 """Fraction of the bound that may start without confirmation before the health path is
 queried, so that the response arrives before the bound holds any request back."""
 
@@ -40,6 +40,8 @@
 
 MAX_LOG_LINES_PER_S = 2.0
 
+_ROUNDING_S = 1e-6
+
 _HEALTH_QUERIES = 1
 """Health queries that a server gets before its owner learns that it is cold."""
 
@@ -187,7 +189,7 @@
     def _get_cold_left_s(self) -> float:
         """Return the time in seconds until the stated end, infinity without one."""
         left_s = self._tracker.cold_until_s - anyio.current_time()
-        return min(left_s, MAX_SLEEP_S) if left_s > 0 else math.inf
+        return min(left_s, MAX_SLEEP_S) + _ROUNDING_S if left_s > 0 else math.inf
 
     def _get_rate_per_s(self) -> float | None:
         service = self._get_slice()
--- a/src/berylmast/backends/tests/test_load_monitor.py
+++ b/src/berylmast/backends/tests/test_load_monitor.py
@@ -96,3 +96,58 @@
     server = FakeServer()
     await make_monitor(server, path="").refresh()
     assert server.calls == 0
+
+
+async def test_query_shares_the_response_of_one_in_progress() -> None:
+    server = FakeServer()
+    monitor = make_monitor(server)
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(monitor.refresh)
+        tg.start_soon(monitor.query, 0.2)
+        tg.start_soon(monitor.query, 0.2)
+    assert server.calls == 1
+
+
+async def test_query_is_made_although_the_load_is_known_or_the_last_one_failed() -> (
+    None
+):
+    """Whether the server is cold may have changed since."""
+    server = FakeServer()
+    server.hangs = True
+    monitor = make_monitor(server)
+    await monitor.refresh()
+    server.hangs = False
+    await monitor.query(0.2)
+    await monitor.query(0.2)
+    assert server.calls == 3
+
+
+async def test_query_is_repeated_if_the_caller_of_the_one_in_progress_leaves() -> None:
+    server = FakeServer()
+    server.hangs = True
+    monitor = make_monitor(server)
+    async with anyio.create_task_group() as tg:
+
+        async def refresh_and_leave() -> None:
+            with anyio.move_on_after(0.01):
+                await monitor.refresh()
+
+        tg.start_soon(refresh_and_leave)
+        await anyio.sleep(0.005)
+        server.hangs = False
+        await monitor.query(0.2)
+    assert server.calls == 2
+    assert monitor.get_slowdown(1.0) == 5.0
+
+
+async def test_request_waits_no_longer_for_a_slower_query_in_progress() -> None:
+    server = FakeServer()
+    server.hangs = True
+    monitor = make_monitor(server)
+    async with anyio.create_task_group() as tg:
+        tg.start_soon(monitor.query, 0.2)
+        await anyio.sleep(0.001)
+        started_s = anyio.current_time()
+        await monitor.refresh()
+        assert anyio.current_time() - started_s <= QUERY_TIMEOUT_S + 0.001
+        tg.cancel_scope.cancel()
--- a/src/berylmast/limits/start_window.py
+++ b/src/berylmast/limits/start_window.py
@@ -13,6 +13,8 @@
 ARRIVAL_MARGIN_S = 0.02
 """A request may reach the server this time in seconds later than it was started."""
 
+_ROUNDING_S = 1e-6
+
 _MAX_OUTDATED = 256
 """Starts older than the window that are kept until they are deleted together."""
 
@@ -50,11 +52,13 @@
 
         At most ``allowed`` starts, at least 1, may be in the last second.
         """
-        if self._is_beginning(now_s, warm_s):
-            return self._began_s - _get_window_start_s(now_s)
-        if self.count(now_s, warm_s) < allowed:
-            return 0.0
-        return max(0.0, self._starts_s[-allowed] - _get_window_start_s(now_s))
+        blocking_s = self._began_s
+        if not self._is_beginning(now_s, warm_s):
+            if self.count(now_s, warm_s) < allowed:
+                return 0.0
+            blocking_s = self._starts_s[-allowed]
+        wait_s = blocking_s - _get_window_start_s(now_s)
+        return wait_s if wait_s > _ROUNDING_S else 0.0
 
     def _is_beginning(self, now_s: float, warm_s: float) -> bool:
         return warm_s < self._began_s and self._began_s > _get_window_start_s(now_s)
--- a/src/berylmast/platform/tests/test_requests.py
+++ b/src/berylmast/platform/tests/test_requests.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ...backends.interface import ResponseClass
+from ...backends.warmth import ColdStatement
 from ...errors import RESPONSE_SPECS, ErrorKind, Outcome, Refusal
 from ...model import BackendLoad, BackendNotice, Headers
 from ...tests.fake_parts import make_head
@@ -18,6 +19,7 @@
     read_health_notice,
     read_load,
     read_notice,
+    read_warmth,
     set_caller_service,
 )
 
@@ -182,3 +184,33 @@
 def test_health_notice_of_another_server_is_ignored(sender: bytes, known: bool) -> None:
     headers = [(b"x-instance-id", sender), (b"server-limit", b"5")]
     assert (read_health_notice("i-1", headers) is not None) == known
+
+
+@pytest.mark.parametrize(
+    ("status", "sender", "cold_ms", "statement"),
+    [
+        (200, b"i-1", b"2500", ColdStatement(2.5)),
+        (200, b"i-1", b"0", ColdStatement(0.0)),
+        (503, b"i-1", b"2500", ColdStatement(2.5)),
+        (200, b"", b"2500", ColdStatement(2.5)),
+        (200, b"i-1", None, ColdStatement(0.0)),
+        (503, b"i-1", None, ColdStatement()),
+        (200, b"", None, ColdStatement()),
+        (200, b"i-2", b"0", ColdStatement()),
+        (200, b"i-2", b"2500", ColdStatement()),
+        (200, b"i-1", b"-1", ColdStatement(invalid=True)),
+        (200, b"i-1", b"inf", ColdStatement(invalid=True)),
+        (200, b"i-1", b"nan", ColdStatement(invalid=True)),
+        (200, b"i-1", b"1e999", ColdStatement(invalid=True)),
+        (200, b"i-1", b"2500ms", ColdStatement(invalid=True)),
+        (200, b"i-1", b"\xff", ColdStatement(invalid=True)),
+    ],
+)
+def test_warmth_is_read_from_usable_responses_of_the_server(
+    status: int, sender: bytes, cold_ms: bytes | None, statement: ColdStatement
+) -> None:
+    """A value that can't be used must not make a cold server look warm."""
+    headers = [(b"x-instance-id", sender)]
+    if cold_ms is not None:
+        headers.append((b"x-cold-ms", cold_ms))
+    assert read_warmth("i-1", status, headers) == statement
