Test strict revocation in fleets on the paused clock

The first run of the tests found two faults, which are mended here: the evidence of all daemons got old in the same moment as the first watcher's, whose reply then helped none, and the interval of questions doubled (ages up to 1.56 s where 1.5 s are allowed); if a daemon that is no watcher was the only one with a way to the store, the others had no evidence for 7 s at a time. Questions now follow every 0.1 s at first, random daemons are asked in turn with watchers, and a daemon that had to read the store itself reads as often as a watcher for two bounds.

--- a/src/berylmast/membership/document_sync.py
+++ b/src/berylmast/membership/document_sync.py
@@ -5,6 +5,7 @@
 store.
 """
 
+import math
 from collections.abc import Callable
 from dataclasses import replace
 from random import Random
@@ -44,6 +45,10 @@
 
 MAX_FRESHNESS_READ_TIMEOUT_S = 1.6
 
+STAND_IN_BOUNDS = 2.0
+"""Time for which a daemon that had to read the store itself reads it as often as a
+watcher, in units of the bound. The watchers seem to have no way to the store."""
+
 WATCH_DELAY_S = 0.15
 """Delay after a configuration change before the next watch, so that several changes in
 quick succession cost one call."""
@@ -94,6 +99,7 @@
         self._spread = spread
         self._revision: int | None = None
         self._era = 0
+        self._stands_in_until_s = -math.inf
 
     async def run(self) -> None:
         """Keep the configuration up to date until cancelled."""
@@ -200,9 +206,12 @@
                 continue
             backoff.reset()
             timeout_s = FRESHNESS_READ_TIMEOUT_S
+            stand_in_s = STAND_IN_BOUNDS * freshness.within_s
+            self._stands_in_until_s = anyio.current_time() + stand_in_s
 
     def _needs_read(self, freshness: Freshness) -> bool:
-        is_watcher = self._fleet.get_watch_role() is not WatchRole.NONE
+        stands_in = anyio.current_time() < self._stands_in_until_s
+        is_watcher = stands_in or self._fleet.get_watch_role() is not WatchRole.NONE
         return freshness.needs_read(is_watcher=is_watcher)
 
     async def _read_evidence(self, timeout_s: float) -> None:
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -45,9 +45,13 @@
 may be dead, and what is missed must be found before the next round is due."""
 
 FRESHNESS_CHECK_INTERVAL_S = 0.1
-MAX_FRESHNESS_CHECK_INTERVAL_S = 1.0
-"""Interval at which the evidence for the configuration is checked, and a watcher asked
-if it is old. It grows while that doesn't help."""
+"""Interval at which the evidence for the configuration is checked, and another daemon
+asked if it is old."""
+
+MAX_FRESHNESS_CHECK_INTERVAL_S = 0.5
+FAST_QUESTIONS = 6
+"""Number of questions in a row after which the interval grows up to the maximum. The
+first watcher's own evidence is as old as that of the others for a moment."""
 
 FIRST_PEER_TIMEOUT_S = 3.0
 _FIRST_PEER_POLL_S = 0.1
@@ -115,14 +119,24 @@
             self._tg.start_soon(run_logged, "gossip", run)
 
     async def _renew_evidence(self, freshness: Freshness) -> None:
+        """Ask another daemon whenever the evidence for the configuration gets old.
+
+        If a watcher has none, a random daemon is asked in turn with the watchers.
+        """
+        questions = 0
         interval_s = FRESHNESS_CHECK_INTERVAL_S
         while True:
             await anyio.sleep(interval_s)
             if not freshness.needs_comparison():
+                questions = 0
                 interval_s = FRESHNESS_CHECK_INTERVAL_S
                 continue
-            await self._run_round(self._fleet.choose_evidence_peer())
-            interval_s = min(2 * interval_s, MAX_FRESHNESS_CHECK_INTERVAL_S)
+            ask_watcher = questions % 2 == 0
+            peer = self._fleet.choose_evidence_peer() if ask_watcher else None
+            await self._run_round(peer)
+            questions += 1
+            if questions > FAST_QUESTIONS:
+                interval_s = min(2 * interval_s, MAX_FRESHNESS_CHECK_INTERVAL_S)
 
     async def _run_round(self, first_peer: Endpoint | None = None) -> None:
         """Compare with one daemon, and with others if it does not respond soon.
--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -20,6 +20,7 @@
 from ...platform.platform_store import PlatformStore
 from ...platform.tests.fake_store import FakeStore
 from ...supervision import run_supervised
+from ...tenancy.freshness import Freshness
 from .. import Directory
 from ..active_document import ActiveDocument
 from ..document_sync import DocumentSync
@@ -46,7 +47,10 @@
 
 @dataclass
 class Daemon:
-    """The membership of one daemon, its store and the scope that ends it."""
+    """The membership of one daemon, its store and the scope that ends it.
+
+    ``boot_offset_s`` is how far its boot clock is ahead of the test's clock.
+    """
 
     record_sync: RecordSync
     document_sync: DocumentSync
@@ -57,6 +61,8 @@
     directory: Directory
     platform: FakeStore
     record: Endpoint | None
+    freshness: Freshness | None = None
+    boot_offset_s: float = 0.0
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     tg: TaskGroup | None = None
 
@@ -179,7 +185,8 @@
 class Fleet:
     """All daemons of a test; ``cut`` holds pairs of names that cannot communicate.
 
-    ``dial_failure_s`` is the time after which connecting to a dead daemon fails.
+    ``dial_failure_s`` is the time after which connecting to a dead daemon fails. With
+    ``within_s``, the daemons track how current their configuration is.
     """
 
     tg: TaskGroup
@@ -195,6 +202,7 @@
     )
     start_count: int = 0
     dial_failure_s: float = 0.5
+    within_s: float | None = None
 
     def start(
         self, name: str, domain: str = "n1", service: str | None = "orders"
@@ -216,7 +224,14 @@
         status = StoreStatus()
         location = DaemonLocation(name, 1, domain[0], domain)
         fleet_view = FleetView(registry, location, rng)
-        gossip = Gossip(pool, registry, document, fleet_view, rng)
+        freshness = None
+        if self.within_s is not None:
+            freshness = Freshness(
+                self.within_s,
+                lambda: document.version,
+                lambda: anyio.current_time() + daemon.boot_offset_s,
+            )
+        gossip = Gossip(pool, registry, document, fleet_view, rng, freshness)
         record_sync = RecordSync(store, registry, (name, 1), status, rng)
         document_sync = DocumentSync(
             store,
@@ -225,6 +240,7 @@
             rng,
             fleet_view,
             gossip.spread_document,
+            freshness,
         )
         daemon = Daemon(
             record_sync,
@@ -236,6 +252,7 @@
             directory,
             platform,
             record,
+            freshness,
         )
         self.daemons[name] = daemon
         self.tg.start_soon(_run, daemon)
