--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -115,3 +115,20 @@
     tag, exchange, _ = msgpack.unpackb(encode_frame(frames.Load(1, LOAD)))
     load = [*astuple(LOAD), "field of a later version", 7]
     assert decode_frame([tag, exchange, load]) == frames.Load(1, LOAD)
+
+
+@pytest.mark.parametrize(("age_ms", "length"), [(-1, 4), (0, 5), (1_200, 5)])
+def test_age_of_the_evidence_is_sent_only_if_known(age_ms: int, length: int) -> None:
+    """A peer of an earlier version ends the connection at an unknown field."""
+    frame = frames.Compared(1, 7, "digest", current_age_ms=age_ms)
+    assert len(msgpack.unpackb(encode_frame(frame))) == length
+    assert list(FrameReader().feed(encode_frame(frame))) == [frame]
+
+
+@pytest.mark.parametrize(
+    "frame", [frames.Compare(1, 7, "d"), frames.Compared(1, 7, "")]
+)
+def test_comparison_with_fields_of_a_later_version_is_read(frame: frames.Frame) -> None:
+    items = msgpack.unpackb(encode_frame(frame))
+    values = [-1, "field of a later version", 7]
+    assert decode_frame([*items, *values]) == frame
