--- a/src/berylmast/membership/tests/test_strict_revocation.py
+++ b/src/berylmast/membership/tests/test_strict_revocation.py
@@ -14,11 +14,13 @@
 
 from berylmast_dev.objects import ObjectTable
 
+from ...daemons.frames import Compared, Frame
 from ...operators.revisions import DOCUMENT_KIND
 from ...platform.objects import Changes, Listing, PlatformUnavailable
 from ...platform.records import ENDPOINT_KIND
 from ...platform.tests.fake_store import FakeStore
 from ..document_sync import FRESHNESS_READ_JITTER
+from ..store import StoredDocument
 from .fleet import ENVIRONMENT, Daemon, Fleet, make_text, run_fleet
 from .started_fleets import start_domains
 
@@ -378,3 +380,63 @@
         after = sum(len(d.list_full_price_calls()) for d in fleet.daemons.values())
         # One watch a second, and those of the other three watchers.
         assert after - before <= 30 / (1.0 - FRESHNESS_READ_JITTER) + 3 * 30 / 15.0
+
+
+async def test_reply_that_was_on_its_way_during_a_suspension_counts_as_old() -> None:
+    """It was counted from its arrival, as if the other daemon had just sent it."""
+    async with run_strict_fleet() as fleet:
+        daemon = fleet.daemons[NAME]
+        daemon.platform.down = True
+        daemon.platform.silence_open_watches()
+
+        def suspend(_source: str, target: str, frame: Frame) -> None:
+            if target == NAME and isinstance(frame, Compared):
+                daemon.boot_offset_s += 2 * WITHIN_S
+
+        fleet.on_frame = suspend
+        await anyio.sleep(2.0)
+        await hold_while(lambda: not is_current(daemon), 5.0)
+
+
+async def test_silent_read_is_repeated_before_keys_are_refused() -> None:
+    """The first one waited on a dead connection until requests were refused."""
+    async with run_strict_fleet() as fleet:
+        fleet.set_store_down(True)
+        for store in get_stores(fleet):
+            store.silence_open_watches()
+        daemon = fleet.daemons[NAME]
+        daemon.platform.call_log.clear()
+        await fleet.wait_until(lambda: not is_current(daemon), WITHIN_S)
+        assert daemon.platform.call_log.count(("list", DOCUMENT_KIND)) >= 2
+
+
+@pytest.mark.parametrize(
+    ("answers", "revision"),
+    [
+        ([StoredDocument(100, None, 1), StoredDocument(5, None, 2)], 5),
+        ([StoredDocument(5, None, 2), StoredDocument(100, None, 1)], 5),
+        ([StoredDocument(5, None, 2), StoredDocument(3, None, 2)], 5),
+    ],
+    ids=["new-era", "late-answer", "same-era"],
+)
+async def test_watch_continues_from_a_revision_of_the_present_era(
+    answers: list[StoredDocument], revision: int
+) -> None:
+    """A higher revision of an earlier era hides the changes of the present one."""
+    async with run_strict_fleet() as fleet:
+        document_sync = fleet.daemons[NAME].document_sync
+        for answer in answers:
+            document_sync._adopt(answer)
+        assert document_sync._revision == revision
+
+
+async def test_stale_read_sets_no_revision_to_watch_from() -> None:
+    """A stale item may be of an earlier era than the answer that brings it."""
+    async with run_strict_fleet() as fleet:
+        daemon = fleet.daemons[NAME]
+        daemon.document_sync._revision = None
+        daemon.platform.call_log.clear()
+        await anyio.sleep(30.0)
+        assert ("stale list", DOCUMENT_KIND) in daemon.platform.call_log
+        assert ("list", DOCUMENT_KIND) not in daemon.platform.call_log
+        assert daemon.document_sync._revision is None
