--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -21,6 +21,7 @@
 from ...platform.platform_store import PlatformStore
 from ...platform.tests.fake_store import FakeStore
 from ...supervision import run_supervised
+from ...tenancy.freshness import Freshness
 from .. import Directory
 from ..active_document import ActiveDocument
 from ..active_evacuations import ActiveEvacuations
@@ -49,7 +50,10 @@
 
 @dataclass
 class Daemon:
-    """The membership of one daemon, its store and the scope that ends it."""
+    """The membership of one daemon, its store and the scope that ends it.
+
+    ``boot_offset_s`` is how far its boot clock is ahead of the test's clock.
+    """
 
     record_sync: RecordSync
     document_sync: DocumentSync
@@ -62,6 +66,8 @@
     record: Endpoint | None
     evacuations: ActiveEvacuations | None = None
     evacuation_sync: EvacuationSync | None = None
+    freshness: Freshness | None = None
+    boot_offset_s: float = 0.0
     scope: anyio.CancelScope = field(default_factory=anyio.CancelScope)
     tg: TaskGroup | None = None
 
@@ -185,7 +191,8 @@
     """All daemons of a test; ``cut`` holds pairs of names that cannot communicate.
 
     ``dial_failure_s`` is the time after which connecting to a dead daemon fails. With
-    ``evacuate_within_s``, the daemons follow evacuations.
+    ``evacuate_within_s``, the daemons follow evacuations. With ``within_s``, they track
+    how current their configuration is.
     """
 
     tg: TaskGroup
@@ -202,6 +209,7 @@
     start_count: int = 0
     dial_failure_s: float = 0.5
     evacuate_within_s: float | None = None
+    within_s: float | None = None
 
     def start(
         self, name: str, domain: str = "n1", service: str | None = "orders"
@@ -228,8 +236,15 @@
         evacuations = None
         if self.evacuate_within_s is not None:
             evacuations = ActiveEvacuations()
+        freshness = None
+        if self.within_s is not None:
+            freshness = Freshness(
+                self.within_s,
+                lambda: document.version,
+                lambda: anyio.current_time() + daemon.boot_offset_s,
+            )
         gossip = Gossip(
-            pool, registry, document, fleet_view, rng, evacuations=evacuations
+            pool, registry, document, fleet_view, rng, freshness, evacuations
         )
         record_sync = RecordSync(store, registry, (name, 1), status, rng)
         document_sync = DocumentSync(
@@ -239,6 +254,7 @@
             rng,
             fleet_view,
             gossip.spread_document,
+            freshness,
         )
         evacuation_sync = None
         if evacuations is not None and self.evacuate_within_s is not None:
@@ -263,6 +279,7 @@
             record,
             evacuations,
             evacuation_sync,
+            freshness,
         )
         self.daemons[name] = daemon
         self.tg.start_soon(_run, daemon)
