--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -283,6 +283,42 @@
     records: tuple[EndpointRecord, ...]
 
 
+TokenAsk = tuple[str, float, float, float, float, float]
+"""An encoded question for tokens of a tenant: the fields of ``tenancy`` ``Ask``."""
+
+TokenLoan = tuple[str, float, float]
+"""An encoded loan: tenant, tokens to spend on arrival, tokens that may be kept."""
+
+
+@dataclass(frozen=True, slots=True)
+class Borrow:
+    """Opens an exchange: asks a lender for tokens of tenants' quotas.
+
+    ``daemon`` and ``incarnation`` identify the borrower, whose questions are numbered
+    by ``sequence``. ``claims`` are groups of tenants to which the sender is about to
+    lend, because it takes itself for the lender.
+    """
+
+    exchange: int
+    daemon: str
+    incarnation: int
+    sequence: int
+    asks: tuple[TokenAsk, ...]
+    claims: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Lend:
+    """Reply to ``Borrow``, without the tenants to which the sender does not lend.
+
+    ``disputed`` are the claimed groups for which the sender takes itself for a lender.
+    """
+
+    exchange: int
+    loans: tuple[TokenLoan, ...]
+    disputed: tuple[int, ...] = ()
+
+
 Frame = (
     Hello
     | Request
@@ -309,7 +345,9 @@
     | Compare
     | Compared
     | Tell
+    | Borrow
+    | Lend
 )
 
-OpeningFrame = Request | Probe | Query | KeyBegin | KeyFinish | Compare
-OPENING_FRAMES = (Request, Probe, Query, KeyBegin, KeyFinish, Compare)
+OpeningFrame = Request | Probe | Query | KeyBegin | KeyFinish | Compare | Borrow
+OPENING_FRAMES = (Request, Probe, Query, KeyBegin, KeyFinish, Compare, Borrow)
--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -42,6 +42,8 @@
     frames.Compare(1, 3, "d1"),
     frames.Compared(1, 3, "d2"),
     frames.Tell(0, (RECORD,)),
+    frames.Borrow(1, "orders-n1", 7, 3, (("t", 2.5, 1.0, 0.0, 0.5, 0.0),), (2,)),
+    frames.Lend(1, (("t", 1.0, 0.0),), (2,)),
     frames.Probe(1),
     frames.Load(1, LOAD),
     frames.Ping(),
