--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -38,6 +38,7 @@
 _NORMAL_SLOWDOWN_PERCENT = 100.0
 
 
+_TOO_MANY_REQUESTS = 429
 _BAD_GATEWAY = 502
 _SERVICE_UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
@@ -51,6 +52,7 @@
     ErrorKind.TOO_MANY_HEADERS: 431,
     ErrorKind.HEADERS_TIMEOUT: 408,
     ErrorKind.UNKNOWN_SERVICE: 404,
+    ErrorKind.TENANT_LIMIT: _TOO_MANY_REQUESTS,
     ErrorKind.DEADLINE_UNKNOWN: _GATEWAY_TIMEOUT,
 }
 """Status codes of the error kinds that are answered with neither 502 nor 503.
@@ -101,10 +103,10 @@
         (OUTCOME_HEADER, refusal.response_spec.outcome.encode()),
         (ERROR_HEADER, refusal.kind.encode()),
     ]
-    if status == _SERVICE_UNAVAILABLE:
+    if status in (_SERVICE_UNAVAILABLE, _TOO_MANY_REQUESTS):
         headers.append((b"retry-after", f"{refusal.retry_delay_s:.3f}".encode()))
     assert (
-        status != _SERVICE_UNAVAILABLE
+        status not in (_SERVICE_UNAVAILABLE, _TOO_MANY_REQUESTS)
         or refusal.response_spec.outcome is Outcome.NOT_RUN
     )
     return ErrorResponse(status, tuple(headers))
