Charge callers' requests to their tenants' quotas

Each request is charged once before load shedding; a request that did not run gives its token back. Without settings for quotas, a tenant or a rate nothing is awaited or sent.

--- a/src/berylmast/callers/app.py
+++ b/src/berylmast/callers/app.py
@@ -1,6 +1,7 @@
 """The ASGI app that receives requests from callers."""
 
 from collections.abc import Awaitable, Callable
+from dataclasses import replace
 from typing import Any
 
 import anyio
@@ -164,7 +165,7 @@
     async with anyio.create_task_group() as tg:
         tg.start_soon(watch)
         try:
-            result = await _shed_or_forward(context, req, body, response, progress)
+            result = await _charge_and_forward(context, req, body, response, progress)
         except Exception as exc:
             log_event("fault", request=req.head.request_id, reason=repr(exc))
             result = Err(Refusal(ErrorKind.INTERNAL, "internal error"))
@@ -172,6 +173,42 @@
     return result
 
 
+async def _charge_and_forward(
+    context: ForwardingContext,
+    req: ClassifiedRequest,
+    body: RequestBody,
+    response: ResponseSink,
+    progress: RequestProgress,
+) -> Result[None, Refusal]:
+    """Charge a request to its tenant's quota once, whatever is tried afterwards."""
+    tenant, quotas = req.head.tenant, context.quotas
+    if quotas is None or not quotas.has_quota(tenant):
+        return await _shed_or_forward(context, req, body, response, progress)
+    started_s = anyio.current_time()
+    refusal = await quotas.charge(tenant)
+    if refusal is not None:
+        return Err(refusal)
+    waited_ms = int((anyio.current_time() - started_s) * 1000)
+    if waited_ms:
+        req = _shorten_deadline(req, waited_ms)
+    result = await _shed_or_forward(context, req, body, response, progress)
+    if result.is_err() and result.unwrap_err().not_run:
+        quotas.give_back(tenant)
+    return result
+
+
+def _shorten_deadline(req: ClassifiedRequest, waited_ms: int) -> ClassifiedRequest:
+    """Return the request with the time left after it waited for a token."""
+    head = req.head
+    target_ms = None if head.target_ms is None else head.target_ms - waited_ms
+    return replace(
+        req,
+        head=replace(
+            head, deadline_ms=max(0, head.deadline_ms - waited_ms), target_ms=target_ms
+        ),
+    )
+
+
 async def _shed_or_forward(
     context: ForwardingContext,
     req: ClassifiedRequest,
--- a/src/berylmast/callers/context.py
+++ b/src/berylmast/callers/context.py
@@ -6,6 +6,7 @@
 from typing import Protocol
 
 from ..daemons import Exchange
+from ..errors import Refusal
 from ..limits import RetryBudget, Shedder
 from ..model import AttemptId, Endpoint, Headers
 from ..routing import Router
@@ -14,6 +15,19 @@
 OpenExchange = Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]
 
 
+class TenantQuotas(Protocol):
+    """Charges requests to the quotas of their tenants."""
+
+    def has_quota(self, tenant: str) -> bool:
+        """Return whether a tenant's requests are limited."""
+
+    async def charge(self, tenant: str) -> Refusal | None:
+        """Charge one request; return why it is refused, None if it is not."""
+
+    def give_back(self, tenant: str) -> None:
+        """Take back the charge for a request that did not run."""
+
+
 class ResponseSink(Protocol):
     """Receives the backend server's response.
 
@@ -42,7 +56,8 @@
 
     ``retries`` is the retry budget. ``endpoints`` returns all ready endpoints of a
     service; it is used to select the holders of an idempotency key. ``withdrawals``
-    holds the attempts that wait for admission.
+    holds the attempts that wait for admission. ``quotas`` is None if tenants are not
+    limited.
     """
 
     router: Router
@@ -52,6 +67,7 @@
     next_attempt: Callable[[], AttemptId]
     endpoints: Callable[[str], Sequence[Endpoint]]
     withdrawals: Withdrawals = field(default_factory=Withdrawals)
+    quotas: TenantQuotas | None = None
 
 
 @dataclass(slots=True)
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -41,9 +41,11 @@
     make_metrics_renderer,
     make_statsd_reporter,
 )
+from .tenancy import QuotaFleet, Quotas, make_boot_clock
 from .wiring import (
     DaemonComponents,
     LocalBackend,
+    make_announcement_check,
     make_attempt_id_factory,
     make_exchange_handler,
     make_membership_report,
@@ -97,6 +99,18 @@
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
         tg.start_soon(run_supervised, "pool", pool.run)
         gossip = Gossip(pool, registry, active_document, fleet_view, rng)
+        quotas = Quotas(
+            QuotaFleet(
+                location,
+                identity,
+                make_announcement_check(local_backend, registry),
+                lambda: registry.peers(own_address).all,
+                pool.open_exchange,
+            ),
+            lambda: live.cfg.quotas,
+            lambda: active_document.current,
+            make_boot_clock(),
+        )
         document_sync = DocumentSync(
             store,
             active_document,
@@ -109,7 +123,7 @@
         listener = PeerListener(
             cfg.peers,
             identity,
-            make_exchange_handler(owner, gossip),
+            make_exchange_handler(owner, gossip, quotas),
             gossip.handle_tell,
         )
 
@@ -136,6 +150,7 @@
         tg.start_soon(run_supervised, "record_sync", record_sync.run)
         tg.start_soon(run_supervised, "document_sync", document_sync.run)
         tg.start_soon(run_supervised, "gossip", gossip.run)
+        tg.start_soon(run_supervised, "quotas", quotas.run)
         tg.start_soon(run_supervised, "settings", partial(follow_settings, live))
         prober = Prober(
             pool,
@@ -156,6 +171,7 @@
             ),
             next_attempt=make_attempt_id_factory(identity),
             endpoints=directory.endpoints,
+            quotas=quotas,
         )
         classify = adapter.make_classifier(
             live, directory, active_document, rng, forwarding_context.next_attempt
@@ -183,6 +199,7 @@
             router.summarize,
             make_membership_report(active_document, registry, store, store_status),
             make_explain_handler(directory, router),
+            quotas.report,
         )
 
         def is_ready() -> bool:
@@ -194,7 +211,12 @@
             render = make_metrics_renderer(
                 recorder,
                 make_metrics_reader(
-                    active_document, registry, store, store_status, local_backend
+                    active_document,
+                    registry,
+                    store,
+                    store_status,
+                    local_backend,
+                    quotas,
                 ),
             )
             tg.start_soon(make_server(make_metrics_app(render), cfg.metrics).serve)
--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -7,6 +7,7 @@
 from .membership.store import Store
 from .membership.store_calls import StoreStatus
 from .telemetry import Counter, Gauge, get_event_count
+from .tenancy import QuotaRefusalReason, Quotas
 from .wiring import LocalBackend
 
 Metric = Gauge | Counter
@@ -18,6 +19,7 @@
     store: Store,
     store_status: StoreStatus,
     local_backend: LocalBackend | None,
+    quotas: Quotas,
 ) -> Callable[[], list[Metric]]:
     """Return a function that reads the current metric values of this daemon."""
 
@@ -34,6 +36,7 @@
             Counter("store_calls", "Calls to the store", store.calls),
         ]
         metrics += _read_rejections()
+        metrics += _read_quotas(quotas)
         if local_backend is not None:
             metrics += _read_load(local_backend)
             metrics += _read_notices(local_backend)
@@ -71,6 +74,25 @@
     ]
 
 
+def _read_quotas(quotas: Quotas) -> list[Metric]:
+    counts = quotas.counts
+    if not counts.is_used:
+        return []
+    return [
+        Counter("quota_charged", "Requests that got a token", counts.charged),
+        Counter("quota_questions", "Questions to lenders", counts.questions),
+        Counter("quota_served", "Questions of other daemons", counts.served),
+        *(
+            Counter(
+                f"quota_refused_{reason.replace('-', '_')}",
+                "Requests over their tenant's quota",
+                counts.refused[reason],
+            )
+            for reason in QuotaRefusalReason
+        ),
+    ]
+
+
 def _read_load(local_backend: LocalBackend) -> list[Metric]:
     load = local_backend.admission.report()
     query_count = local_backend.load_monitor.query_count
--- a/src/berylmast/operators/daemon_admin.py
+++ b/src/berylmast/operators/daemon_admin.py
@@ -15,6 +15,7 @@
     report_routing: ReportHandler,
     report_membership: ReportHandler,
     explain: QueryHandler,
+    report_quotas: ReportHandler = lambda: None,
 ) -> ASGIApp:
     """Return the admin app: status, histograms, routing, explain, drain, undrain."""
 
@@ -22,12 +23,14 @@
         return {"leaving": lifecycle.leaving, "reasons": lifecycle.reasons}
 
     def report_status() -> object:
-        return {
+        status = {
             "lifecycle": report_lifecycle(),
             "load": None if admission is None else asdict(admission.report()),
             "membership": report_membership(),
             "requests": recorder.export_counts(),
         }
+        quotas = report_quotas()
+        return status if quotas is None else {**status, "quotas": quotas}
 
     def drain() -> object:
         lifecycle.add(LeaveReason.OPERATOR)
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -16,7 +16,7 @@
 from .backends.report_handler import BackendReportHandler
 from .backends.sender_query import make_sender_query
 from .daemons import Exchange, ExchangeHandler, Identity, PeerListener
-from .daemons.frames import Compare, OpeningFrame
+from .daemons.frames import Borrow, Compare, OpeningFrame
 from .http_client import HttpClient
 from .lifecycle import LeaveReason, Lifecycle
 from .limits import Admission, AdmissionInputs, Limits, RetryBudget
@@ -27,10 +27,18 @@
 from .membership.registry import EndpointRegistry
 from .membership.store import Store
 from .membership.store_calls import StoreStatus
-from .model import AttemptId, DaemonLocation, Endpoint, Headers, ServiceSlice
+from .model import (
+    AttemptId,
+    DaemonLocation,
+    Endpoint,
+    EndpointState,
+    Headers,
+    ServiceSlice,
+)
 from .routing import Router
 from .settings import DaemonSettings, LiveSettings
 from .telemetry import log_event
+from .tenancy import Quotas
 
 BACKEND_CONNECTIONS = 1_000
 """Far above the slots of a backend server: only admission limits its requests."""
@@ -245,12 +253,16 @@
     return get_slice
 
 
-def make_exchange_handler(owner: Owner | None, gossip: Gossip) -> ExchangeHandler:
+def make_exchange_handler(
+    owner: Owner | None, gossip: Gossip, quotas: Quotas
+) -> ExchangeHandler:
     """Return the handler of exchanges that other daemons open."""
 
     async def accept(exchange: Exchange, frame: OpeningFrame) -> None:
         if isinstance(frame, Compare):
             await gossip.serve_comparison(exchange, frame)
+        elif isinstance(frame, Borrow):
+            await quotas.serve(exchange, frame)
         elif owner is not None:
             await owner.accept(exchange, frame)
 
@@ -276,6 +288,19 @@
     return report
 
 
+def make_announcement_check(
+    local_backend: LocalBackend | None, registry: EndpointRegistry
+) -> Callable[[], bool]:
+    """Return a function that tells whether other daemons know this one by a record."""
+
+    def is_announced() -> bool:
+        report = None if local_backend is None else local_backend.backend_state.current
+        record = None if report is None else registry.get(report.backend)
+        return record is not None and record.state is not EndpointState.GONE
+
+    return is_announced
+
+
 def make_request_counter(
     listener: PeerListener, admission: Admission | None
 ) -> Callable[[], int]:
