Serve tenants fairly among waiting requests of one rank

Newest first, a tenant that sends many times its usual load took the slots of the others at a server that reports its slots. Start-time fair queueing moved to fair_tags, which both queues use. With one tenant the order is as before.

--- a/src/berylmast/limits/request_queue.py
+++ b/src/berylmast/limits/request_queue.py
@@ -5,11 +5,14 @@
 """
 
 import heapq
+from collections import Counter
 from collections.abc import Iterator
+from dataclasses import dataclass, field
 from itertools import count
 from typing import Generic, NamedTuple, TypeVar
 
-from .scheduling import QueuedRequest, get_sort_key, is_late
+from .fair_tags import FairTags
+from .scheduling import QueuedRequest, get_sort_key, is_exempt, is_late, order_fairly
 
 _Request = TypeVar("_Request", bound=QueuedRequest)
 
@@ -21,13 +24,22 @@
     rank: int
     duration_class: int
     short: bool
+    tenant: str
+
+
+@dataclass(slots=True)
+class _RankTenants:
+    """The tenants with waiting requests of one rank: their numbers and their tags."""
+
+    counts: Counter[str] = field(default_factory=Counter)
+    tags: FairTags = field(default_factory=FairTags)
 
 
 class RequestQueue(Generic[_Request]):
     """Keeps requests in groups that start one after another.
 
     Within a group the newest request starts first. A request changes its group once,
-    when it can no longer be on time.
+    when it can no longer be on time. Tenants are served fairly if there are several.
     """
 
     def __init__(self) -> None:
@@ -36,6 +48,7 @@
         self._group_of: dict[_Request, _Group] = {}
         self._turning_late: list[tuple[float, int, _Request]] = []
         self._numbers = count()
+        self._ranks: dict[int, _RankTenants] = {}
 
     def __len__(self) -> int:
         return len(self._group_of)
@@ -46,6 +59,10 @@
     def add(self, request: _Request, now_s: float) -> None:
         """Add a request that has arrived."""
         late = is_late(request, now_s)
+        tenants = self._ranks.setdefault(request.rank, _RankTenants())
+        if not tenants.counts[request.tenant]:
+            tenants.tags.activate(request.tenant, tenants.counts)
+        tenants.counts[request.tenant] += 1
         self._put(request, late)
         if not late and not request.short:
             item = (request.late_after_s, next(self._numbers), request)
@@ -53,13 +70,28 @@
 
     def discard(self, request: _Request) -> None:
         """Remove a request if it is in the queue."""
-        group = self._group_of.pop(request, None)
-        if group is None:
+        if request not in self._group_of:
             return
-        requests = self._groups[group]
-        del requests[request]
-        if not requests:
-            del self._groups[group]
+        self._take(request)
+        tenants = self._ranks[request.rank]
+        tenants.counts[request.tenant] -= 1
+        if not tenants.counts[request.tenant]:
+            del tenants.counts[request.tenant]
+        if not tenants.counts:
+            # Without waiting requests there is nothing to be fair about.
+            del self._ranks[request.rank]
+
+    def start(self, request: _Request) -> None:
+        """Remove a request that starts, and charge its tenant for it."""
+        if not is_exempt(request):
+            tags = self._ranks[request.rank].tags
+            tags.charge(request.tenant, request.service_time_s)
+        self.discard(request)
+
+    def get_tag(self, request: QueuedRequest) -> float:
+        """Return the tag of a request's tenant among the requests of its rank."""
+        tenants = self._ranks.get(request.rank)
+        return 0.0 if tenants is None else tenants.tags.get_limited(request.tenant)
 
     def list_heads(self, now_s: float) -> list[_Request]:
         """Return the first request of each group; one of them starts next."""
@@ -75,17 +107,28 @@
         # Short requests start among the others of their duration. The list is nearly in
         # order, which sorting takes advantage of.
         ordered.sort(key=lambda request: get_sort_key(request, now_s))
-        return ordered
+        if all(len(tenants.counts) < 2 for tenants in self._ranks.values()):
+            return ordered
+        return order_fairly(ordered, now_s, self.get_tag)
 
     def _put(self, request: _Request, late: bool) -> None:
-        group = _Group(late, request.rank, request.duration_class, request.short)
+        group = _Group(
+            late, request.rank, request.duration_class, request.short, request.tenant
+        )
         self._group_of[request] = group
         self._groups.setdefault(group, {})[request] = None
 
+    def _take(self, request: _Request) -> None:
+        group = self._group_of.pop(request)
+        requests = self._groups[group]
+        del requests[request]
+        if not requests:
+            del self._groups[group]
+
     def _regroup(self, now_s: float) -> None:
         """Move the requests that can no longer be on time."""
         while self._turning_late and self._turning_late[0][0] < now_s:
             request = heapq.heappop(self._turning_late)[2]
             if request in self._group_of:
-                self.discard(request)
+                self._take(request)
                 self._put(request, late=True)
--- a/src/berylmast/limits/scheduling.py
+++ b/src/berylmast/limits/scheduling.py
@@ -14,11 +14,16 @@
 - Service times that change several-fold within a tenth of a second: a request that is
   expected to start too late for its deadline is refused as soon as that is known, not
   when the deadline has passed.
+- A tenant that sends many times its usual load: among requests of the same urgency the
+  tenant that has had the least slot time is next, so that the excess of one tenant
+  waits and is refused, and not the requests of the others.
 """
 
 import math
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass, field
+from itertools import groupby
+from typing import TypeVar
 
 MIN_SERVICE_TIME_FRACTION = 0.8
 """Fraction of the typical service time that must remain before the target for a
@@ -74,6 +79,7 @@
     target_s: float
     deadline_s: float
     short: bool = False
+    tenant: str = ""
     late_after_s: float = field(init=False)
     duration_class: int = field(init=False)
 
@@ -84,6 +90,9 @@
         self.duration_class = round(math.log2(shortest_s))
 
 
+_Request = TypeVar("_Request", bound=QueuedRequest)
+
+
 @dataclass(frozen=True, slots=True)
 class ExpectedStart:
     """The expected time until a waiting request gets its slot, in seconds."""
@@ -101,10 +110,50 @@
     return not request.short and now_s > request.late_after_s
 
 
-def get_sort_key(request: QueuedRequest, now_s: float) -> tuple[bool, int, int, float]:
-    """Return the sort key: on time first, then by rank, length and newest first."""
+def get_sort_key(
+    request: QueuedRequest, now_s: float, tag: float = 0.0
+) -> tuple[bool, int, float, int, float]:
+    """Return the sort key: on time first, then by rank, length and newest first.
+
+    ``tag`` comes before the length; see ``fair_tags``.
+    """
     late = is_late(request, now_s)
-    return (late, request.rank, request.duration_class, -request.arrived_s)
+    return (late, request.rank, tag, request.duration_class, -request.arrived_s)
+
+
+def is_exempt(request: QueuedRequest) -> bool:
+    """Return whether a request is not held back for the sake of other tenants.
+
+    It may be a nested call, whose caller's request holds a slot meanwhile.
+    """
+    return request.short and not request.tenant
+
+
+def order_fairly(
+    ordered: Iterable[_Request],
+    now_s: float,
+    get_tag: Callable[[QueuedRequest], float],
+) -> list[_Request]:
+    """Return requests in the order in which they start if tenants are served fairly.
+
+    ``ordered`` are in the order in which they would start if all were of one tenant.
+    """
+    tags: dict[tuple[int, str], float] = {}
+    fair: list[_Request] = []
+    for _, group in groupby(ordered, key=lambda r: (is_late(r, now_s), r.rank)):
+        tagged: list[tuple[float, _Request]] = []
+        for request in group:
+            if is_exempt(request):
+                tagged.append((-math.inf, request))
+                continue
+            key = (request.rank, request.tenant)
+            tag = tags[key] if key in tags else get_tag(request)
+            tagged.append((tag, request))
+            tags[key] = tag + request.service_time_s
+        # Sorting is stable: requests with the same tag keep their order.
+        tagged.sort(key=lambda pair: pair[0])
+        fair += [request for _, request in tagged]
+    return fair
 
 
 def select_next(
@@ -115,11 +164,13 @@
     reserved_slots: int = 0,
     *,
     late_may_start: bool = True,
+    get_tag: Callable[[QueuedRequest], float] | None = None,
 ) -> QueuedRequest | None:
     """Return the request that gets the next slot, or None if none may start.
 
     ``reserved_slots`` is the number of slots that only short requests may use. Late
-    requests start only if ``late_may_start`` is set.
+    requests start only if ``late_may_start`` is set. ``get_tag`` returns the tag of a
+    request's tenant if tenants are to be served fairly.
     """
     if in_use >= slots:
         return None
@@ -129,11 +180,24 @@
         if in_use < _get_slot_limit(request, now_s, slots, reserved_slots)
         and (late_may_start or not is_late(request, now_s))
     ]
+    tags = _get_tags(startable, get_tag)
     return min(
-        startable, key=lambda request: get_sort_key(request, now_s), default=None
+        startable,
+        key=lambda request: get_sort_key(request, now_s, tags(request)),
+        default=None,
     )
 
 
+def _get_tags(
+    startable: Collection[QueuedRequest],
+    get_tag: Callable[[QueuedRequest], float] | None,
+) -> Callable[[QueuedRequest], float]:
+    """Return a function that returns the tag of a request, equal for one tenant."""
+    if get_tag is None or len({request.tenant for request in startable}) < 2:
+        return lambda request: 0.0
+    return lambda request: -math.inf if is_exempt(request) else get_tag(request)
+
+
 def _get_slot_limit(
     request: QueuedRequest, now_s: float, slots: int, reserved_slots: int
 ) -> float:
--- a/src/berylmast/limits/slot_admission.py
+++ b/src/berylmast/limits/slot_admission.py
@@ -214,7 +214,13 @@
         service_time_s = self._service_times.estimate_s(kind)
         short = service_time_s <= SHORT_REQUEST_FRACTION * self._service_times.longest_s
         return _PendingRequest(
-            head.rank, service_time_s, now_s, target_s, deadline_s, short
+            head.rank,
+            service_time_s,
+            now_s,
+            target_s,
+            deadline_s,
+            short,
+            head.tenant,
         )
 
     async def _should_spill(self, request: _PendingRequest, slots: int) -> bool:
@@ -243,6 +249,7 @@
             self._in_flight,
             reserved_slots,
             late_may_start=self._rate_limiter.get_full_wait_s(now_s) == 0,
+            get_tag=self._queue.get_tag,
         )
 
     def _get_usable_slots(self, slots: int) -> int:
@@ -283,7 +290,7 @@
     def _grant_free_slots(self, slots: int, now_s: float) -> None:
         while request := self._select_next(self._queue.list_heads(now_s), slots):
             assert isinstance(request, _PendingRequest)
-            self._queue.discard(request)
+            self._queue.start(request)
             self._in_flight += 1
             self._rate_limiter.record_start(now_s)
             request.in_flight = self._in_flight
--- a/src/berylmast/limits/tests/test_tenant_queue.py
+++ b/src/berylmast/limits/tests/test_tenant_queue.py
@@ -2,8 +2,9 @@
 
 import pytest
 
+from ..fair_tags import MAX_TENANTS
 from ..floors import count_reserved_slots
-from ..tenant_queue import MAX_TENANTS, TenantQueue, Waiter
+from ..tenant_queue import TenantQueue, Waiter
 
 pytestmark = pytest.mark.anyio
 
