--- a/src/berylmast/tenancy/quota_borrower.py
+++ b/src/berylmast/tenancy/quota_borrower.py
@@ -30,7 +30,7 @@
 FAILURE_PAUSE_S = 0.5
 MAX_FAILURE_PAUSE_S = 1.0
 
-HEDGE_S = 0.05
+HEDGE_S = 0.08
 """A lender that has not replied for this time may be dead; the other one is asked."""
 
 PENDING_LIMIT_S = 1.0
--- a/src/berylmast/tenancy/quota_lender.py
+++ b/src/berylmast/tenancy/quota_lender.py
@@ -38,8 +38,9 @@
 """Time from becoming the lender until the first loan. New records reach all daemons in
 touch within two rounds of comparisons, and the loans of another lender expire."""
 
-SUSPENSION_S = 1.0
-"""A lender that did not run for this time may have missed that it was replaced."""
+SUSPENSION_S = 2.5
+"""A lender that did not run for this time may have missed that it was replaced. Another
+one does not lend within ``QUARANTINE_S``, and stalls of a busy machine are shorter."""
 
 KEPT_FRACTION = 0.5
 """Most of the burst that borrowers keep. The bucket needs room for the tokens that are
