--- a/src/berylmast/limits/shedder.py
+++ b/src/berylmast/limits/shedder.py
@@ -54,7 +54,7 @@
 _WindowKey = tuple[str, str, int]
 
 
-class _SlidingWindow:
+class SlidingWindow:
     """Requests and accepted requests in the last ``WINDOW_S`` seconds."""
 
     def __init__(self) -> None:
@@ -64,6 +64,7 @@
         self._newest_bucket = 0
 
     def add(self, now_s: float, *, accepted: bool) -> None:
+        """Count one request."""
         self.slide(now_s)
         index = self._newest_bucket % _BUCKETS
         requests, accepts = self._buckets[index]
@@ -72,6 +73,7 @@
         self.accepted += accepted
 
     def slide(self, now_s: float) -> None:
+        """Drop the requests that have left the window."""
         newest_bucket = int(now_s / _BUCKET_S)
         for bucket in range(
             max(self._newest_bucket + 1, newest_bucket - _BUCKETS + 1),
@@ -117,7 +119,7 @@
         # The salt makes groups differ between entries, so that two tenants share a
         # group on few entries only.
         self._salt = rng.randbytes(8)
-        self._windows: OrderedDict[_WindowKey, _SlidingWindow] = OrderedDict()
+        self._windows: OrderedDict[_WindowKey, SlidingWindow] = OrderedDict()
 
     def admit(self, service: str, priority: str, tenant: str) -> bool:
         """Return False if the request must be refused; the refusal is recorded."""
@@ -142,7 +144,7 @@
     ) -> None:
         """Record the result of a forwarded request; ``kind`` is None for a response."""
         key = self._make_key(service, priority, tenant)
-        window = self._windows.setdefault(key, _SlidingWindow())
+        window = self._windows.setdefault(key, SlidingWindow())
         self._windows.move_to_end(key)
         if len(self._windows) > MAX_WINDOWS:
             self._windows.popitem(last=False)
