Send a second copy of a late idempotent request

A server that is slow for some tenths of a second delayed every request that was at it. With the setting hedging, the entry now sends a copy of a late request to another server that reports a free slot; the first success is passed on and the other attempt is cancelled. Request log and metrics tell the copies apart. Without the setting, run_attempt is called as before.

--- a/src/berylmast/callers/app.py
+++ b/src/berylmast/callers/app.py
@@ -217,5 +217,8 @@
             deadline_ms=req.head.deadline_ms,
             sent=max(progress.sent, int(progress.may_have_run)),
             load_age_ms=progress.load_age_ms,
+            copies=progress.copies,
+            copy_attempt=progress.copy_attempt,
+            copy_result=progress.copy_result,
         )
     )
--- a/src/berylmast/callers/backend_selector.py
+++ b/src/berylmast/callers/backend_selector.py
@@ -68,6 +68,21 @@
         )
         return Ok(Placement(endpoint, may_spill))
 
+    def choose_copy(self, first: Endpoint) -> Placement | None:
+        """Select the backend server of a copy of the attempt that runs at ``first``.
+
+        Returns None if no server is fit for it. The owner refuses a copy that it would
+        have to queue.
+        """
+        exclude = self._failed_backends | self._busy_backends | {first.backend}
+        endpoint = self._router.choose_for_copy(
+            self._req.service,
+            exclude=exclude,
+            body_bytes=self._body_bytes,
+            home_regions=self._req.home_regions,
+        )
+        return None if endpoint is None else Placement(endpoint, may_spill=True)
+
     def record(self, endpoint: Endpoint, refusal: Refusal) -> None:
         """Record a failed attempt: exclude its backend server from the next ones."""
         if may_have_reached_backend(refusal) or not self._req.service.allows_spilling:
--- a/src/berylmast/callers/classify.py
+++ b/src/berylmast/callers/classify.py
@@ -45,7 +45,7 @@
     ``body_bytes`` is None for a chunked body, whose length is not known in advance.
     ``max_attempts`` is the number of backend servers that the request may be sent to.
     With ``home_regions`` it may reach backend servers and owners of these regions only;
-    an empty set allows none, None allows all.
+    an empty set allows none, None allows all. ``route`` names the route that matched.
     """
 
     head: RequestHead
@@ -54,6 +54,7 @@
     expects_continue: bool = False
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     home_regions: frozenset[str] | None = None
+    route: str = ""
 
 
 RequestClassifier = Callable[
@@ -156,7 +157,15 @@
         has_body=length != 0,
     )
     expects = values.get(b"expect", b"").lower() == b"100-continue"
-    return Ok(ClassifiedRequest(head, service, length, expects and head.has_body))
+    return Ok(
+        ClassifiedRequest(
+            head,
+            service,
+            length,
+            expects and head.has_body,
+            route=f"{method} {route.path_prefix}",
+        )
+    )
 
 
 def read_body_length(headers: Headers) -> Result[int | None, Refusal]:
--- a/src/berylmast/callers/context.py
+++ b/src/berylmast/callers/context.py
@@ -7,6 +7,7 @@
 
 from ..daemons import Exchange
 from ..limits import RetryBudget, Shedder
+from ..limits.hedging import Hedging
 from ..model import AttemptId, Endpoint, Headers
 from ..routing import Router
 from .withdrawal import Withdrawals
@@ -42,7 +43,8 @@
 
     ``retries`` is the retry budget. ``endpoints`` returns all ready endpoints of a
     service; it is used to select the holders of an idempotency key. ``withdrawals``
-    holds the attempts that wait for admission.
+    holds the attempts that wait for admission. Without ``hedging`` no second copies of
+    late requests are sent.
     """
 
     router: Router
@@ -52,6 +54,7 @@
     next_attempt: Callable[[], AttemptId]
     endpoints: Callable[[str], Sequence[Endpoint]]
     withdrawals: Withdrawals = field(default_factory=Withdrawals)
+    hedging: Hedging | None = None
 
 
 @dataclass(slots=True)
@@ -63,7 +66,8 @@
     were tried, ``sent`` the backend servers that may have received the request.
     ``may_have_run`` is set while there is an attempt that was sent and is not known to
     have been refused before it ran. ``answered`` is set once the caller was sent the
-    whole response.
+    whole response. ``copies`` counts the second copies among the attempts.
+    ``copy_attempt`` is the id of the last one, ``copy_result`` how it ended.
     """
 
     backend: str = ""
@@ -72,3 +76,6 @@
     sent: int = 0
     may_have_run: bool = False
     answered: bool = False
+    copies: int = 0
+    copy_attempt: str = ""
+    copy_result: str = ""
--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -1,15 +1,15 @@
 """Forwards a request: chooses backend servers and retries where that is safe."""
 
-from dataclasses import replace
-
 import anyio
 from result import Err, Ok, Result
 
 from ..errors import ErrorKind, Refusal
 from .attempt import run_attempt
+from .attempt_head import RequestTimes, make_attempt_request
 from .backend_selector import BackendSelector
 from .classify import ClassifiedRequest
 from .context import ForwardingContext, OpenExchange, RequestProgress, ResponseSink
+from .hedge import HedgedRequest, run_and_observe
 from .idempotency import run_with_key
 from .request_body import RequestBody
 
@@ -81,8 +81,14 @@
     context.retries.record_first_attempt(
         service, priority, req.service.budgets.retry_ratio
     )
-    started_s = anyio.current_time()
+    times = RequestTimes(anyio.current_time(), deadline_s)
     selector = BackendSelector(context.router, req, body.length or 0)
+    hedged: HedgedRequest | None = None
+    if context.hedging is not None:
+        context.hedging.record_request(service)
+        hedged = HedgedRequest(
+            context, context.hedging, req, body, selector, times, progress
+        )
     final_refusal: Refusal | None = None
     while progress.attempts < selector.max_owners and progress.sent < req.max_attempts:
         choice = selector.choose()
@@ -93,30 +99,20 @@
         ):
             break
         placement = choice.unwrap()
-        now_s = anyio.current_time()
-        remaining_ms = int((deadline_s - now_s) * 1000)
-        if remaining_ms <= 0:
+        attempt = make_attempt_request(
+            context, req, placement, times, retry=selector.uses_retry_budget
+        )
+        if attempt is None:
             return Err(final_refusal or _make_deadline_refusal(progress))
         progress.attempts += 1
         progress.backend = placement.endpoint.backend
         progress.load_age_ms = context.router.get_load_age_ms(progress.backend)
-        head = replace(
-            req.head,
-            # A new id for each attempt, taken just before sending: the owner's ledger
-            # relies on counters that are recent.
-            attempt=context.next_attempt(),
-            deadline_ms=remaining_ms,
-            target_ms=_compute_remaining_target_ms(
-                req.head.target_ms, now_s - started_s
-            ),
-            retry=req.head.retry or selector.uses_retry_budget,
-            may_spill=placement.may_spill,
-            known_rate_limit=context.router.get_rate_limit(placement.endpoint),
-        )
-        attempt = replace(req, head=head)
-        result = await run_attempt(
-            context, placement.endpoint, attempt, body, response, progress
-        )
+        if hedged is None:
+            result = await run_attempt(
+                context, placement.endpoint, attempt, body, response, progress
+            )
+        else:
+            result = await run_and_observe(hedged, placement, attempt, response)
         if result.is_ok():
             return result
         refusal = result.unwrap_err()
@@ -132,10 +128,6 @@
     )
 
 
-def _compute_remaining_target_ms(target_ms: int | None, elapsed_s: float) -> int | None:
-    return None if target_ms is None else target_ms - int(elapsed_s * 1000)
-
-
 def _may_retry(req: ClassifiedRequest, refusal: Refusal, body: RequestBody) -> bool:
     """Return whether another attempt is safe.
 
--- a/src/berylmast/callers/host_route_classifier.py
+++ b/src/berylmast/callers/host_route_classifier.py
@@ -103,7 +103,12 @@
         expects = dict(request_headers).get(b"expect", b"").lower() == b"100-continue"
         return Ok(
             ClassifiedRequest(
-                head, service, length, expects and has_body, route.max_attempts
+                head,
+                service,
+                length,
+                expects and has_body,
+                route.max_attempts,
+                route=route.name,
             )
         )
 
--- a/src/berylmast/callers/request_body.py
+++ b/src/berylmast/callers/request_body.py
@@ -89,6 +89,14 @@
         """Return whether another attempt can still send the whole body."""
         return self._buffers_whole or not self._partly_discarded
 
+    @property
+    def sendable_twice(self) -> bool:
+        """Return whether two attempts can send the body at the same time.
+
+        It has arrived whole then, so that none of them waits for the caller.
+        """
+        return self._buffers_whole and self._complete
+
     async def read_until_refusal(self) -> Refusal:
         """Read until the caller disconnects or the body exceeds its limit.
 
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -46,6 +46,7 @@
     LocalBackend,
     make_attempt_id_factory,
     make_exchange_handler,
+    make_hedging,
     make_membership_report,
     make_request_counter,
     make_retry_budget,
@@ -156,6 +157,7 @@
             ),
             next_attempt=make_attempt_id_factory(identity),
             endpoints=directory.endpoints,
+            hedging=make_hedging(cfg),
         )
         classify = adapter.make_classifier(
             live, directory, active_document, rng, forwarding_context.next_attempt
@@ -194,7 +196,12 @@
             render = make_metrics_renderer(
                 recorder,
                 make_metrics_reader(
-                    active_document, registry, store, store_status, local_backend
+                    active_document,
+                    registry,
+                    store,
+                    store_status,
+                    local_backend,
+                    forwarding_context.hedging,
                 ),
             )
             tg.start_soon(make_server(make_metrics_app(render), cfg.metrics).serve)
--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from .limits.hedging import CopyResult, Hedging, Unsent
 from .membership.active_document import ActiveDocument
 from .membership.registry import EndpointRegistry
 from .membership.store import Store
@@ -18,6 +19,7 @@
     store: Store,
     store_status: StoreStatus,
     local_backend: LocalBackend | None,
+    hedging: Hedging | None = None,
 ) -> Callable[[], list[Metric]]:
     """Return a function that reads the current metric values of this daemon."""
 
@@ -38,6 +40,8 @@
             metrics += _read_load(local_backend)
             metrics += _read_notices(local_backend)
             metrics += _read_attempts(local_backend)
+        if hedging is not None:
+            metrics += _read_hedging(hedging)
         return metrics
 
     return read_values
@@ -122,3 +126,37 @@
         Counter("attempts_failed", "Failed at the server", counts.failed),
         Counter("attempts_refused", "Refused, not run", counts.refused),
     ]
+
+
+def _read_hedging(hedging: Hedging) -> list[Metric]:
+    metrics: list[Metric] = [
+        Counter("copies_sent", "Second copies of late requests", hedging.sent)
+    ]
+    metrics += [
+        Counter(
+            "copies_ended",
+            "Second copies by how they ended",
+            hedging.results[result],
+            (("result", result),),
+        )
+        for result in CopyResult
+    ]
+    metrics += [
+        Counter(
+            "copies_not_sent",
+            "Late requests that got no copy, by reason",
+            hedging.unsent[reason],
+            (("reason", reason),),
+        )
+        for reason in Unsent
+    ]
+    metrics += [
+        Gauge(
+            "copy_delay_seconds",
+            "Time after which a request of a route is late; absent without one",
+            delay_s,
+            (("route", route),),
+        )
+        for route, delay_s in hedging.list_delays_s().items()
+    ]
+    return metrics
--- a/src/berylmast/limits/admission.py
+++ b/src/berylmast/limits/admission.py
@@ -147,6 +147,11 @@
         self._grant_slots(limit, now_s)
         if waiter.granted:
             return
+        if head.may_spill:
+            priority_class.queue.remove(waiter)
+            detail = "backend server busy; try another one"
+            _refuse_waiter(waiter, Refusal(ErrorKind.BUSY, detail))
+            return
         needed_s = (
             self._queue.estimate_wait_s(priority_class, limit)
             + priority_class.slot_time_s.value
--- a/src/berylmast/limits/hedging.py
+++ b/src/berylmast/limits/hedging.py
@@ -21,7 +21,7 @@
 MIN_SAMPLES = 50
 """Times of a route that are needed before its quantiles are used."""
 
-MIN_LATE_SAMPLES = 4
+MIN_LATE_SAMPLES = 3
 """Times beyond a quantile that are needed before it is used as a delay."""
 
 MAX_LATE_FRACTION = 0.5
@@ -121,15 +121,17 @@
 def choose_delay_by_budget(times: TimeQuantiles, extra_ratio: float) -> float | None:
     """Return the delay at which copies use up the budget or less, where they help.
 
-    The first candidate is the quantile that ``extra_ratio`` of the requests exceed. As
-    long as most requests beyond the candidate end soon after it, half as many are taken
-    for late, so that the budget is left for those that gain from a copy.
+    The first candidate is the quantile that ``extra_ratio`` of the requests exceed, or
+    the highest one that the number of times allows. As long as most requests beyond the
+    candidate end soon after it, half as many are taken for late, so that the budget is
+    left for those that gain from a copy.
     """
     if times.count < MIN_SAMPLES:
         return None
     min_gain_s = MIN_GAIN * times.get_s(0.5)
-    late_fraction = min(extra_ratio, MAX_LATE_FRACTION)
-    while late_fraction * times.count >= MIN_LATE_SAMPLES:
+    min_fraction = MIN_LATE_SAMPLES / times.count
+    late_fraction = min(max(extra_ratio, min_fraction), MAX_LATE_FRACTION)
+    while late_fraction >= min_fraction:
         delay_s = times.get_s(1 - late_fraction)
         if times.get_s(1 - late_fraction / 2) - delay_s >= min_gain_s:
             return delay_s
--- a/src/berylmast/limits/response_times.py
+++ b/src/berylmast/limits/response_times.py
@@ -1,7 +1,8 @@
 """Recent times to the response head of one route.
 
 Load pattern: a load that changes within seconds. Times of a former load would place
-quantiles far from the present ones, so they are dropped after at most two windows.
+quantiles far from the present ones, so they are dropped after two windows. Where there
+are few requests, windows are longer, because high quantiles need many times.
 """
 
 from collections.abc import Callable
@@ -9,8 +10,12 @@
 
 from hdrh.histogram import HdrHistogram
 
-WINDOW_S = 10.0
-"""Length of one window in seconds; the last complete one is kept beside the current."""
+MIN_WINDOW_S = 10.0
+MAX_WINDOW_S = 60.0
+"""Lengths of one window in seconds; the last complete one is kept beside the current.
+A window ends between them once it has WINDOW_SAMPLES times."""
+
+WINDOW_SAMPLES = 500
 
 _MIN_TIME_US = 1
 _MAX_TIME_US = 60_000_000
@@ -54,9 +59,12 @@
 
     def _slide(self, now_s: float) -> None:
         age_s = now_s - self._began_s
-        if age_s < WINDOW_S:
+        full = self._current.get_total_count() >= WINDOW_SAMPLES
+        if age_s < (MIN_WINDOW_S if full else MAX_WINDOW_S):
             return
-        self._previous = self._current if age_s < 2 * WINDOW_S else _make_histogram()
+        self._previous = (
+            self._current if age_s < 2 * MAX_WINDOW_S else _make_histogram()
+        )
         self._current = _make_histogram()
         self._began_s = now_s
 
--- a/src/berylmast/routing/load_table.py
+++ b/src/berylmast/routing/load_table.py
@@ -202,6 +202,33 @@
             return None
         return report.rate_limit
 
+    def has_free_slot(self, endpoint: Endpoint, now_s: float) -> bool:
+        """Return whether a fresh report states a free slot and no limit.
+
+        The requests that this entry has sent since then take slots too. A report of
+        another incarnation counts as none.
+        """
+        load = self._get_or_create(endpoint.backend)
+        report = load.report
+        if report is None or report.incarnation != endpoint.incarnation:
+            return False
+        if report.draining or report.backend_leaving or report.rate_limit is not None:
+            return False
+        if now_s - load.report_received_s >= MAX_REPORT_AGE_S:
+            return False
+        sent_since_report = sum(s >= load.report_received_s for s in load.start_times_s)
+        return report.in_flight + report.queued + sent_since_report < report.limit
+
+    def estimate_use(self, endpoints: Sequence[Endpoint], now_s: float) -> float:
+        """Return requests per slot by fresh reports, 0 without any."""
+        used = slots = 0
+        for endpoint in endpoints:
+            load = self._get_or_create(endpoint.backend)
+            if load.report and now_s - load.report_received_s < MAX_REPORT_AGE_S:
+                used += load.report.in_flight + load.report.queued
+                slots += load.report.limit
+        return used / slots if slots else 0.0
+
     def get_median_full_slowdown(self) -> float:
         """Return the median ``full_slowdown`` that owners report, 0.0 if none does."""
         slowdowns = [
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -124,6 +124,47 @@
             for e in self._find_available(service, now_s)
         )
 
+    def choose_for_copy(
+        self,
+        service: ServiceSlice,
+        *,
+        exclude: Collection[str],
+        body_bytes: int = 0,
+        home_regions: Collection[str] | None = None,
+    ) -> Endpoint | None:
+        """Choose a backend server for a second copy of a request that still runs.
+
+        Only servers with a free slot by a fresh report are considered, none that is
+        ejected or states a rate limit, and those of the own region first. Returns None
+        if there is none.
+        """
+        now_s = anyio.current_time()
+        endpoints = self._find_available(service.service, now_s)
+        ejected = self._ejections.list_all_ejected() if service.ejection else []
+        fit = [
+            e
+            for e in endpoints
+            if e.backend not in exclude
+            and e.backend not in ejected
+            and (home_regions is None or e.region in home_regions)
+            and not self._unreachable.is_excluded(e.backend, now_s)
+            and self._loads.has_free_slot(e, now_s)
+        ]
+        if not fit:
+            return None
+        regional = [e for e in fit if e.region == self._region]
+        allowed = {e.backend for e in regional or fit}
+        unfit = {e.backend for e in endpoints if e.backend not in allowed}
+        return self.choose(service, exclude=unfit, body_bytes=body_bytes).ok()
+
+    def estimate_use(self, service: str) -> float:
+        """Return the used share of a service's slots by fresh reports, 0 without any.
+
+        It exceeds 1 if requests wait.
+        """
+        endpoints = self._directory.endpoints(service)
+        return self._loads.estimate_use(endpoints, anyio.current_time())
+
     def record_start(self, backend: str, body_bytes: int = 0) -> None:
         """Record that this entry sends a request to a backend server."""
         self._loads.record_start(backend, anyio.current_time())
--- a/src/berylmast/telemetry/metrics.py
+++ b/src/berylmast/telemetry/metrics.py
@@ -16,20 +16,28 @@
 
 @dataclass(frozen=True, slots=True)
 class Gauge:
-    """A current value; ``help`` states its meaning and unit."""
+    """A current value; ``help`` states its meaning and unit.
+
+    ``labels`` are names and values. Values with one name have the same label names.
+    """
 
     name: str
     help: str
     value: float
+    labels: tuple[tuple[str, str], ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
 class Counter:
-    """A count since startup; ``help`` states what is counted."""
+    """A count since startup; ``help`` states what is counted.
+
+    ``labels`` are as those of a Gauge.
+    """
 
     name: str
     help: str
     value: float
+    labels: tuple[tuple[str, str], ...] = ()
 
 
 ReadValues = Callable[[], list[Gauge | Counter]]
@@ -84,7 +92,16 @@
                 [item.service, item.priority], buckets, item.sum_ms / 1000
             )
         yield latencies
+        families: dict[str, Any] = {}
         for value in self._read_values():
-            is_counter = isinstance(value, Counter)
-            family: Any = CounterMetricFamily if is_counter else GaugeMetricFamily
-            yield family(f"{METRIC_PREFIX}_{value.name}", value.help, value=value.value)
+            family = families.get(value.name)
+            if family is None:
+                is_counter = isinstance(value, Counter)
+                make_family = CounterMetricFamily if is_counter else GaugeMetricFamily
+                family = families[value.name] = make_family(
+                    f"{METRIC_PREFIX}_{value.name}",
+                    value.help,
+                    labels=[name for name, _ in value.labels],
+                )
+            family.add_metric([text for _, text in value.labels], value.value)
+        yield from families.values()
--- a/src/berylmast/telemetry/request_recorder.py
+++ b/src/berylmast/telemetry/request_recorder.py
@@ -22,7 +22,9 @@
     ``version`` is the configuration version and ``deadline_ms`` the caller's timeout.
     ``attempts`` counts the owners that were tried, ``sent`` the backend servers that
     may have run the request. ``load_age_ms`` is the age of the load report by which the
-    last backend server was chosen, -1 if there was none.
+    last backend server was chosen, -1 if there was none. ``copies`` counts the second
+    copies among the attempts; ``copy_attempt`` is the attempt id of the copy,
+    ``copy_result`` how it ended. These three are logged only if there was a copy.
     """
 
     request: str
@@ -39,9 +41,14 @@
     deadline_ms: int = 0
     sent: int = 0
     load_age_ms: float = -1.0
+    copies: int = 0
+    copy_attempt: str = ""
+    copy_result: str = ""
 
 
-_LOG_FIELDS = tuple(field.name for field in fields(RequestLogEntry))
+_COPY_FIELDS = frozenset({"copies", "copy_attempt", "copy_result"})
+_COPIED_LOG_FIELDS = tuple(field.name for field in fields(RequestLogEntry))
+_LOG_FIELDS = tuple(name for name in _COPIED_LOG_FIELDS if name not in _COPY_FIELDS)
 
 
 class RequestRecorder:
@@ -72,7 +79,8 @@
         is_routine = entry.outcome == ANSWERED and entry.attempts <= 1
         limiter = self._routine_limiter if is_routine else self._notable_limiter
         limit_key = entry.outcome if entry.outcome == ANSWERED else entry.reason
-        fields = {name: getattr(entry, name) for name in _LOG_FIELDS}
+        names = _COPIED_LOG_FIELDS if entry.copies else _LOG_FIELDS
+        fields = {name: getattr(entry, name) for name in names}
         limiter.write(limit_key, "request", **fields)
 
     def export_counts(self) -> list[dict[str, object]]:
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -20,6 +20,7 @@
 from .http_client import HttpClient
 from .lifecycle import LeaveReason, Lifecycle
 from .limits import Admission, AdmissionInputs, Limits, RetryBudget
+from .limits.hedging import Hedging
 from .membership import Directory
 from .membership.active_document import ActiveDocument
 from .membership.gossip import Gossip
@@ -313,6 +314,14 @@
     return RetryBudget(get_burst, get_ratio)
 
 
+def make_hedging(cfg: DaemonSettings) -> Hedging | None:
+    """Return what decides on copies of late requests, None if the settings have none.
+
+    Each daemon keeps to the ratio for its own requests, so all of them together do.
+    """
+    return None if cfg.hedging is None else Hedging(cfg.hedging.extra_ratio)
+
+
 def make_attempt_id_factory(identity: Identity) -> Callable[[], AttemptId]:
     """Return a function that returns a new attempt id on each call."""
     counter = count(1)
--- a/src/berylmast_dev/bench_hedging.py
+++ b/src/berylmast_dev/bench_hedging.py
@@ -5,7 +5,7 @@
 Simulated: requests arrive at random at SERVERS servers with enough free slots. Times
 are lognormal; each server is SPELL_SLOWDOWN times slower for SPELL_S, on average every
 SPELL_GAP_S. A copy goes to another server, and the slower attempt is cancelled. The
-daemon's own decisions are used, with one daemon as the entry of all requests. The extra
+daemon's own decisions are used, in each of ENTRIES entries for its requests. The extra
 work is the time that servers spend on copies, as a share of all other time; a server
 spends no more time on an attempt that is cancelled.
 """
@@ -26,6 +26,7 @@
 )
 
 SERVERS = 12
+ENTRIES = 8
 RATE_PER_S = 120.0
 DURATION_S = 600.0
 MEDIAN_S = 0.02
@@ -105,7 +106,7 @@
     """Run all requests; the same seed gives every rule the same first attempts."""
     servers = _Servers(Random(SEED))
     arrivals, copies_rng = Random(SEED + 1), Random(SEED + 2)
-    hedging = Hedging(extra_ratio, rule)
+    entries = [Hedging(extra_ratio, rule) for _ in range(ENTRIES)]
     result = _Result()
     # Events are (time, number, action); the number keeps their order unique.
     numbers = itertools.count()
@@ -119,18 +120,23 @@
             plan(now_s + arrivals.expovariate(RATE_PER_S), arrive)
         server = arrivals.randrange(SERVERS)
         time_s = servers.draw_time_s(server, now_s, arrivals)
+        hedging = arrivals.choice(entries)
         hedging.record_request(_SERVICE)
         delay_s = hedging.get_delay_s(_ROUTE, now_s)
         if delay_s is None or time_s <= delay_s:
-            plan(now_s + time_s, lambda end_s: finish(end_s, time_s))
+            plan(now_s + time_s, lambda end_s: finish(hedging, end_s, time_s))
             return
-        plan(now_s + delay_s, lambda late_s: copy(late_s, server, now_s, time_s))
+        plan(
+            now_s + delay_s, lambda late_s: copy(hedging, late_s, server, now_s, time_s)
+        )
 
-    def copy(now_s: float, server: int, started_s: float, time_s: float) -> None:
+    def copy(
+        hedging: Hedging, now_s: float, server: int, started_s: float, time_s: float
+    ) -> None:
         age_s = now_s - started_s
         late = LateRequest(_SERVICE, _ROUTE, DEADLINE_S - age_s, None, 0.0)
         if hedging.find_obstacle(late, now_s) is not None:
-            plan(started_s + time_s, lambda end_s: finish(end_s, time_s))
+            plan(started_s + time_s, lambda end_s: finish(hedging, end_s, time_s))
             return
         hedging.spend(_SERVICE)
         other = (server + copies_rng.randrange(1, SERVERS)) % SERVERS
@@ -140,9 +146,9 @@
         result.copies += 1
         result.copies_won += won
         result.copy_work_s += shortest_s - age_s
-        plan(started_s + shortest_s, lambda end_s: finish(end_s, shortest_s))
+        plan(started_s + shortest_s, lambda end_s: finish(hedging, end_s, shortest_s))
 
-    def finish(now_s: float, time_s: float) -> None:
+    def finish(hedging: Hedging, now_s: float, time_s: float) -> None:
         result.times_s.append(time_s)
         result.first_work_s += time_s
         hedging.record_time(_ROUTE, time_s, now_s)
