--- a/src/berylmast/callers/tests/test_hedge.py
+++ b/src/berylmast/callers/tests/test_hedge.py
@@ -12,10 +12,11 @@
 
 import anyio
 import pytest
+from result import Err
 
 from ...daemons import frames
 from ...daemons.frames import Frame
-from ...errors import ErrorKind
+from ...errors import ErrorKind, Refusal
 from ...limits.hedging import BURST_COPIES, CopyResult, Hedging, Unsent
 from ...model import Endpoint
 from ...tests.fakes import (
@@ -23,10 +24,13 @@
     FailurePoint,
     FakeEntry,
     FakeFleet,
+    FakeResponse,
     FakeStream,
     make_body,
     run_fleet,
 )
+from ..hedge import _Attempt, _get_result
+from ..race import Race
 
 pytestmark = pytest.mark.anyio
 
@@ -369,6 +373,31 @@
         assert call.progress.copy_result == "failed"
 
 
+NOT_RUN = Refusal(ErrorKind.OVERLOADED, "")
+MAY_HAVE_RUN = Refusal(ErrorKind.BACKEND_CUT, "")
+
+
+@pytest.mark.parametrize(
+    ("first", "copy", "expected"),
+    [
+        (NOT_RUN, None, NOT_RUN),
+        (NOT_RUN, MAY_HAVE_RUN, MAY_HAVE_RUN),
+        (MAY_HAVE_RUN, NOT_RUN, MAY_HAVE_RUN),
+        (NOT_RUN, Refusal(ErrorKind.BUSY, ""), NOT_RUN),
+        (MAY_HAVE_RUN, Refusal(ErrorKind.PEER_LOST, ""), MAY_HAVE_RUN),
+    ],
+)
+async def test_refusal_does_not_hide_that_one_attempt_may_have_run(
+    first: Refusal, copy: Refusal | None, expected: Refusal
+) -> None:
+    race = Race(FakeResponse())
+    attempts = [
+        _Attempt(race.add(), result=None if refusal is None else Err(refusal))
+        for refusal in (first, copy)
+    ]
+    assert _get_result(race, *attempts).unwrap_err() is expected
+
+
 @pytest.mark.parametrize("cause", ["deadline", "caller"])
 async def test_end_of_the_request_cancels_both_attempts(cause: str) -> None:
     async with run_hedging_fleet() as (fleet, entry, _):
