--- a/src/berylmast/callers/tests/test_hedge.py
+++ b/src/berylmast/callers/tests/test_hedge.py
@@ -27,8 +27,12 @@
     FakeResponse,
     FakeStream,
     make_body,
+    make_head,
     run_fleet,
 )
+from ..classify import ClassifiedRequest
+from ..context import RequestProgress
+from ..forward import forward_request
 from ..hedge import _Attempt, _get_result
 from ..race import Race
 
@@ -373,6 +377,20 @@
         assert call.progress.copy_result == "failed"
 
 
+async def test_route_with_one_attempt_gets_no_copy() -> None:
+    """Guards against more arrivals at servers than the route allows."""
+    async with run_hedging_fleet() as (fleet, entry, hedging):
+        head = make_head(idempotent=True)
+        req = ClassifiedRequest(head, fleet.slice, 0, max_attempts=1)
+        response, progress = FakeResponse(), RequestProgress()
+        result = await forward_request(
+            entry.forwarding_context, req, make_body(length=0), response, progress
+        )
+        assert result.is_ok()
+        assert fleet.count_runs()["r1"] == 1
+        assert dict(hedging.unsent) == {Unsent.ATTEMPTS: 1}
+
+
 NOT_RUN = Refusal(ErrorKind.OVERLOADED, "")
 MAY_HAVE_RUN = Refusal(ErrorKind.BACKEND_CUT, "")
 
--- a/src/berylmast/callers/tests/test_hedge_properties.py
+++ b/src/berylmast/callers/tests/test_hedge_properties.py
@@ -6,8 +6,10 @@
 
 from collections import Counter
 from dataclasses import dataclass, field, replace
+from random import Random
 
 import anyio
+import pytest
 import trio
 import trio._core._run as trio_run
 import trio.testing
@@ -21,11 +23,15 @@
     Call,
     FailurePoint,
     FakeBackend,
+    FakeEntry,
     FakeFleet,
     FakeStream,
     run_fleet,
 )
 from ..classify import DEFAULT_MAX_ATTEMPTS
+from .test_at_most_once import FAULTS
+from .test_random_faults import NAMES as RANDOM_NAMES
+from .test_random_faults import change_backend_states, inject_random_faults
 
 NAMES = ("b1", "b2", "b3", "b4", "b5")
 DELAY_S = 0.1
@@ -111,14 +117,34 @@
 )
 
 
+def make_parts(name: str) -> tuple[bytes, ...]:
+    """Return a body whose parts are told apart from those of other servers."""
+    return (f"{name}-".encode(), f"{name}.".encode())
+
+
 def configure(backend: FakeBackend, behavior: Behavior) -> None:
     backend.service_time_s = behavior.service_time_s
     backend.part_pause_s = behavior.part_pause_s
     backend.status = behavior.status
     backend.cut_at = behavior.cut_at
     backend.stall_at = behavior.stall_at
-    # Parts of two responses are told apart by the name of the server.
-    backend.parts = (f"{backend.name}-".encode(), f"{backend.name}.".encode())
+    backend.parts = make_parts(backend.name)
+
+
+def make_hedging(requests: int) -> Hedging:
+    """Return a decider with a fixed delay, after a number of requests."""
+    hedging = Hedging(EXTRA_RATIO, lambda _times, _extra_ratio: DELAY_S)
+    hedging.record_time(f"{SERVICE} ", DELAY_S / 10, anyio.current_time())
+    for _ in range(requests):
+        hedging.record_request(SERVICE)
+    return hedging
+
+
+def report_loads(fleet: FakeFleet, entry: FakeEntry) -> None:
+    """Give an entry a fresh load report of each server."""
+    router = entry.forwarding_context.router
+    for name, admission in fleet.admissions.items():
+        router.record_load(admission.report(), fleet._incarnations[name])
 
 
 def check_response(call: Call, runs: int) -> None:
@@ -141,10 +167,7 @@
         attempts = OpenAttempts()
         fleet.on_frame = attempts.on_frame
         fleet.set_slots(schedule.slots)
-        hedging = Hedging(EXTRA_RATIO, lambda _times, _extra_ratio: DELAY_S)
-        hedging.record_time(f"{SERVICE} ", DELAY_S / 10, anyio.current_time())
-        for _ in range(schedule.tokens):
-            hedging.record_request(SERVICE)
+        hedging = make_hedging(schedule.tokens)
         calls = await run_calls(schedule, fleet, hedging)
         await anyio.sleep(SETTLE_S)
         runs = fleet.count_runs()
@@ -174,8 +197,7 @@
     entry.forwarding_context = replace(entry.forwarding_context, hedging=hedging)
     for name, behavior in zip(NAMES, schedule.behaviors, strict=True):
         configure(fleet.backends[name], behavior)
-        report = fleet.admissions[name].report()
-        entry.forwarding_context.router.record_load(report, 1)
+    report_loads(fleet, entry)
     calls: dict[str, Call] = {}
 
     async def run(request_id: str, disconnect_after_s: float | None) -> None:
@@ -206,3 +228,49 @@
     trio_run._r.seed(1)
     clock = trio.testing.MockClock(autojump_threshold=0)
     trio.run(run_schedule, schedule, clock=clock)
+
+
+FAULTY_SEEDS = 30
+CALLS_PER_SEED = 12
+
+
+@pytest.mark.anyio
+async def test_copies_under_link_and_server_faults() -> None:
+    """Guards against wrong outcomes where a link is lost while two attempts run."""
+    results: Counter[str] = Counter()
+    for seed in range(FAULTY_SEEDS):
+        rng = Random(seed)
+        calls: dict[str, Call] = {}
+        async with run_fleet(*RANDOM_NAMES) as fleet:
+            inject_random_faults(fleet, rng, list(FAULTS))
+            hedging = make_hedging(CALLS_PER_SEED)
+            for name in RANDOM_NAMES:
+                fleet.backends[name].parts = make_parts(name)
+            await run_faulty_calls(fleet, hedging, rng, calls)
+            runs = fleet.count_runs()
+        for request_id, call in calls.items():
+            check_response(call, runs[request_id])
+            assert call.duration_s <= DEADLINE_MS / 1000 + 0.001, seed
+            assert runs[request_id] <= DEFAULT_MAX_ATTEMPTS, seed
+            results[call.progress.copy_result] += 1
+    assert results["won"] and results["lost"] and results["failed"]
+
+
+async def run_faulty_calls(
+    fleet: FakeFleet, hedging: Hedging, rng: Random, calls: dict[str, Call]
+) -> None:
+    entry = fleet.entry()
+    entry.forwarding_context = replace(entry.forwarding_context, hedging=hedging)
+
+    async def run(request_id: str) -> None:
+        calls[request_id] = await entry.call(
+            idempotent=True, request_id=request_id, deadline_ms=DEADLINE_MS
+        )
+
+    async with anyio.create_task_group() as tg:
+        for number in range(CALLS_PER_SEED):
+            report_loads(fleet, entry)
+            tg.start_soon(run, f"r{number}")
+            await anyio.sleep(rng.random() / 2)
+            change_backend_states(fleet, rng)
+    await anyio.sleep(30)
