--- a/src/berylmast/telemetry/tests/test_metrics.py
+++ b/src/berylmast/telemetry/tests/test_metrics.py
@@ -29,6 +29,8 @@
     values: list[Gauge | Counter] = [
         Gauge("store_up", "up", 1),
         Counter("store_calls", "calls", 7),
+        Counter("copies_ended", "copies", 3, (("result", "won"),)),
+        Counter("copies_ended", "copies", 4, (("result", "lost"),)),
     ]
     text = make_metrics_renderer(recorder, lambda: values)().decode()
     samples = {
@@ -46,3 +48,5 @@
     assert 0.75 < samples[f"{name}_sum", orders] < 0.82
     assert samples["berylmast_store_up", ()] == 1
     assert samples["berylmast_store_calls_total", ()] == 7
+    assert samples["berylmast_copies_ended_total", (("result", "won"),)] == 3
+    assert samples["berylmast_copies_ended_total", (("result", "lost"),)] == 4
--- a/src/berylmast/telemetry/tests/test_telemetry.py
+++ b/src/berylmast/telemetry/tests/test_telemetry.py
@@ -146,3 +146,32 @@
     for _ in range(5):
         handler.emit(logging.makeLogRecord({"msg": "request"}))
     assert handler.dropped == 3
+
+
+@pytest.mark.parametrize("copies", [0, 1])
+def test_copy_is_logged_only_where_there_was_one(
+    copies: int, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Guards against log lines that change where no copies are sent."""
+    caplog.set_level(logging.INFO, "berylmast")
+    entry = RequestLogEntry(
+        request="r1",
+        service="orders",
+        priority="0",
+        tenant="",
+        backend="b2",
+        attempts=1 + copies,
+        outcome="answered",
+        reason="",
+        status=200,
+        duration_ms=1.0,
+        copies=copies,
+        copy_attempt="e1/1/2" if copies else "",
+        copy_result="won" if copies else "",
+    )
+    RequestRecorder(None).record_request(entry)
+    names = {"copies", "copy_attempt", "copy_result"}
+    logged = vars(caplog.records[0])
+    assert names & set(logged) == (names if copies else set())
+    if copies:
+        assert (logged["copy_attempt"], logged["copy_result"]) == ("e1/1/2", "won")
