--- a/src/berylmast/callers/classify.py
+++ b/src/berylmast/callers/classify.py
@@ -46,7 +46,7 @@
     ``max_attempts`` is the number of backend servers that the request may be sent to.
     With ``home_regions`` it may reach backend servers and owners of these regions only;
     an empty set allows none, None allows all. ``filter_trailers`` returns the trailers
-    of the request that are passed on.
+    of the request that are passed on. ``route`` names the route that matched.
     """
 
     head: RequestHead
@@ -56,6 +56,7 @@
     max_attempts: int = DEFAULT_MAX_ATTEMPTS
     home_regions: frozenset[str] | None = None
     filter_trailers: Callable[[Headers], Headers] = tuple
+    route: str = ""
 
 
 RequestClassifier = Callable[
@@ -158,7 +159,15 @@
         has_body=length != 0,
     )
     expects = values.get(b"expect", b"").lower() == b"100-continue"
-    return Ok(ClassifiedRequest(head, service, length, expects and head.has_body))
+    return Ok(
+        ClassifiedRequest(
+            head,
+            service,
+            length,
+            expects and head.has_body,
+            route=f"{method} {route.path_prefix}",
+        )
+    )
 
 
 def read_body_length(headers: Headers) -> Result[int | None, Refusal]:
--- a/src/berylmast/callers/host_route_classifier.py
+++ b/src/berylmast/callers/host_route_classifier.py
@@ -150,6 +150,7 @@
                     route.home_regions, tenant.home_regions if tenant else frozenset()
                 ),
                 filter_trailers,
+                route=route.name,
             )
         )
 
--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -52,6 +52,7 @@
     make_evacuations,
     make_exchange_handler,
     make_freshness,
+    make_hedging,
     make_membership_report,
     make_request_counter,
     make_retry_budget,
@@ -203,6 +204,7 @@
             next_attempt=make_attempt_id_factory(identity),
             endpoints=directory.endpoints,
             quotas=quotas,
+            hedging=make_hedging(cfg),
         )
         classify = adapter.make_classifier(
             live,
@@ -264,6 +266,7 @@
                     freshness,
                     evacuations,
                     quotas,
+                    forwarding_context.hedging,
                 ),
             )
             tg.start_soon(make_server(make_metrics_app(render), cfg.metrics).serve)
