Begin a lender's claim again once it knows other daemons

A daemon that started before the records of others arrived took itself for the only lender and skipped the confirmation of the one that it replaced.

--- a/src/berylmast/tenancy/quota_duties.py
+++ b/src/berylmast/tenancy/quota_duties.py
@@ -4,7 +4,8 @@
 and goes on lending. A new lender therefore begins only after each daemon that it
 replaces has confirmed that it no longer lends. A daemon that never replies may be gone
 for good without a notice; after ``CLAIM_LIMIT_S`` the new lender begins without its
-confirmation.
+confirmation. What a daemon decided before it knew any other one does not count: after a
+start the records of the others may arrive late.
 """
 
 from collections.abc import Iterable, Sequence
@@ -37,6 +38,7 @@
         self._own = own
         self._claims: dict[int, _Claim] = {}
         self._replaced: dict[int, frozenset[PeerAddress]] = {}
+        self._knows_others = False
         self.lenders: dict[int, tuple[DaemonLocation, ...]] = {}
 
     def set_daemons(
@@ -46,6 +48,9 @@
 
         The others know this daemon only if it ``is_announced`` by its record.
         """
+        if others and not self._knows_others:
+            self._claims.clear()
+        self._knows_others = bool(others)
         known = [self._own, *others] if is_announced else others
         for group in range(LENDER_GROUPS):
             self.lenders[group] = choose_lenders(group, known)
--- a/src/berylmast/tenancy/quota_lender.py
+++ b/src/berylmast/tenancy/quota_lender.py
@@ -22,7 +22,7 @@
 """
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Container
 from dataclasses import dataclass, field
 
 from .quota_shares import QuotaShare, get_group
@@ -51,9 +51,6 @@
 
 _ROUNDING = 1e-9
 
-MAX_ACCOUNTS = 10_000
-"""Tenants of which loans are counted; more are not lent to."""
-
 
 @dataclass(frozen=True, slots=True)
 class Ask:
@@ -136,6 +133,14 @@
             and account.refilled_s >= self._since[get_group(tenant)]
         }
 
+    def forget_tenants(self, kept: Container[str]) -> None:
+        """Forget the tenants that no longer have a quota."""
+        self._accounts = {
+            tenant: account
+            for tenant, account in self._accounts.items()
+            if tenant in kept
+        }
+
     def is_lending(self, group: int, now_s: float) -> bool:
         """Return whether this daemon lends to the tenants of a group."""
         since_s = self._since.get(group)
@@ -159,8 +164,6 @@
         if not self.is_lending(get_group(ask.tenant), now_s):
             return None
         account = self._get_account(ask.tenant)
-        if account is None:
-            return None
         _refill(account, share, now_s)
         before = account.loans.get(borrower)
         if before is not None and sequence <= before.sequence:
@@ -189,9 +192,9 @@
             loan.tokens for loan in account.loans.values() if loan.expires_s > now_s
         )
 
-    def _get_account(self, tenant: str) -> _Account | None:
+    def _get_account(self, tenant: str) -> _Account:
         account = self._accounts.get(tenant)
-        if account is None and len(self._accounts) < MAX_ACCOUNTS:
+        if account is None:
             # Nothing was lent since the end of the quarantine, so the bucket is filled
             # from then on.
             start_s = self._since[get_group(tenant)] + QUARANTINE_S
--- a/src/berylmast/tenancy/quotas.py
+++ b/src/berylmast/tenancy/quotas.py
@@ -263,6 +263,7 @@
         for name in self._tenants.keys() - states.keys():
             self._admit_all(self._tenants[name])
         self._tenants = states
+        self._lender.forget_tenants(states)
 
     def _admit_all(self, state: _TenantState) -> None:
         """Let the waiting requests of a tenant run that has no quota any longer."""
--- a/src/berylmast/tenancy/tests/test_quota_shares.py
+++ b/src/berylmast/tenancy/tests/test_quota_shares.py
@@ -104,6 +104,17 @@
     assert group in duties.list_groups(CLAIM_LIMIT_S + 0.1)
 
 
+def test_a_claim_of_a_daemon_that_knew_no_other_does_not_count() -> None:
+    """After a start the records of the others may arrive late."""
+    daemons = make_daemons(12)
+    own = choose_lenders(0, daemons)[0]
+    duties = QuotaDuties(own)
+    duties.set_daemons([], 0.0, is_announced=True)
+    assert 0 in duties.list_groups(0.1)
+    duties.set_daemons([d for d in daemons if d is not own], 0.2, is_announced=True)
+    assert 0 not in duties.list_groups(0.3)
+
+
 def test_a_daemon_whose_record_is_gone_does_not_lend() -> None:
     """The others don't know it and have chosen another lender."""
     duties, group, replaced = make_claim()
