--- a/src/berylmast/tenancy/quota_borrower.py
+++ b/src/berylmast/tenancy/quota_borrower.py
@@ -127,6 +127,12 @@
         """Return the rate at which requests arrive here."""
         return self._demand.get_rate_per_s(now_s)
 
+    def get_loan_ages_s(self, now_s: float) -> dict[PeerAddress, float | None]:
+        """Return the age of the last loan of each lender, None without one."""
+        return {
+            lender: self.bucket.get_loan_age_s(lender, now_s) for lender in self.lenders
+        }
+
     def is_short(self, now_s: float) -> bool:
         """Return whether a request that has no token now would wait in vain."""
         return all(
--- a/src/berylmast/tenancy/quota_metrics.py
+++ b/src/berylmast/tenancy/quota_metrics.py
@@ -1,8 +1,10 @@
 """Counts and log lines of the quotas at one daemon."""
 
 from collections import Counter
+from collections.abc import Mapping
 from enum import StrEnum
 
+from ..membership.peers import PeerAddress
 from ..telemetry import log_event
 from ..telemetry.logs import EventRateLimiter
 
@@ -21,6 +23,28 @@
     TIMEOUT = "lender-timeout"
 
 
+def describe_refusal(
+    tenant: str,
+    rate_per_s: float,
+    reason: QuotaRefusalReason,
+    demand_per_s: float,
+    loan_ages_s: Mapping[PeerAddress, float | None],
+) -> str:
+    """Return why a request is refused, for its caller and the log.
+
+    ``demand_per_s`` is the rate of requests at this daemon, ``loan_ages_s`` the age of
+    the last loan of each lender.
+    """
+    loans = ", ".join(
+        f"{host}:{port} {'never' if age is None else f'{age:.2f} s ago'}"
+        for (host, port), age in loan_ages_s.items()
+    )
+    return (
+        f"tenant {tenant} is over its quota of {rate_per_s:g}/s ({reason};"
+        f" {demand_per_s:.1f}/s arrive here; last loans: {loans or 'none'})"
+    )
+
+
 class QuotaCounts:
     """Counts since the start of the daemon."""
 
--- a/src/berylmast/tenancy/quotas.py
+++ b/src/berylmast/tenancy/quotas.py
@@ -2,22 +2,19 @@
 
 import time
 from collections import deque
-from collections.abc import Awaitable, Callable, Sequence
-from contextlib import AbstractAsyncContextManager
-from dataclasses import astuple, dataclass, field
+from collections.abc import Callable, Iterable, Sequence
+from dataclasses import dataclass, field
 from functools import partial
 
 import anyio
-from anyio.abc import TaskGroup
 
-from ..daemons import ConnectionLost, Exchange, ExchangeLost, Identity
+from ..daemons import Exchange, Identity
 from ..daemons.frames import Borrow, End, Lend
 from ..errors import ErrorKind, Refusal
 from ..membership.peers import PeerAddress, get_address
 from ..model import DaemonLocation, Endpoint
 from ..routes import Configuration
 from ..settings import QuotaSettings
-from ..supervision import run_logged
 from .quota_borrower import HEDGE_S, Question, QuotaBorrower
 from .quota_bucket import NO_SHARE
 from .quota_duties import CLAIM_INTERVAL_S, QuotaDuties
@@ -28,7 +25,8 @@
     Loan,
     QuotaLender,
 )
-from .quota_metrics import QuotaCounts, QuotaRefusalReason
+from .quota_links import LenderLinks, OpenPeerExchange, QuestionHandlers
+from .quota_metrics import QuotaCounts, QuotaRefusalReason, describe_refusal
 from .quota_shares import QuotaTerms, get_group, make_terms
 
 MAX_WAIT_S = 0.15
@@ -38,14 +36,10 @@
 """Requests of one tenant that wait for a token; more are refused at once."""
 
 TICK_S = 0.1
-REPLY_TIMEOUT_S = 0.3
 
 ACTIVE_S = 3.0
 """Time after a tenant's last request for which its tokens are looked after."""
 
-MAX_ASKS = 500
-"""Tenants in one question; the others follow in the next one."""
-
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
 
@@ -66,7 +60,7 @@
     identity: Identity
     is_announced: Callable[[], bool]
     get_peers: Callable[[], Sequence[Endpoint]]
-    open_exchange: Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]
+    open_exchange: OpenPeerExchange
 
 
 @dataclass(eq=False, slots=True)
@@ -87,15 +81,6 @@
     last_request_s: float = float("-inf")
 
 
-@dataclass(slots=True)
-class _Link:
-    """The questions to one lender; one exchange at a time carries all tenants."""
-
-    due: dict[str, None] = field(default_factory=dict)
-    running: bool = False
-    sequence: int = 0
-
-
 class Quotas:
     """The quotas of all tenants at one daemon, as entry and as lender.
 
@@ -120,12 +105,15 @@
         self._lender = QuotaLender()
         self._lending: set[int] = set()
         self._tenants: dict[str, _TenantState] = {}
-        self._endpoints: dict[PeerAddress, Endpoint] = {}
         self._basis: tuple[object, ...] = ()
-        self._links: dict[PeerAddress, _Link] = {}
+        self._links = LenderLinks(
+            fleet.identity,
+            fleet.open_exchange,
+            QuestionHandlers(self._make_questions, self._settle, self._fail),
+            self.counts,
+        )
         self._active: dict[str, None] = {}
         self._claimed_s = float("-inf")
-        self._tg: TaskGroup | None = None
 
     def has_quota(self, tenant: str) -> bool:
         """Return whether a tenant's requests are limited here."""
@@ -168,14 +156,7 @@
 
     async def run(self) -> None:
         """Borrow ahead, claim and renew duties until cancelled."""
-        async with anyio.create_task_group() as tg:
-            self._tg = tg
-            try:
-                while True:
-                    self._tick()
-                    await anyio.sleep(TICK_S)
-            finally:
-                self._tg = None
+        await self._links.run(self._tick, TICK_S)
 
     async def serve(self, exchange: Exchange, frame: Borrow) -> None:
         """Serve the exchange that another daemon opened with a ``Borrow`` frame."""
@@ -219,9 +200,9 @@
             "lenders": {
                 f"{lender[0]}:{lender[1]}": {
                     "held": round(borrower.bucket.count_held(lender, now_s), 3),
-                    "loan_age_s": borrower.bucket.get_loan_age_s(lender, now_s),
+                    "loan_age_s": age_s,
                 }
-                for lender in borrower.lenders
+                for lender, age_s in borrower.get_loan_ages_s(now_s).items()
             },
             "lent_from_here": round(self._lender.count_kept(borrower.tenant, now_s), 3),
         }
@@ -239,7 +220,7 @@
         ):
             return
         self._basis = basis
-        self._endpoints = {get_address(peer): peer for peer in peers}
+        self._links.endpoints = {get_address(peer): peer for peer in peers}
         others = [
             DaemonLocation(p.host, p.port, p.region, p.failure_domain) for p in peers
         ]
@@ -281,7 +262,7 @@
         if now_s >= self._claimed_s + CLAIM_INTERVAL_S:
             self._claimed_s = now_s
             for address, groups in self._duties.list_open_claims(now_s).items():
-                self._start(partial(self._claim, address, tuple(groups)))
+                self._links.start(partial(self._claim, address, tuple(groups)))
         for name in list(self._active):
             state = self._tenants.get(name)
             if state is None or now_s > state.last_request_s + ACTIVE_S:
@@ -321,30 +302,19 @@
         return not waiter.event.is_set() and state.borrower.is_pending(self._clock())
 
     def _refuse(self, state: _TenantState, *, timed_out: bool) -> Refusal:
-        now_s = self._clock()
         borrower, rate_per_s = state.borrower, state.terms.rate_per_s
-        ages = {
-            lender: borrower.bucket.get_loan_age_s(lender, now_s)
-            for lender in borrower.lenders
-        }
+        ages = borrower.get_loan_ages_s(self._clock())
         reason = QuotaRefusalReason.SHORT
         if timed_out:
             reason = QuotaRefusalReason.TIMEOUT
         elif all(age is None for age in ages.values()):
             reason = QuotaRefusalReason.NO_LENDER
-        loans = ", ".join(
-            f"{host}:{port} {'never' if age is None else f'{age:.2f} s ago'}"
-            for (host, port), age in ages.items()
-        )
-        detail = (
-            f"tenant {borrower.tenant} is over its quota of {rate_per_s:g}/s ({reason};"
-            f" {borrower.get_demand_per_s(now_s):.1f}/s arrive here; last loans: "
-            f"{loans or 'none'})"
+        demand_per_s = borrower.get_demand_per_s(self._clock())
+        detail = describe_refusal(
+            borrower.tenant, rate_per_s, reason, demand_per_s, ages
         )
         self.counts.record_refusal(borrower.tenant, reason, detail)
-        retry_after_s = min(
-            MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, 1 / max(rate_per_s, 1e-9))
-        )
+        retry_after_s = max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, 1 / rate_per_s))
         return Refusal(ErrorKind.TENANT_LIMIT, detail, retry_after_s)
 
     def _ask_lenders(self, state: _TenantState) -> bool:
@@ -359,96 +329,32 @@
             if lender == self._fleet.own.address:
                 self._ask_own_lender(state)
             else:
-                self._send_later(lender, borrower.tenant)
+                self._links.ask_soon(lender, borrower.tenant)
         return borrower.is_pending(self._clock())
 
     def _ask_own_lender(self, state: _TenantState) -> None:
         own = self._fleet.own.address
         identity = self._fleet.identity
-        link = self._links.setdefault(own, _Link())
-        link.sequence += 1
+        sequence = self._links.take_sequence(own)
         now_s = self._clock()
         question = state.borrower.make_question(own, now_s)
         borrower = Borrower(identity.daemon, identity.incarnation)
-        loan = self._lend(borrower, link.sequence, question.ask)
+        loan = self._lend(borrower, sequence, question.ask)
         if loan is None:
             state.borrower.record_failure(own, now_s)
         else:
             state.borrower.record_reply(question, loan, now_s)
         self._serve_waiters(state)
 
-    def _send_later(self, lender: PeerAddress, tenant: str) -> None:
-        link = self._links.setdefault(lender, _Link())
-        link.due[tenant] = None
-        if not link.running:
-            link.running = True
-            if not self._start(partial(self._send_questions, lender, link)):
-                link.running = False
-                self._fail(lender, link)
-
-    async def _send_questions(self, lender: PeerAddress, link: _Link) -> None:
-        """Ask a lender until no question to it is due."""
-        try:
-            while link.due:
-                names = [name for name in link.due if name in self._tenants][:MAX_ASKS]
-                link.due = {n: None for n in link.due if n not in names}
-                if not names:
-                    link.due.clear()
-                    return
-                now_s = self._clock()
-                questions = {
-                    name: self._tenants[name].borrower.make_question(lender, now_s)
-                    for name in names
-                }
-                link.sequence += 1
-                loans = await self._exchange(lender, link.sequence, questions)
-                if loans is None:
-                    # The others would wait for the same lender.
-                    self._fail(lender, link)
-                self._settle(questions, loans or {})
-        finally:
-            link.running = False
-
-    async def _exchange(
-        self, lender: PeerAddress, sequence: int, questions: dict[str, Question]
-    ) -> dict[str, Loan] | None:
-        """Return the loans in a lender's reply, None if it does not reply."""
-        asks = tuple(astuple(question.ask) for question in questions.values())
-        reply = await self._ask_peer(lender, sequence, asks, ())
-        if reply is None:
-            return None
-        return {tenant: Loan(now, kept) for tenant, now, kept in reply.loans}
-
-    async def _ask_peer(
-        self,
-        address: PeerAddress,
-        sequence: int,
-        asks: tuple[tuple[str, float, float, float, float, float], ...],
-        claims: tuple[int, ...],
-    ) -> Lend | None:
-        endpoint, identity = self._endpoints.get(address), self._fleet.identity
-        if endpoint is None:
-            return None
-        self.counts.questions += 1
-        with anyio.move_on_after(REPLY_TIMEOUT_S):
-            try:
-                async with self._fleet.open_exchange(endpoint) as exchange:
-                    await exchange.send(
-                        Borrow(
-                            exchange.id,
-                            identity.daemon,
-                            identity.incarnation,
-                            sequence,
-                            asks,
-                            claims,
-                        )
-                    )
-                    frame = await exchange.receive()
-                    if isinstance(frame, Lend):
-                        return frame
-            except (ConnectionLost, ExchangeLost):
-                return None
-        return None
+    def _make_questions(
+        self, lender: PeerAddress, names: Iterable[str]
+    ) -> dict[str, Question]:
+        now_s = self._clock()
+        return {
+            name: self._tenants[name].borrower.make_question(lender, now_s)
+            for name in names
+            if name in self._tenants
+        }
 
     def _settle(self, questions: dict[str, Question], loans: dict[str, Loan]) -> None:
         """Hand out the tokens of a reply."""
@@ -466,10 +372,8 @@
             self._ask_lenders(state)
             self._refuse_waiters_if_short(state)
 
-    def _fail(self, lender: PeerAddress, link: _Link) -> None:
+    def _fail(self, lender: PeerAddress, names: Iterable[str]) -> None:
         """End the questions that are due to a lender that can't be reached."""
-        names = list(link.due)
-        link.due.clear()
         for name in names:
             state = self._tenants.get(name)
             if state is not None:
@@ -504,14 +408,6 @@
         return self._lender.lend(borrower, sequence, ask, share, self._clock())
 
     async def _claim(self, address: PeerAddress, groups: tuple[int, ...]) -> None:
-        link = self._links.setdefault(address, _Link())
-        link.sequence += 1
-        reply = await self._ask_peer(address, link.sequence, (), groups)
-        if reply is not None:
-            self._duties.record_confirmation(address, groups, reply.disputed)
-
-    def _start(self, run: Callable[[], Awaitable[None]]) -> bool:
-        if self._tg is None:
-            return False
-        self._tg.start_soon(run_logged, "quotas", run)
-        return True
+        disputed = await self._links.claim(address, groups)
+        if disputed is not None:
+            self._duties.record_confirmation(address, groups, disputed)
