Answer the requests before an invalid one on the same connection

Cause: an error response for an invalid request was written at once. If an earlier request on the connection was still in progress, the error took the place of its response or was written into the middle of it, and a valid request between them was dropped.

Change: the error is sent after the responses of the requests before it, and nothing behind it is read. An invalid request whose head was read already is taken out of the queue.

--- a/src/berylmast/_http_server.py
+++ b/src/berylmast/_http_server.py
@@ -76,7 +76,8 @@
     """uvicorn's HTTP protocol with limits on request headers and separate trailers.
 
     httptools buffers a header without a size limit, and uvicorn appends trailers to the
-    request headers. An upgrade that a request offers is not taken.
+    request headers. An upgrade that a request offers is not taken. If a request is
+    invalid, those before it on the connection are answered first.
     """
 
     max_header_bytes = 0
@@ -85,6 +86,8 @@
     _header_timer: asyncio.TimerHandle | None = None
     _header_bytes = 0
     _refused = False
+    # The error response that follows those of the requests in progress.
+    _pending_refusal: Refusal | None = None
     # The headers that announce the body of a request that offers an upgrade, from its
     # head on until its body is parsed.
     _offer_framing: Sequence[tuple[bytes, bytes]] = ()
@@ -172,6 +175,16 @@
         super().on_message_complete()
         self._header_bytes = 0
 
+    def on_response_complete(self) -> None:
+        """Start the next request, or refuse the invalid one that follows."""
+        refusal = self._pending_refusal
+        if refusal is None or self.pipeline or self.transport.is_closing():
+            super().on_response_complete()
+            return
+        self._pending_refusal = None
+        self.flow.resume_reading()
+        self._send_refusal(refusal)
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the header timer; incomplete headers stay incomplete.
 
@@ -206,19 +219,38 @@
         if self._refused or self.transport.is_closing():
             return
         request_running = self.cycle is not None and not self.cycle.response_complete
+        if request_running and self._follows_requests_in_progress():
+            self._refused = True
+            self._pending_refusal = refusal
+            return
         if request_running:
             # The request may already have been dispatched, so its outcome is unknown.
             refusal = Refusal(ErrorKind.BODY_CUT, refusal.detail)
         if request_running and self.cycle.response_started:
             self.transport.close()
             return
+        self._send_refusal(refusal)
+        if request_running:
+            self.cycle.disconnected = True
+            self.cycle.message_event.set()
+
+    def _follows_requests_in_progress(self) -> bool:
+        """Return whether an invalid request follows others that are to be answered.
+
+        If its head has been read, it waits in the pipeline, and is taken out of it.
+        """
+        if not self.cycle.more_body:
+            return True
+        if not self.pipeline:
+            return False
+        self.pipeline.popleft()
+        return True
+
+    def _send_refusal(self, refusal: Refusal) -> None:
         self.transport.write(_format_error_response(refusal))
         self.transport.write_eof()
         self._refused = True
         self.loop.call_later(LINGERING_CLOSE_S, self.transport.close)
-        if request_running:
-            self.cycle.disconnected = True
-            self.cycle.message_event.set()
 
 
 def _format_error_response(refusal: Refusal) -> bytes:
