--- a/src/berylmast/membership/document_sync.py
+++ b/src/berylmast/membership/document_sync.py
@@ -210,6 +210,9 @@
             self._stands_in_until_s = anyio.current_time() + stand_in_s
 
     def _needs_read(self, freshness: Freshness) -> bool:
+        # To find the role of this daemon takes long in a large fleet.
+        if not freshness.needs_read(is_watcher=True):
+            return False
         stands_in = anyio.current_time() < self._stands_in_until_s
         is_watcher = stands_in or self._fleet.get_watch_role() is not WatchRole.NONE
         return freshness.needs_read(is_watcher=is_watcher)
