Require a key for public paths with dot segments

Cause: a path such as /public/../orders has the prefix of a public route, and a server that resolves it runs a request for a route that needs a key.

Result: 9 such paths got through before, and need a key now.

--- a/src/berylmast/callers/host_route_classifier.py
+++ b/src/berylmast/callers/host_route_classifier.py
@@ -93,12 +93,13 @@
             )
         target = read_target(scope)
         host = read_host(scope)
-        route = cfg.find_route(host, target.partition("?")[0])
+        path = target.partition("?")[0]
+        route = cfg.find_route(host, path)
         if route is None:
             detail = f"no route for {host!r} {target!r} in configuration {cfg.version}"
             return Err(Refusal(ErrorKind.UNKNOWN_SERVICE, detail))
         checked_tenant = _find_tenant(
-            cfg, route, request_headers, header_interface, freshness
+            cfg, route, path, request_headers, header_interface, freshness
         )
         if checked_tenant.is_err():
             refusal = checked_tenant.unwrap_err()
@@ -159,6 +160,7 @@
 def _find_tenant(
     cfg: Configuration,
     route: HostRoute,
+    path: str,
     headers: Headers,
     header_interface: CallerHeaderInterface,
     freshness: Freshness | None,
@@ -167,7 +169,7 @@
         return Ok(None)
     is_current = freshness is None or freshness.is_current()
     key = header_interface.read_key(headers)
-    return check_key(cfg, route, key, is_current=is_current)
+    return check_key(cfg, route, path, key, is_current=is_current)
 
 
 def _record_old_evidence(
--- a/src/berylmast/callers/tests/test_tenants.py
+++ b/src/berylmast/callers/tests/test_tenants.py
@@ -145,6 +145,35 @@
     assert KEY.decode() not in refusal.detail
 
 
+@pytest.mark.parametrize(
+    "path",
+    [
+        "/public/../x",
+        "/public/..",
+        "/public/a/./../../x",
+        "/public/%2e%2e/x",
+        "/public/.%2E/x",
+        "/public%2f..%2fx/../",
+        "/public/%252e%252e/x",
+        "/public/..;/x",
+        "/public/..%5cx",
+    ],
+)
+async def test_public_path_that_leads_elsewhere_needs_a_key(path: str) -> None:
+    """The server may resolve it to a path of a route that is not public."""
+    classify = make_classify(CONFIGURATION)
+    refusal = (await classify(make_scope(path))).unwrap_err()
+    assert refusal.kind is ErrorKind.UNKNOWN_KEY
+    assert (await classify(make_scope(path, (b"x-api-key", KEY)))).is_ok()
+
+
+@pytest.mark.parametrize(
+    "path", ["/public/", "/public/..a", "/public/a..", "/public/...", "/public/a.b/c"]
+)
+async def test_other_dots_in_a_public_path_need_no_key(path: str) -> None:
+    assert (await make_classify(CONFIGURATION)(make_scope(path))).is_ok()
+
+
 @pytest.mark.parametrize("path", ["/x", "/public/x"])
 async def test_headers_pass_if_there_are_no_tenants(path: str) -> None:
     """Guards against changed traffic of deployments without tenants."""
--- a/src/berylmast/tenancy/key_check.py
+++ b/src/berylmast/tenancy/key_check.py
@@ -5,6 +5,9 @@
 refused unless the configuration in force is known to have been current lately.
 """
 
+import re
+from urllib.parse import unquote
+
 from result import Err, Ok, Result
 
 from ..errors import ErrorKind, Refusal
@@ -15,8 +18,28 @@
 the store or with another daemon has new evidence sooner."""
 
 
+_DOT_SEGMENT = re.compile(r"[/\\]\.{1,2}([/\\;]|$)")
+
+
+def needs_key(route: HostRoute, path: str) -> bool:
+    """Return whether requests to a path of a route need a key.
+
+    ``path`` is still percent-encoded. A path with dot segments needs one also on a
+    public route: the server may resolve it to a path of another route (RFC 3986 section
+    5.2.4).
+    """
+    if not route.public:
+        return True
+    return _DOT_SEGMENT.search(unquote(unquote(path))) is not None
+
+
 def check_key(
-    cfg: Configuration, route: HostRoute, key: bytes | None, *, is_current: bool
+    cfg: Configuration,
+    route: HostRoute,
+    path: str,
+    key: bytes | None,
+    *,
+    is_current: bool,
 ) -> Result[Tenant | None, Refusal]:
     """Return the tenant of a request, None if it has none and needs none.
 
@@ -25,7 +48,7 @@
     ``is_current`` the configuration is recent enough to rely on its keys.
     """
     tenant = cfg.find_tenant(key) if key else None
-    if route.public:
+    if not needs_key(route, path):
         return Ok(tenant)
     if not key:
         detail = f"route {route.name} requires exactly one key"
