--- a/src/berylmast/membership/fleet_view.py
+++ b/src/berylmast/membership/fleet_view.py
@@ -110,7 +110,10 @@
         return targets + [self._rng.choice(peers) for peers in by_domain.values()]
 
     def choose_relay_targets(self) -> list[Endpoint]:
-        """Choose the daemons to which a configuration from a peer is passed on."""
+        """Choose daemons to pass on a configuration that came from a peer.
+
+        They are also asked for evidence, if the watchers have none.
+        """
         return self._sample(self._regional_peers, RELAY_PEERS)
 
     def choose_regional_targets(self) -> list[Endpoint]:
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -29,7 +29,7 @@
 from ..model import Endpoint
 from ..supervision import run_logged
 from ..telemetry import log_event
-from ..tenancy.freshness import UNKNOWN_AGE_MS, Freshness
+from ..tenancy.freshness import COMPARE_AGE_S, UNKNOWN_AGE_MS, Freshness
 from .active_document import ActiveDocument
 from .digest import Digest, parse_digest
 from .fleet_view import FleetView
@@ -45,13 +45,16 @@
 may be dead, and what is missed must be found before the next round is due."""
 
 FRESHNESS_CHECK_INTERVAL_S = 0.1
-"""Interval at which the evidence for the configuration is checked, and another daemon
-asked if it is old."""
+"""Shortest interval between two checks of the evidence for the configuration, each of
+which asks another daemon if the evidence is old."""
 
 MAX_FRESHNESS_CHECK_INTERVAL_S = 0.5
+"""The longest one. Timers stand still while the process is suspended, and the evidence
+gets old."""
+
 FAST_QUESTIONS = 6
-"""Number of questions in a row after which the interval grows up to the maximum. The
-first watcher's own evidence is as old as that of the others for a moment."""
+"""Number of questions in a row after which the interval is the longest one. The first
+watcher's own evidence is as old as that of the others for a moment."""
 
 FIRST_PEER_TIMEOUT_S = 3.0
 _FIRST_PEER_POLL_S = 0.1
@@ -121,22 +124,21 @@
     async def _renew_evidence(self, freshness: Freshness) -> None:
         """Ask another daemon whenever the evidence for the configuration gets old.
 
-        If a watcher has none, a random daemon is asked in turn with the watchers.
+        If a watcher has none, a random daemon is asked in turn with the watchers, and
+        later several: perhaps only a few daemons have a way to the store.
         """
         questions = 0
-        interval_s = FRESHNESS_CHECK_INTERVAL_S
         while True:
-            await anyio.sleep(interval_s)
+            await anyio.sleep(_get_check_interval_s(freshness, questions))
             if not freshness.needs_comparison():
                 questions = 0
-                interval_s = FRESHNESS_CHECK_INTERVAL_S
                 continue
             ask_watcher = questions % 2 == 0
             peer = self._fleet.choose_evidence_peer() if ask_watcher else None
+            if questions > FAST_QUESTIONS:
+                self._compare_soon(self._fleet.choose_relay_targets())
             await self._run_round(peer)
             questions += 1
-            if questions > FAST_QUESTIONS:
-                interval_s = min(2 * interval_s, MAX_FRESHNESS_CHECK_INTERVAL_S)
 
     async def _run_round(self, first_peer: Endpoint | None = None) -> None:
         """Compare with one daemon, and with others if it does not respond soon.
@@ -332,6 +334,18 @@
         conn.write(frame)
 
 
+def _get_check_interval_s(freshness: Freshness, questions: int) -> float:
+    """Return the time until the evidence may need to be renewed.
+
+    ``questions`` is the number of questions in a row that have not renewed it.
+    """
+    due_s = COMPARE_AGE_S - freshness.get_age_s()
+    if questions > FAST_QUESTIONS:
+        due_s = MAX_FRESHNESS_CHECK_INTERVAL_S
+    due_s = max(due_s, FRESHNESS_CHECK_INTERVAL_S)
+    return min(due_s, MAX_FRESHNESS_CHECK_INTERVAL_S)
+
+
 def _decompress(data: bytes) -> bytes:
     """Decompress a configuration; raise zlib.error, or ValueError if it is too long."""
     decompressor = zlib.decompressobj()
