--- a/src/berylmast/membership/tests/test_strict_revocation.py
+++ b/src/berylmast/membership/tests/test_strict_revocation.py
@@ -335,6 +335,16 @@
         assert not accepts(daemon)
 
 
+async def test_keys_count_on_after_the_store_came_back_from_a_copy() -> None:
+    """Guards against an interruption for daemons that are in touch with others."""
+    async with run_strict_fleet() as fleet:
+        restore_store(fleet, 1)
+        await hold_while(
+            lambda: all(accepts(d) for d in fleet.daemons.values()), 4 * WITHIN_S
+        )
+        await check_revocation(fleet)
+
+
 async def test_watch_from_a_revision_of_another_era_is_no_evidence() -> None:
     """The new history had reached the same revision, so nothing seemed to change."""
     async with run_strict_fleet() as fleet:
