Follow the era of a store that comes back from a copy

Cause: after a restore, watches waited on revisions that were given out again, and records and departures that the store had lost were not stored again. Change: the store's client tracks the era of every response, rejects older ones and ends watches at a rise; the configuration is read again; each daemon lists the records once, after a random wait, and writes only what is lost. A daemon that sees the rise tells the others. Nothing changes while the store names no era.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -96,7 +96,15 @@
             tg.start_soon(run_supervised, "statsd", statsd.run)
         pool = PeerPool(tg, identity, on_goaway=directory.mark_draining)
         tg.start_soon(run_supervised, "pool", pool.run)
-        gossip = Gossip(pool, registry, active_document, fleet_view, rng)
+        gossip = Gossip(
+            pool,
+            registry,
+            active_document,
+            fleet_view,
+            rng,
+            on_store_era=record_sync.hear_era,
+        )
+        record_sync.set_era_listener(gossip.spread_store_era)
         document_sync = DocumentSync(
             store,
             active_document,
--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -35,6 +35,8 @@
             ),
             Counter("store_calls", "Calls to the store", store.calls),
         ]
+        if store.era.current:
+            metrics.append(Gauge("store_era", "Era of the store", store.era.current))
         metrics += _read_rejections()
         if local_backend is not None:
             metrics += _read_load(local_backend)
--- a/src/berylmast/daemons/codec.py
+++ b/src/berylmast/daemons/codec.py
@@ -3,8 +3,9 @@
 A frame is encoded as the array ``[tag, field, ...]`` and a nested dataclass as the
 array of its fields, without trailing ones that have their default. So fields can be
 added at the end: a peer of an earlier version sees them only if they are in use, and
-fields of a later version are ignored. Decoding validates every field, since a peer may
-run another version or send corrupted data.
+fields of a later version are ignored. Of the frames themselves, only those in
+``_EXTENSIBLE_FRAMES`` leave out trailing defaults. Decoding validates every field,
+since a peer may run another version or send corrupted data.
 """
 
 from collections.abc import Callable, Iterator
@@ -18,7 +19,7 @@
 from pydantic_core import ArgsKwargs
 
 from ..model import AttemptId, LoadReport, RequestHead
-from .frames import Frame
+from .frames import Frame, Tell
 
 MAX_FRAME_BYTES = 256 * 1024
 """Larger frames are a protocol error. A body frame carries at most 16 KiB."""
@@ -29,6 +30,7 @@
 arrays are subscriptions to all services."""
 
 _NESTED_TYPES = (AttemptId, LoadReport, RequestHead)
+_EXTENSIBLE_FRAMES = (Tell,)
 # A tag is the position of a type in the Frame union, so new frame types must be
 # appended to the union.
 _FRAME_TYPES: tuple[type[Any], ...] = get_args(Frame)
@@ -55,12 +57,13 @@
 
 
 _DEFAULTS: dict[type[Any], tuple[object, ...]] = {
-    cls: tuple(f.default for f in fields(cls)) for cls in _NESTED_TYPES
+    cls: tuple(f.default for f in fields(cls))
+    for cls in (*_NESTED_TYPES, *_EXTENSIBLE_FRAMES)
 }
 
 
-def _get_nested_values(obj: object) -> tuple[Any, ...]:
-    """Return the values of a nested dataclass without trailing defaults."""
+def _get_used_values(obj: object) -> tuple[Any, ...]:
+    """Return the values of a dataclass without trailing defaults."""
     values = _get_field_values(obj)
     defaults = _DEFAULTS[type(obj)]
     end = len(values)
@@ -71,8 +74,10 @@
 
 def encode_frame(frame: Frame) -> bytes:
     """Return the encoded bytes of one frame."""
-    items = (_TAGS[type(frame)], *_get_field_values(frame))
-    data: bytes = msgpack.packb(items, default=_get_nested_values)
+    extensible = isinstance(frame, _EXTENSIBLE_FRAMES)
+    values = _get_used_values(frame) if extensible else _get_field_values(frame)
+    items = (_TAGS[type(frame)], *values)
+    data: bytes = msgpack.packb(items, default=_get_used_values)
     return data
 
 
@@ -116,8 +121,11 @@
     if not isinstance(tag, int) or not 0 <= tag < len(_FRAME_TYPES):
         raise ProtocolError(f"unknown frame tag {tag!r}")
     cls = _FRAME_TYPES[tag]
+    values = items[1:]
+    if cls in _EXTENSIBLE_FRAMES:
+        values = values[: len(fields(cls))]
     try:
-        frame: Frame = _get_adapter(tag).validate_python(_to_args(cls, items[1:]))
+        frame: Frame = _get_adapter(tag).validate_python(_to_args(cls, values))
     except ValidationError as exc:
         error = exc.errors()[0]
         raise ProtocolError(
--- a/src/berylmast/daemons/connection.py
+++ b/src/berylmast/daemons/connection.py
@@ -14,7 +14,6 @@
 from .frames import (
     CONNECTION_EXCHANGE_ID,
     OPENING_FRAMES,
-    EndpointRecord,
     Frame,
     GoAway,
     Hello,
@@ -42,8 +41,8 @@
 ExchangeHandler = Callable[[Exchange, OpeningFrame], Awaitable[None]]
 """Serves one exchange that the peer opened."""
 
-OnRecords = Callable[[tuple[EndpointRecord, ...]], None]
-"""Called with the endpoint records of a ``Tell`` frame."""
+OnRecords = Callable[[Tell], None]
+"""Called with each ``Tell`` frame."""
 
 
 class PeerConnection:
@@ -256,7 +255,7 @@
                     self._on_goaway(self.peer.daemon)
             case Tell():
                 if self._on_records is not None:
-                    self._on_records(frame.records)
+                    self._on_records(frame)
             case _:
                 self._route_to_exchange(frame, tg)
 
--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -277,10 +277,14 @@
 
 @dataclass(frozen=True, slots=True)
 class Tell:
-    """Endpoint records that have just changed. The receiver sends no reply."""
+    """Endpoint records that have just changed. The receiver sends no reply.
+
+    ``store_era`` is the era of the store if the sender has seen it rise, 0 otherwise.
+    """
 
     exchange: int
     records: tuple[EndpointRecord, ...]
+    store_era: int = 0
 
 
 Frame = (
--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -42,6 +42,7 @@
     frames.Compare(1, 3, "d1"),
     frames.Compared(1, 3, "d2"),
     frames.Tell(0, (RECORD,)),
+    frames.Tell(0, (), 3),
     frames.Probe(1),
     frames.Load(1, LOAD),
     frames.Ping(),
@@ -115,3 +116,11 @@
     tag, exchange, _ = msgpack.unpackb(encode_frame(frames.Load(1, LOAD)))
     load = [*astuple(LOAD), "field of a later version", 7]
     assert decode_frame([tag, exchange, load]) == frames.Load(1, LOAD)
+
+
+def test_records_are_told_as_before_while_no_era_has_risen() -> None:
+    """A peer of an earlier version rejects a longer frame."""
+    frame = frames.Tell(0, (RECORD,))
+    items = msgpack.unpackb(encode_frame(frame))
+    assert len(items) == 3
+    assert decode_frame([*items, 0, "later"]) == frame
--- a/src/berylmast/membership/document_sync.py
+++ b/src/berylmast/membership/document_sync.py
@@ -6,6 +6,7 @@
 """
 
 from collections.abc import Callable
+from dataclasses import replace
 from random import Random
 
 import anyio
@@ -68,6 +69,7 @@
         self._fleet = fleet
         self._spread = spread
         self._revision: int | None = None
+        self._era = 0
 
     async def run(self) -> None:
         """Keep the configuration up to date until cancelled."""
@@ -85,13 +87,21 @@
         backoff = self._make_backoff()
         while self._active_document.current is None:
             try:
-                self._adopt(await self._store.read_document(stale=True))
+                self._adopt(await self._read_stale())
             except PlatformUnavailable as exc:
                 await backoff.wait(exc)
                 continue
             backoff.reset()
             return
 
+    async def _read_stale(self) -> StoredDocument:
+        """Read the configuration; what is read may be seconds old.
+
+        In a store that names eras the revision may be of an earlier one.
+        """
+        stored = await self._store.read_document(stale=True)
+        return replace(stored, revision=None) if stored.era else stored
+
     async def _wait_for_fleet(self) -> None:
         with anyio.move_on_after(FLEET_SEARCH_TIME_S):
             while self._fleet.size == 1:
@@ -126,15 +136,24 @@
 
     async def _wait_for_change(self, timeout_s: float) -> bool:
         """Wait for one change; return whether there was one."""
-        if self._revision is None:
-            stored = await self._store.read_document()
-        else:
-            try:
-                stored = await self._store.wait_document(self._revision, timeout_s)
-            except RevisionExpired:
+        if self._revision is None or self._era < self._store.era.current:
+            return self._adopt(await self._store.read_document())
+        era = self._era
+        try:
+            stored = await self._store.wait_document(self._revision, timeout_s)
+        except RevisionExpired:
+            self._revision = None
+            return False
+        except PlatformUnavailable:
+            if era:
+                # The store may come back from a copy. A read shows its era at once.
                 self._revision = None
-                return False
-        return self._adopt(stored)
+            raise
+        changed = self._adopt(stored)
+        if stored.era != era:
+            # A watch from a revision of another era of the store may miss changes.
+            self._revision = None
+        return changed
 
     async def _look(self) -> None:
         backoff = self._make_backoff()
@@ -143,7 +162,7 @@
             if self._fleet.get_watch_role() is not WatchRole.NONE:
                 continue
             try:
-                self._adopt(await self._store.read_document(stale=True))
+                self._adopt(await self._read_stale())
             except PlatformUnavailable as exc:
                 await backoff.wait(exc)
                 continue
@@ -157,6 +176,12 @@
 
     def _adopt(self, stored: StoredDocument) -> bool:
         """Activate what was read; return whether the store sent a configuration."""
+        if stored.era < self._era:
+            # A late response. Its revision belongs to another history of the store.
+            return False
+        if stored.era > self._era:
+            self._era = stored.era
+            self._revision = None
         if stored.revision is not None:
             self._revision = max(stored.revision, self._revision or 0)
         if stored.spec is None:
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -22,7 +22,6 @@
     Compared,
     DocumentHead,
     End,
-    EndpointRecord,
     Endpoints,
     Tell,
 )
@@ -54,7 +53,10 @@
 
 
 class Gossip:
-    """Sends, compares and receives records and the configuration for this daemon."""
+    """Sends, compares and receives records and the configuration for this daemon.
+
+    ``on_store_era`` is called with the era of the store that another daemon tells.
+    """
 
     def __init__(
         self,
@@ -63,7 +65,9 @@
         active_document: ActiveDocument,
         fleet: FleetView,
         rng: Random,
+        on_store_era: Callable[[int], None] = lambda _era: None,
     ) -> None:
+        self._on_store_era = on_store_era
         self._pool = pool
         self._registry = registry
         self._active_document = active_document
@@ -125,9 +129,25 @@
         self._compare_soon(self._fleet.choose_document_targets())
         self._spread_in_region()
 
-    def handle_tell(self, records: tuple[EndpointRecord, ...]) -> None:
-        """Merge the records of a received ``Tell`` frame."""
-        self._registry.merge(unpack_records(records))
+    def spread_store_era(self, era: int, *, heard: bool) -> None:
+        """Tell other daemons that the store has come back from a copy.
+
+        If this one has heard of it from another daemon, it tells a few at random.
+        """
+        frame = Tell(CONNECTION_EXCHANGE_ID, (), era)
+        peers = (
+            self._fleet.choose_relay_targets()
+            if heard
+            else self._fleet.choose_record_targets()
+        )
+        for peer in peers:
+            self._start(partial(self._send_to_peer, peer, frame))
+
+    def handle_tell(self, frame: Tell) -> None:
+        """Merge the records of a received ``Tell`` frame, and note the store's era."""
+        self._registry.merge(unpack_records(frame.records))
+        if frame.store_era:
+            self._on_store_era(frame.store_era)
 
     async def compare_with(
         self, peer: Endpoint, on_response: Callable[[], None] = lambda: None
--- a/src/berylmast/membership/record_sync.py
+++ b/src/berylmast/membership/record_sync.py
@@ -9,8 +9,10 @@
 from dataclasses import replace
 from functools import partial
 from random import Random
+from typing import Protocol
 
 import anyio
+from anyio.abc import TaskGroup
 
 from ..model import Endpoint, EndpointState
 from ..platform.objects import Conflict
@@ -20,6 +22,7 @@
 from .registry import EndpointRegistry
 from .store import Store, StoredRecord
 from .store_calls import Backoff, StoreStatus
+from .store_restore import compute_jitter_s, find_lost_removals
 
 INITIAL_SEARCH_INTERVAL_S = 1.5
 """Daemons that start together store their records within this time, as their backend
@@ -33,6 +36,12 @@
 that do not know each other."""
 
 
+class EraListener(Protocol):
+    """Called with an era of the store, and whether another daemon has told of it."""
+
+    def __call__(self, era: int, *, heard: bool) -> None: ...
+
+
 class RecordSync:
     """Runs the tasks of this daemon that read and write endpoint records."""
 
@@ -57,6 +66,22 @@
         self._revisions: dict[str, int] = {}
         self._replaced_records: list[Endpoint] = []
         self._own_record_stored = anyio.Event()
+        self._heard_era = 0
+        self._restore_wanted = False
+        self._restoring = False
+        self._tg: TaskGroup | None = None
+        store.era.add_listener(self._handle_era)
+        self._on_era: EraListener = lambda _era, *, heard: None
+
+    def set_era_listener(self, listener: EraListener) -> None:
+        """Call ``listener`` when this daemon sees that the era of the store rose."""
+        self._on_era = listener
+
+    def hear_era(self, era: int) -> None:
+        """Look at the store soon, as another daemon says that its era rose."""
+        if era > max(self._store.era.current, self._heard_era):
+            self._heard_era = era
+            self._restore_soon()
 
     async def run(self) -> None:
         """Find the other daemons and keep the own record stored until cancelled."""
@@ -65,10 +90,17 @@
         if self._own_record is not None and not self._own_record_stored.is_set():
             # An earlier run failed while it stored the record.
             self._own_record_changed.set()
-        async with anyio.create_task_group() as tg:
-            tg.start_soon(self._keep_own_record_stored)
-            tg.start_soon(self._find_first_peer)
-            tg.start_soon(self._list_at_intervals)
+        try:
+            async with anyio.create_task_group() as tg:
+                self._tg = tg
+                tg.start_soon(self._keep_own_record_stored)
+                tg.start_soon(self._find_first_peer)
+                tg.start_soon(self._list_at_intervals)
+                if self._restore_wanted:
+                    self._restore_soon()
+        finally:
+            # Nothing can be started in a task group that has ended.
+            self._tg = None
 
     def set_own_record(self, record: Endpoint) -> None:
         """Set this daemon's record, to be stored in the background.
@@ -126,6 +158,52 @@
             await anyio.sleep(interval_s * self._rng.uniform(0.5, 1.5))
             await self._retry(self._list_records)
 
+    def _handle_era(self, era: int) -> None:
+        """Forget what the store held before it came back from a copy."""
+        self._stored.clear()
+        self._revisions.clear()
+        self._on_era(era, heard=era <= self._heard_era)
+        self._restore_soon()
+
+    def _restore_soon(self) -> None:
+        self._restore_wanted = True
+        if self._tg is not None and not self._restoring:
+            self._tg.start_soon(self._restore)
+
+    async def _restore(self) -> None:
+        """Store again what the store has lost.
+
+        All daemons learn of it at about the same time, so each waits for a moment.
+        """
+        self._restoring = True
+        try:
+            while self._restore_wanted:
+                records = len(self._registry.records())
+                await anyio.sleep(self._rng.uniform(0.0, compute_jitter_s(records)))
+                await self._retry(self._restore_records)
+        finally:
+            self._restoring = False
+
+    async def _restore_records(self) -> None:
+        """Compare the store with what this daemon had written, and write what it lacks.
+
+        The list is no stale one: that might hold what the store has lost.
+        """
+        listed = await self._store.list_records()
+        self._restore_wanted = False
+        # A stale list may have put back what the store has lost.
+        self._stored.clear()
+        self._revisions.clear()
+        own = [r for r in listed if get_address(r.endpoint) == self._own_address]
+        for record in own:
+            self._note_stored(record)
+        lost_removals = find_lost_removals(own, self._own_record, self._registry.get)
+        self._replaced_records.extend(lost_removals)
+        self._registry.merge(record.endpoint for record in listed)
+        if self._own_record is not None:
+            self._own_record_stored = anyio.Event()
+            self._own_record_changed.set()
+
     def _knows_other_daemons(self) -> bool:
         own_backend = None if self._own_record is None else self._own_record.backend
         return any(record.backend != own_backend for record in self._registry.records())
--- a/src/berylmast/membership/store.py
+++ b/src/berylmast/membership/store.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from ..model import Endpoint
+from ..platform.store_era import StoreEra
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,11 +13,13 @@
 
     ``spec`` is the decoded JSON, None if there is no configuration or no newer one.
     ``revision`` is the one from which to wait for the next change, None if a stale read
-    found no configuration.
+    found no configuration. ``era`` is the era of the store that the revision belongs to
+    (see ``platform.objects.Listing``).
     """
 
     revision: int | None
     spec: object | None
+    era: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,6 +49,10 @@
     def calls(self) -> int:
         """Return the number of calls made so far."""
 
+    @property
+    def era(self) -> StoreEra:
+        """Return the era that the responses have named."""
+
     async def read_document(self, *, stale: bool = False) -> StoredDocument:
         """Read the configuration.
 
@@ -55,7 +62,8 @@
     async def wait_document(self, revision: int, wait_s: float) -> StoredDocument:
         """Wait at most ``wait_s`` seconds for a change of the configuration.
 
-        Raises RevisionExpired if the store no longer knows the revision.
+        Raises RevisionExpired if the store no longer knows the revision, or if its era
+        rises meanwhile.
         """
 
     async def list_records(self, *, stale: bool = False) -> list[StoredRecord]:
--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -98,7 +98,7 @@
         """Deliver a frame that belongs to no exchange."""
         if self.count_and_check_frame(frame, self.source, self.target):
             assert isinstance(frame, Tell)
-            self.fleet.daemons[self.target].gossip.handle_tell(frame.records)
+            self.fleet.daemons[self.target].gossip.handle_tell(frame)
 
     def count_and_check_frame(self, frame: Frame, source: str, target: str) -> bool:
         """Count a frame and return whether it reaches its target."""
@@ -216,8 +216,11 @@
         status = StoreStatus()
         location = DaemonLocation(name, 1, domain[0], domain)
         fleet_view = FleetView(registry, location, rng)
-        gossip = Gossip(pool, registry, document, fleet_view, rng)
         record_sync = RecordSync(store, registry, (name, 1), status, rng)
+        gossip = Gossip(
+            pool, registry, document, fleet_view, rng, on_store_era=record_sync.hear_era
+        )
+        record_sync.set_era_listener(gossip.spread_store_era)
         document_sync = DocumentSync(
             store,
             document,
--- a/src/berylmast/platform/objects.py
+++ b/src/berylmast/platform/objects.py
@@ -1,7 +1,10 @@
 """Interface of the platform's object store: its data classes, errors and calls."""
 
 from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import TYPE_CHECKING, Any, Protocol
+
+if TYPE_CHECKING:
+    from .store_era import StoreEra
 
 
 class PlatformUnavailable(Exception):
@@ -70,9 +73,14 @@
     """Client interface of the object store.
 
     All calls but ``wait_changes`` return within seconds. Every call raises
-    PlatformUnavailable if its outcome is unknown.
+    PlatformUnavailable if its outcome is unknown, or if its response is of an older
+    era than an earlier one.
     """
 
+    @property
+    def era(self) -> "StoreEra":
+        """Return the era that the responses have named."""
+
     @property
     def calls(self) -> int:
         """Return the number of calls made so far."""
@@ -104,5 +112,6 @@
     async def wait_changes(self, kind: str, revision: int, wait_s: float) -> Changes:
         """Wait up to ``wait_s`` seconds for changes after a revision.
 
-        Raises RevisionExpired if the store no longer keeps that part of its history.
+        Raises RevisionExpired if the store no longer keeps that part of its history,
+        or if its era rises meanwhile.
         """
--- a/src/berylmast/platform/platform_store.py
+++ b/src/berylmast/platform/platform_store.py
@@ -6,6 +6,7 @@
 from ..telemetry import escape_text, log_event
 from . import records
 from .objects import ObjectStore, StoredObject
+from .store_era import StoreEra
 
 
 class PlatformStore:
@@ -21,16 +22,22 @@
         """Return the number of calls made so far."""
         return self._client.calls
 
+    @property
+    def era(self) -> StoreEra:
+        """Return the era that the responses have named."""
+        return self._client.era
+
     async def read_document(self, *, stale: bool = False) -> StoredDocument:
         """Read the configuration object."""
         listing = await self._client.list(self._kind, stale=stale)
         found = [item for item in listing.items if item.name == self._name]
         if not found:
-            return StoredDocument(None if stale else listing.revision, None)
+            revision = None if stale else listing.revision
+            return StoredDocument(revision, None, listing.era)
         # The store may name its present revision beside stale items. A watch from there
         # would miss the changes between.
         revision = found[0].revision if stale else listing.revision
-        return StoredDocument(revision, found[0].spec)
+        return StoredDocument(revision, found[0].spec, listing.era)
 
     async def wait_document(self, revision: int, wait_s: float) -> StoredDocument:
         """Wait for a change of the configuration object."""
@@ -40,7 +47,8 @@
             for change in changes.changes
             if change.object.name == self._name and not change.deleted
         ]
-        return StoredDocument(changes.revision, specs[-1] if specs else None)
+        spec = specs[-1] if specs else None
+        return StoredDocument(changes.revision, spec, changes.era)
 
     async def list_records(self, *, stale: bool = False) -> list[StoredRecord]:
         """Read all valid endpoint records; log and skip the others."""
--- a/src/berylmast/platform/store_client.py
+++ b/src/berylmast/platform/store_client.py
@@ -3,6 +3,7 @@
 import json
 from collections.abc import AsyncIterator
 from dataclasses import dataclass
+from functools import partial
 from typing import Annotated, Any, TypeVar
 from urllib.parse import quote, urlencode
 
@@ -23,6 +24,7 @@
     RevisionExpired,
     StoredObject,
 )
+from .store_era import StoreEra, check_era
 
 BASE_PATH = "/v1/objects"
 CALL_TIMEOUT_S = 1.5
@@ -103,6 +105,7 @@
 
     def __init__(self, address: Address) -> None:
         self.calls = 0
+        self.era = StoreEra()
         self._host = str(address).encode()
         self._client = HttpClient(
             address, MAX_CONNECTIONS, silence_limit_s=UNRESPONSIVE_HOST_TIMEOUT_S
@@ -123,6 +126,7 @@
         """Read all objects of a kind; a ``stale`` read may be seconds old."""
         items: list[StoredObject] = []
         after = ""
+        era = 0
         while True:
             options = {"staleOk": "1"} if stale else {}
             if after:
@@ -131,6 +135,9 @@
             reply = await self._call("GET", _make_path(kind) + query)
             if reply.status != 200:
                 raise _make_status_error(reply)
+            if after and reply.era != era:
+                raise PlatformUnavailable("the pages of a list are of two eras")
+            era = reply.era
             page = _validate(_ListPage, reply.data)
             items.extend(_make_stored_object(item) for item in page.items)
             if not page.has_more or not page.items:
@@ -176,11 +183,15 @@
     async def wait_changes(self, kind: str, revision: int, wait_s: float) -> Changes:
         """Wait up to ``wait_s`` seconds for changes of a kind after a revision.
 
-        Raises RevisionExpired if the store no longer keeps that part of its history.
+        Raises RevisionExpired if the store no longer keeps that part of its history,
+        or if its era rises meanwhile.
         """
         query = urlencode({"watch": revision, "waitMs": round(wait_s * 1000)})
         path = f"{_make_path(kind)}?{query}"
-        reply = await self._call("GET", path, timeout_s=wait_s + WATCH_TIMEOUT_MARGIN_S)
+        timeout_s = wait_s + WATCH_TIMEOUT_MARGIN_S
+        reply = await self.era.run_in_era(
+            partial(self._call, "GET", path, timeout_s=timeout_s)
+        )
         if reply.status == 410:
             raise RevisionExpired(f"{kind} has no history since revision {revision}")
         if reply.status != 200:
@@ -212,8 +223,10 @@
                     method, BASE_PATH + path, headers, _iterate(content)
                 ) as response:
                     data = await _read_body(response.body)
+            era = _read_era(response.headers)
+            check_era(self.era, era)
             decoded = decode_json(data) if data else None
-            return _Reply(response.status, decoded, _read_era(response.headers))
+            return _Reply(response.status, decoded, era or self.era.current)
         except TimeoutError as exc:
             # A connection that went silent may not be the only one: the next call opens
             # a new one.
--- a/src/berylmast/platform/tests/fake_store.py
+++ b/src/berylmast/platform/tests/fake_store.py
@@ -1,5 +1,7 @@
 """In-memory object store with fault injection, for tests on a mock clock."""
 
+from functools import partial
+
 import anyio
 
 from berylmast_dev.objects import ObjectJson, ObjectTable
@@ -14,6 +16,7 @@
     StoredObject,
 )
 from ..store_client import WATCH_TIMEOUT_MARGIN_S
+from ..store_era import StoreEra, check_era
 
 OUTAGE_S = 1.5
 """Time after which a call during an outage fails."""
@@ -27,6 +30,7 @@
 
     def __init__(self, table: ObjectTable) -> None:
         self.calls = 0
+        self.era = StoreEra()
         self.table = table
         self.down = False
         self.connection_refused = False
@@ -43,17 +47,21 @@
 
     async def get(self, kind: str, name: str) -> StoredObject | None:
         await self._call("get", kind)
+        check_era(self.era, self.table.era)
         entry = self.table.get(kind, name)
         return None if entry is None else make_stored_object(entry)
 
     async def list(self, kind: str, *, stale: bool = False) -> Listing:
         await self._call("stale list" if stale else "list", kind)
         if stale and kind in self.stale_listings:
-            return self.stale_listings[kind]
+            listing = self.stale_listings[kind]
+            check_era(self.era, listing.era)
+            return listing
+        check_era(self.era, self.table.era)
         items = tuple(
             make_stored_object(item) for item in self.table.list_objects(kind)
         )
-        return Listing(self.table.revision, items)
+        return Listing(self.table.revision, items, self.table.era)
 
     async def put(
         self, kind: str, name: str, spec: object, revision: int | None
@@ -63,33 +71,47 @@
         if self.put_responses_to_lose > 0:
             self.put_responses_to_lose -= 1
             raise PlatformUnavailable("injected fault: response lost")
+        check_era(self.era, self.table.era)
         if stored is None:
             raise Conflict(f"{kind}/{name}")
         return make_stored_object(stored)
 
     async def delete(self, kind: str, name: str, revision: int | None) -> None:
         await self._call("delete", kind)
-        if self.table.delete(kind, name, revision) == 409:
+        status = self.table.delete(kind, name, revision)
+        check_era(self.era, self.table.era)
+        if status == 409:
             raise Conflict(f"{kind}/{name}")
 
     async def wait_changes(self, kind: str, revision: int, wait_s: float) -> Changes:
+        return await self.era.run_in_era(
+            partial(self._call_watch, kind, revision, wait_s)
+        )
+
+    async def _call_watch(self, kind: str, revision: int, wait_s: float) -> Changes:
         started_s = anyio.current_time()
         await self._call("watch", kind)
         self._open_watches += 1
         number = self._open_watches
-        changes = await self._wait_changes(kind, revision, wait_s)
+        answered = await self._wait_changes(kind, revision, wait_s)
         if number <= self._silent_watches:
             await anyio.sleep_until(started_s + wait_s + WATCH_TIMEOUT_MARGIN_S)
             raise PlatformUnavailable("injected fault: no response to a watch")
-        return changes
-
-    async def _wait_changes(self, kind: str, revision: int, wait_s: float) -> Changes:
+        check_era(self.era, self.table.era)
+        if answered is None:
+            raise RevisionExpired(kind)
+        return answered
+
+    async def _wait_changes(
+        self, kind: str, revision: int, wait_s: float
+    ) -> Changes | None:
+        """Return the changes, None if the history does not reach back."""
         with anyio.move_on_after(wait_s):
             while True:
                 if self.down:
                     raise PlatformUnavailable("injected fault: store down")
                 if not self.table.has_history_since(revision):
-                    raise RevisionExpired(kind)
+                    return None
                 changes = self.table.get_changes_since(kind, revision)
                 if changes:
                     return Changes(
@@ -98,9 +120,10 @@
                             ObjectChange(make_stored_object(c.object), c.deleted)
                             for c in changes
                         ),
+                        self.table.era,
                     )
                 await self.table.wait_for_change()
-        return Changes(self.table.revision, ())
+        return Changes(self.table.revision, (), self.table.era)
 
     async def _call(self, verb: str, kind: str) -> None:
         self.calls += 1
--- a/src/berylmast/platform/tests/test_store_client.py
+++ b/src/berylmast/platform/tests/test_store_client.py
@@ -258,3 +258,50 @@
             await client.list("things")
         await client.aclose()
         tg.cancel_scope.cancel()
+
+
+async def test_era_of_every_response_is_followed() -> None:
+    """A daemon kept a revision that the store gave out again."""
+    async with serve() as (store, client):
+        store.table.era = 1
+        old = await client.put("things", "a", {"n": 1}, 0)
+        assert client.era.current == 1
+        store.control({"copy": True})
+        lost = await client.put("things", "b", {}, 0)
+        store.control({"restore": True})
+        with pytest.raises(RevisionExpired):
+            await client.wait_changes("things", lost.revision, 0.05)
+        assert client.era.current == 2
+        assert await client.get("things", "b") is None
+        again = await client.put("things", "c", {}, 0)
+        assert again.revision == lost.revision
+        listing = await client.list("things")
+        assert (listing.era, [item.name for item in listing.items]) == (2, ["a", "c"])
+        assert (await client.wait_changes("things", old.revision, 0.05)).era == 2
+
+
+async def test_watch_ends_when_another_call_shows_a_new_era() -> None:
+    async with serve() as (store, client):
+        store.table.era = 1
+        start = (await client.list("things")).revision
+        async with anyio.create_task_group() as tg:
+
+            async def watch() -> None:
+                with pytest.raises(RevisionExpired):
+                    await client.wait_changes("things", start, 10.0)
+
+            tg.start_soon(watch)
+            while not store.watching["things"]:
+                await anyio.sleep(0.01)
+            store.table.era = 2
+            with anyio.fail_after(5):
+                await client.list("things")
+
+
+async def test_response_of_an_older_era_is_not_used() -> None:
+    async with serve() as (store, client):
+        store.table.era = 2
+        await client.list("things")
+        store.table.era = 1
+        with pytest.raises(PlatformUnavailable, match="era 1 after 2"):
+            await client.list("things")
--- a/src/berylmast_dev/objects.py
+++ b/src/berylmast_dev/objects.py
@@ -24,11 +24,25 @@
     object: ObjectJson
 
 
+@dataclass(frozen=True, slots=True)
+class TableCopy:
+    """The state of a table at one moment."""
+
+    revision: int
+    objects: dict[tuple[str, str], ObjectJson]
+    history: tuple[Change, ...]
+    history_start: int
+
+
 class ObjectTable:
-    """Objects by kind and name; each change increments the revision of the store."""
+    """Objects by kind and name; each change increments the revision of the store.
+
+    ``era`` is 0 in a store that names no era.
+    """
 
     def __init__(self) -> None:
         self.revision = 1
+        self.era = 0
         self._objects: dict[tuple[str, str], ObjectJson] = {}
         self._history: list[Change] = []
         self._history_start = 1
@@ -89,9 +103,32 @@
         self._history.clear()
         self._history_start = self.revision
 
+    def copy(self) -> TableCopy:
+        """Return a copy from which the table can be restored."""
+        return TableCopy(
+            self.revision,
+            dict(self._objects),
+            tuple(self._history),
+            self._history_start,
+        )
+
+    def restore(self, copy: TableCopy) -> None:
+        """Go back to a copy: the era rises, and revisions are given out again.
+
+        All that was written since is lost. Watches from later revisions get status
+        410, until the revisions exist again.
+        """
+        self.revision = copy.revision
+        self._objects = dict(copy.objects)
+        self._history = list(copy.history)
+        self._history_start = copy.history_start
+        self.era += 1
+        self._changed.set()
+        self._changed = anyio.Event()
+
     def has_history_since(self, revision: int) -> bool:
         """Return whether the history holds all changes after a revision."""
-        return revision >= self._history_start
+        return self._history_start <= revision <= self.revision
 
     def get_changes_since(self, kind: str, revision: int) -> list[Change]:
         """Return the changes of a kind after a revision, oldest first."""
--- a/src/berylmast_dev/store.py
+++ b/src/berylmast_dev/store.py
@@ -51,6 +51,7 @@
         self.calls: Counter[str] = Counter()
         self.watching: Counter[str] = Counter()
         self._watch_epoch = 0
+        self._copy = self.table.copy()
 
     async def app(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Serve the object store, ``/control`` and ``/calls`` over ASGI."""
@@ -61,10 +62,21 @@
             self.control(json.loads(await read_body(receive)))
             await send_json(send, 200, {})
         elif segments[:2] == API_PATH_PREFIX and len(segments) in (3, 4):
-            await self._serve_call(scope, segments[2:], receive, send)
+            await self._serve_call(scope, segments[2:], receive, self._add_era(send))
         else:
             await send_json(send, 404, {"error": "no such path"})
 
+    def _add_era(self, send: Any) -> Any:
+        """Return a function that names the era in each response, if there is one."""
+
+        async def send_with_era(message: dict[str, Any]) -> None:
+            if self.table.era and message["type"] == "http.response.start":
+                era = (b"store-era", str(self.table.era).encode())
+                message = {**message, "headers": [*message["headers"], era]}
+            await send(message)
+
+        return send_with_era
+
     def get_call_report(self) -> dict[str, Any]:
         """Return the calls so far by verb and kind, and the open watches by kind."""
         return {
@@ -74,9 +86,16 @@
         }
 
     def control(self, change: dict[str, Any]) -> None:
-        """Set faults by name; ``compact`` discards the history at once."""
+        """Set faults by name; ``compact`` discards the history at once.
+
+        ``copy`` copies the data, ``restore`` brings the store back from that copy.
+        """
         if change.pop("compact", False):
             self.table.compact()
+        if change.pop("copy", False):
+            self._copy = self.table.copy()
+        if change.pop("restore", False):
+            self.table.restore(self._copy)
         for name, value in change.items():
             setattr(self.faults, name, value)
         if self.faults.silent_watches:
