--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -20,6 +20,7 @@
 from .membership import Directory
 from .membership.active_document import ActiveDocument
 from .membership.document_sync import DocumentSync
+from .membership.evacuation_sync import EvacuationSync
 from .membership.fleet_view import FleetView
 from .membership.gossip import Gossip
 from .membership.record_sync import RecordSync
@@ -41,11 +42,16 @@
     make_metrics_renderer,
     make_statsd_reporter,
 )
+from .tenancy import QuotaFleet, Quotas
+from .tenancy.boot_clock import read_boot_clock_s
 from .wiring import (
     DaemonComponents,
     LocalBackend,
+    make_announcement_check,
     make_attempt_id_factory,
+    make_evacuations,
     make_exchange_handler,
+    make_freshness,
     make_membership_report,
     make_request_counter,
     make_retry_budget,
@@ -73,6 +79,7 @@
     directory = Directory()
     registry = EndpointRegistry(directory)
     active_document = ActiveDocument(adapter.parse_configuration, directory)
+    freshness = make_freshness(cfg, active_document)
     lifecycle = Lifecycle()
     statsd = make_statsd_reporter(cfg.statsd)
     recorder = RequestRecorder(statsd)
@@ -82,10 +89,14 @@
         failure_domain=cfg.failure_domain,
         rng=rng,
         address=own_address,
+        get_evacuated=lambda: (
+            frozenset() if evacuations is None else evacuations.failure_domains
+        ),
     )
     local_backend = LocalBackend.make(
         cfg, identity, adapter, limits, directory, router.get_median_full_slowdown
     )
+    evacuations = make_evacuations(cfg, local_backend)
     location = DaemonLocation(*own_address, cfg.region, cfg.failure_domain)
     fleet_view = FleetView(registry, location, rng)
     store = adapter.make_store(cfg)
@@ -102,9 +113,23 @@
             active_document,
             fleet_view,
             rng,
+            freshness,
+            evacuations,
             on_store_era=record_sync.hear_era,
         )
         record_sync.set_era_listener(gossip.spread_store_era)
+        quotas = Quotas(
+            QuotaFleet(
+                location,
+                identity,
+                make_announcement_check(local_backend, registry),
+                lambda: registry.peers(own_address).all,
+                pool.open_exchange,
+            ),
+            lambda: live.cfg.quotas,
+            lambda: active_document.current,
+            read_boot_clock_s,
+        )
         document_sync = DocumentSync(
             store,
             active_document,
@@ -112,12 +137,24 @@
             rng,
             fleet_view,
             gossip.spread_document,
+            freshness,
         )
+        evacuation_sync: EvacuationSync | None = None
+        if evacuations is not None and cfg.evacuations is not None:
+            evacuation_sync = EvacuationSync(
+                store,
+                evacuations,
+                store_status,
+                rng,
+                fleet_view,
+                gossip.spread_document,
+                cfg.evacuations.within_s,
+            )
         owner = local_backend.owner if local_backend else None
         listener = PeerListener(
             cfg.peers,
             identity,
-            make_exchange_handler(owner, gossip),
+            make_exchange_handler(owner, gossip, quotas),
             gossip.handle_tell,
         )
 
@@ -143,7 +180,10 @@
             local_backend.start_tracking(tg, live, adapter, components)
         tg.start_soon(run_supervised, "record_sync", record_sync.run)
         tg.start_soon(run_supervised, "document_sync", document_sync.run)
+        if evacuation_sync is not None:
+            tg.start_soon(run_supervised, "evacuation_sync", evacuation_sync.run)
         tg.start_soon(run_supervised, "gossip", gossip.run)
+        tg.start_soon(run_supervised, "quotas", quotas.run)
         tg.start_soon(run_supervised, "settings", partial(follow_settings, live))
         prober = Prober(
             pool,
@@ -164,9 +204,15 @@
             ),
             next_attempt=make_attempt_id_factory(identity),
             endpoints=directory.endpoints,
+            quotas=quotas,
         )
         classify = adapter.make_classifier(
-            live, directory, active_document, rng, forwarding_context.next_attempt
+            live,
+            directory,
+            active_document,
+            rng,
+            forwarding_context.next_attempt,
+            freshness,
         )
         app = make_app(
             classify,
@@ -189,11 +235,21 @@
             lifecycle,
             local_backend.admission if local_backend else None,
             router.summarize,
-            make_membership_report(active_document, registry, store, store_status),
+            make_membership_report(
+                active_document,
+                registry,
+                store,
+                store_status,
+                freshness,
+                evacuations,
+            ),
             make_explain_handler(directory, router),
+            quotas.report,
         )
 
         def is_ready() -> bool:
+            if evacuation_sync is not None and not evacuation_sync.settled:
+                return False
             return active_document.current is not None and not lifecycle.leaving
 
         admin_with_readiness = add_readiness_path(admin, adapter.ready_path, is_ready)
@@ -202,7 +258,14 @@
             render = make_metrics_renderer(
                 recorder,
                 make_metrics_reader(
-                    active_document, registry, store, store_status, local_backend
+                    active_document,
+                    registry,
+                    store,
+                    store_status,
+                    local_backend,
+                    freshness,
+                    evacuations,
+                    quotas,
                 ),
             )
             tg.start_soon(make_server(make_metrics_app(render), cfg.metrics).serve)
--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -5,10 +5,13 @@
 import anyio
 
 from .membership.active_document import ActiveDocument
+from .membership.active_evacuations import ActiveEvacuations
 from .membership.registry import EndpointRegistry
 from .membership.store import Store
 from .membership.store_calls import StoreStatus
 from .telemetry import Counter, Gauge, get_event_count
+from .tenancy import QuotaRefusalReason, Quotas
+from .tenancy.freshness import Freshness
 from .wiring import LocalBackend
 
 Metric = Gauge | Counter
@@ -20,6 +23,9 @@
     store: Store,
     store_status: StoreStatus,
     local_backend: LocalBackend | None,
+    freshness: Freshness | None = None,
+    evacuations: ActiveEvacuations | None = None,
+    quotas: Quotas | None = None,
 ) -> Callable[[], list[Metric]]:
     """Return a function that reads the current metric values of this daemon."""
 
@@ -38,6 +44,12 @@
         if store.era.current:
             metrics.append(Gauge("store_era", "Era of the store", store.era.current))
         metrics += _read_rejections()
+        if freshness is not None:
+            metrics += _read_freshness(freshness)
+        if evacuations is not None:
+            metrics += _read_evacuations(evacuations)
+        if quotas is not None:
+            metrics += _read_quotas(quotas)
         if local_backend is not None:
             metrics += _read_load(local_backend)
             metrics += _read_notices(local_backend)
@@ -48,6 +60,37 @@
     return read_values
 
 
+def _read_freshness(freshness: Freshness) -> list[Metric]:
+    return [
+        Gauge(
+            "configuration_current_age_ms",
+            "Time since the configuration is known to have been current, -1 if unknown",
+            freshness.get_age_ms(),
+        ),
+        Counter(
+            "keys_not_current",
+            "Requests with a key that were refused because that time is too long",
+            freshness.refusals,
+        ),
+    ]
+
+
+def _read_evacuations(evacuations: ActiveEvacuations) -> list[Metric]:
+    known = evacuations.current
+    return [
+        Gauge(
+            "evacuated_failure_domains",
+            "Failure domains that get no requests, -1 if not known",
+            -1 if known is None else len(known.failure_domains),
+        ),
+        Gauge(
+            "evacuations_age_seconds",
+            "Time since the evacuations in force were last heard of",
+            evacuations.age_s,
+        ),
+    ]
+
+
 _FAULT_EVENTS = ("fault", "request_fault", "dispatch_fault", "task_failed")
 
 
@@ -76,6 +119,25 @@
     ]
 
 
+def _read_quotas(quotas: Quotas) -> list[Metric]:
+    counts = quotas.counts
+    if not counts.is_used:
+        return []
+    return [
+        Counter("quota_charged", "Requests that got a token", counts.charged),
+        Counter("quota_questions", "Questions to lenders", counts.questions),
+        Counter("quota_served", "Questions of other daemons", counts.served),
+        *(
+            Counter(
+                f"quota_refused_{reason.replace('-', '_')}",
+                "Requests over their tenant's quota",
+                counts.refused[reason],
+            )
+            for reason in QuotaRefusalReason
+        ),
+    ]
+
+
 def _read_load(local_backend: LocalBackend) -> list[Metric]:
     load = local_backend.admission.report()
     query_count = local_backend.load_monitor.query_count
--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -6,11 +6,14 @@
 """
 
 from dataclasses import dataclass
+from typing import Literal
 
 from ..errors import ErrorKind
+from ..identifiers import FinalStatus
 from ..model import (
     AttemptId,
     AttemptState,
+    Evacuations,
     Headers,
     KeyStatus,
     LoadReport,
@@ -20,6 +23,9 @@
 CONNECTION_EXCHANGE_ID = 0
 """Exchange id of frames that concern the whole connection."""
 
+StoredStatus = Literal[0] | FinalStatus
+"""Status of a stored response, 0 if none is stored."""
+
 
 @dataclass(frozen=True, slots=True)
 class Hello:
@@ -54,7 +60,7 @@
     """Head of the backend server's response."""
 
     exchange: int
-    status: int
+    status: FinalStatus
     headers: Headers
     load: LoadReport
 
@@ -181,7 +187,7 @@
     state: AttemptState
     kind: ErrorKind | None = None
     detail: str = ""
-    answer_status: int = 0
+    answer_status: StoredStatus = 0
     headers: Headers = ()
     body: bytes = b""
 
@@ -212,7 +218,7 @@
 
     exchange: int
     status: KeyStatus
-    answer_status: int = 0
+    answer_status: StoredStatus = 0
     headers: Headers = ()
     body: bytes = b""
 
@@ -227,7 +233,7 @@
     key: str
     token: AttemptId
     status: KeyStatus
-    answer_status: int = 0
+    answer_status: StoredStatus = 0
     headers: Headers = ()
     body: bytes = b""
 
@@ -258,21 +264,29 @@
     """Opens an exchange: compares endpoint records and configuration with the peer's.
 
     ``digest`` is a digest of the sender's endpoint records. ``version`` is the version
-    of its configuration.
+    of its configuration. ``evacuations`` is None unless the sender knows them.
     """
 
     exchange: int
     version: int
     digest: str
+    evacuations: Evacuations | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Compared:
-    """Reply to ``Compare`` with the peer's values; frames with differences follow."""
+    """Reply to ``Compare`` with the peer's values; frames with differences follow.
+
+    ``current_age_ms`` is the age of the peer's evidence that its configuration is
+    current (see ``tenancy.freshness``), -1 if it has none or doesn't track it.
+    ``evacuations`` as in ``Compare``.
+    """
 
     exchange: int
     version: int
     digest: str
+    current_age_ms: int = -1
+    evacuations: Evacuations | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -287,6 +301,42 @@
     store_era: int = 0
 
 
+TokenAsk = tuple[str, float, float, float, float, float]
+"""An encoded question for tokens of a tenant: the fields of ``tenancy`` ``Ask``."""
+
+TokenLoan = tuple[str, float, float]
+"""An encoded loan: tenant, tokens to spend on arrival, tokens that may be kept."""
+
+
+@dataclass(frozen=True, slots=True)
+class Borrow:
+    """Opens an exchange: asks a lender for tokens of tenants' quotas.
+
+    ``daemon`` and ``incarnation`` identify the borrower, whose questions are numbered
+    by ``sequence``. ``claims`` are groups of tenants to which the sender is about to
+    lend, because it takes itself for the lender.
+    """
+
+    exchange: int
+    daemon: str
+    incarnation: int
+    sequence: int
+    asks: tuple[TokenAsk, ...]
+    claims: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class Lend:
+    """Reply to ``Borrow``, without the tenants to which the sender does not lend.
+
+    ``disputed`` are the claimed groups for which the sender takes itself for a lender.
+    """
+
+    exchange: int
+    loans: tuple[TokenLoan, ...]
+    disputed: tuple[int, ...] = ()
+
+
 Frame = (
     Hello
     | Request
@@ -313,7 +363,9 @@
     | Compare
     | Compared
     | Tell
+    | Borrow
+    | Lend
 )
 
-OpeningFrame = Request | Probe | Query | KeyBegin | KeyFinish | Compare
-OPENING_FRAMES = (Request, Probe, Query, KeyBegin, KeyFinish, Compare)
+OpeningFrame = Request | Probe | Query | KeyBegin | KeyFinish | Compare | Borrow
+OPENING_FRAMES = (Request, Probe, Query, KeyBegin, KeyFinish, Compare, Borrow)
--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -6,7 +6,14 @@
 import pytest
 
 from ...errors import ErrorKind
-from ...model import AttemptId, AttemptState, KeyStatus, LoadReport, RequestHead
+from ...model import (
+    AttemptId,
+    AttemptState,
+    Evacuations,
+    KeyStatus,
+    LoadReport,
+    RequestHead,
+)
 from .. import frames
 from ..codec import FrameReader, ProtocolError, decode_frame, encode_frame
 
@@ -41,8 +48,13 @@
     frames.Fail(1, ErrorKind.BACKEND_CUT, "reset", LOAD),
     frames.Compare(1, 3, "d1"),
     frames.Compared(1, 3, "d2"),
+    frames.Compare(1, 3, "d1", Evacuations(2, 9, ("z1", "z2"))),
+    frames.Compared(1, 3, "d2", evacuations=Evacuations(2, 9)),
+    frames.Compared(1, 3, "d2", 250),
     frames.Tell(0, (RECORD,)),
     frames.Tell(0, (), 3),
+    frames.Borrow(1, "orders-n1", 7, 3, (("t", 2.5, 1.0, 0.0, 0.5, 0.0),), (2,)),
+    frames.Lend(1, (("t", 1.0, 0.0),), (2,)),
     frames.Probe(1),
     frames.Load(1, LOAD),
     frames.Ping(),
@@ -84,9 +96,12 @@
         [1, 1, ["short"]],
         [7, 1, "no-such-kind"],
         [26, 1, [["short", "record"]]],
+        *([3, 1, status, [], list(astuple(LOAD))] for status in (0, 99, 199, 600, 999)),
+        [16, 1, "finished", None, "", 99, [], b""],
     ],
 )
 def test_invalid_frame_is_a_protocol_error(items: object) -> None:
+    """Guards also against a status that no caller may get."""
     with pytest.raises(ProtocolError):
         decode_frame(items)
 
@@ -112,6 +127,19 @@
     assert list(FrameReader().feed(encode_frame(frame))) == [frame]
 
 
+@pytest.mark.parametrize(
+    ("frame", "unused_fields"),
+    [(frames.Compare(1, 3, "d1"), [None]), (frames.Compared(1, 3, "d2"), [-1, None])],
+)
+def test_comparisons_without_new_values_are_as_before(
+    frame: frames.Frame, unused_fields: list[object]
+) -> None:
+    """A peer of an earlier version rejects longer ones."""
+    items = msgpack.unpackb(encode_frame(frame))
+    assert items[1:] == [1, 3, frame.digest]  # type: ignore[union-attr]
+    assert decode_frame([*items, *unused_fields, "later", [1]]) == frame
+
+
 def test_fields_of_a_later_version_are_ignored() -> None:
     tag, exchange, _ = msgpack.unpackb(encode_frame(frames.Load(1, LOAD)))
     load = [*astuple(LOAD), "field of a later version", 7]
@@ -124,3 +152,11 @@
     items = msgpack.unpackb(encode_frame(frame))
     assert len(items) == 3
     assert decode_frame([*items, 0, "later"]) == frame
+
+
+@pytest.mark.parametrize(("age_ms", "length"), [(-1, 4), (0, 5), (1_200, 5)])
+def test_age_of_the_evidence_is_sent_only_if_known(age_ms: int, length: int) -> None:
+    """A peer of an earlier version ends the connection at an unknown field."""
+    frame = frames.Compared(1, 7, "digest", current_age_ms=age_ms)
+    assert len(msgpack.unpackb(encode_frame(frame))) == length
+    assert list(FrameReader().feed(encode_frame(frame))) == [frame]
--- a/src/berylmast/platform/adapter.py
+++ b/src/berylmast/platform/adapter.py
@@ -16,27 +16,36 @@
 from ..model import AttemptId
 from ..routing.split import SplitChooser
 from ..settings import DaemonSettings, LiveSettings
+from ..tenancy.freshness import Freshness
 from . import configuration
 from .backend_reports import make_report_app
+from .evacuations import EVACUATION_KIND
 from .platform_store import PlatformStore
 from .requests import (
     PLATFORM_INTERFACE,
     make_error_response,
     read_attempt_id,
     read_deadline_ms,
+    read_key,
     set_caller_service,
+    set_tenant,
 )
 from .store_client import StoreClient
 
 READY_PATH = "/v1/ready"
 
-_HEADERS = CallerHeaderInterface(read_attempt_id, read_deadline_ms, set_caller_service)
+_HEADERS = CallerHeaderInterface(
+    read_attempt_id, read_deadline_ms, set_caller_service, read_key, set_tenant
+)
 
 
 def _make_store(cfg: DaemonSettings) -> Store:
     client = StoreClient(cfg.platform)
     return PlatformStore(
-        client, configuration.CONFIGURATION_KIND, configuration.CONFIGURATION_NAME
+        client,
+        configuration.CONFIGURATION_KIND,
+        configuration.CONFIGURATION_NAME,
+        EVACUATION_KIND,
     )
 
 
@@ -46,6 +55,7 @@
     active_document: ActiveDocument,
     rng: Random,
     next_attempt: Callable[[], AttemptId],
+    freshness: Freshness | None,
 ) -> RequestClassifier:
     choose_service = SplitChooser(rng).choose
     return make_host_route_classifier(
@@ -54,6 +64,7 @@
         choose_service,
         next_attempt,
         lambda: live.cfg.service or "",
+        freshness,
     )
 
 
--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -22,6 +22,10 @@
 SERVER_LOAD_HEADER = b"x-server-load"
 # Requests per second that the server accepts from all daemons together.
 RATE_LIMIT_HEADER = b"server-limit"
+# The key of the caller's tenant, which is not passed to servers.
+KEY_HEADER = b"x-api-key"
+# The name of the tenant that the key belongs to.
+TENANT_HEADER = b"x-tenant"
 # "1" if the server is shutting down.
 LEAVING_HEADER = b"server-leaving"
 # The id of the server that sent a health response.
@@ -32,6 +36,7 @@
 _OVERWRITTEN_HEADERS = frozenset(
     {DEADLINE_MS_HEADER, TARGET_INSTANCE_HEADER, CALLER_SERVICE_HEADER}
 )
+_TENANT_HEADERS = frozenset({KEY_HEADER, TENANT_HEADER})
 READ_AHEAD_BYTES = 64 * 1024
 
 MAX_DEADLINE_MS = 24 * 3600 * 1000
@@ -45,6 +50,7 @@
 _NORMAL_SLOWDOWN_PERCENT = 100.0
 
 
+_TOO_MANY_REQUESTS = 429
 _BAD_GATEWAY = 502
 _SERVICE_UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
@@ -58,7 +64,9 @@
     ErrorKind.TOO_MANY_HEADERS: 431,
     ErrorKind.HEADERS_TIMEOUT: 408,
     ErrorKind.UNKNOWN_SERVICE: 404,
+    ErrorKind.TENANT_LIMIT: _TOO_MANY_REQUESTS,
     ErrorKind.DEADLINE_UNKNOWN: _GATEWAY_TIMEOUT,
+    ErrorKind.UNKNOWN_KEY: 401,
 }
 """Status codes of the error kinds that are answered with neither 502 nor 503.
 
@@ -95,6 +103,33 @@
     return [*forwarded, (CALLER_SERVICE_HEADER, service.encode("latin-1"))]
 
 
+def read_key(headers: Headers) -> bytes | None:
+    """Return the key of a request, None without one.
+
+    Returns an empty key, which no tenant has, if there is more than one.
+    """
+    keys = [value for name, value in headers if name == KEY_HEADER]
+    if not keys:
+        return None
+    return keys[0] if len(keys) == 1 else b""
+
+
+def set_tenant(headers: Headers, tenant: str) -> list[tuple[bytes, bytes]]:
+    """Return the headers with ``x-tenant`` set to a tenant, absent if it is empty.
+
+    The key is removed. Names with underscores are removed too, because some servers
+    treat them as the same names.
+    """
+    kept = [
+        (name, value)
+        for name, value in headers
+        if name.lower().replace(b"_", b"-") not in _TENANT_HEADERS
+    ]
+    if tenant:
+        kept.append((TENANT_HEADER, tenant.encode("latin-1")))
+    return kept
+
+
 def make_error_response(refusal: Refusal) -> ErrorResponse:
     """Return the status and headers of an error response.
 
@@ -108,10 +143,10 @@
         (OUTCOME_HEADER, refusal.response_spec.outcome.encode()),
         (ERROR_HEADER, refusal.kind.encode()),
     ]
-    if status == _SERVICE_UNAVAILABLE:
+    if status in (_SERVICE_UNAVAILABLE, _TOO_MANY_REQUESTS):
         headers.append((b"retry-after", f"{refusal.retry_delay_s:.3f}".encode()))
     assert (
-        status != _SERVICE_UNAVAILABLE
+        status not in (_SERVICE_UNAVAILABLE, _TOO_MANY_REQUESTS)
         or refusal.response_spec.outcome is Outcome.NOT_RUN
     )
     return ErrorResponse(status, tuple(headers))
--- a/src/berylmast/platform/store_era.py
+++ b/src/berylmast/platform/store_era.py
@@ -20,7 +20,7 @@
 
     def __init__(self) -> None:
         self.current = 0
-        self._risen = anyio.Event()
+        self._waiting: set[anyio.CancelScope] = set()
         self._listeners: list[Callable[[int], None]] = []
 
     def add_listener(self, listener: Callable[[int], None]) -> None:
@@ -41,8 +41,8 @@
             last, self.current = self.current, era
             if last:
                 log_event("store_era", era=era, last=last)
-                self._risen.set()
-                self._risen = anyio.Event()
+                for scope in self._waiting:
+                    scope.cancel()
                 for listener in self._listeners:
                     listener(era)
         return True
@@ -54,28 +54,13 @@
         revision among its new ones, and changes before it would be missed. A response
         of the call itself is returned.
         """
-        if not self.current:
-            return await call()
-        risen = self._risen
-        results: list[_Result] = []
-        errors: list[Exception] = []
-        async with anyio.create_task_group() as tg:
-
-            async def end_at_rise() -> None:
-                await risen.wait()
-                tg.cancel_scope.cancel()
-
-            tg.start_soon(end_at_rise)
+        with anyio.CancelScope() as scope:
+            self._waiting.add(scope)
             try:
-                results.append(await call())
-            except (PlatformUnavailable, RevisionExpired) as exc:
-                errors.append(exc)
-            tg.cancel_scope.cancel()
-        if errors:
-            raise errors[0]
-        if not results:
-            raise RevisionExpired("the store has come back from a copy of its data")
-        return results[0]
+                return await call()
+            finally:
+                self._waiting.discard(scope)
+        raise RevisionExpired("the store has come back from a copy of its data")
 
 
 def check_era(era: StoreEra, named: int) -> None:
--- a/src/berylmast/platform/tests/fake_store.py
+++ b/src/berylmast/platform/tests/fake_store.py
@@ -51,8 +51,14 @@
         entry = self.table.get(kind, name)
         return None if entry is None else make_stored_object(entry)
 
-    async def list(self, kind: str, *, stale: bool = False) -> Listing:
-        await self._call("stale list" if stale else "list", kind)
+    async def list(
+        self, kind: str, *, stale: bool = False, timeout_s: float | None = None
+    ) -> Listing:
+        try:
+            with anyio.fail_after(timeout_s):
+                await self._call("stale list" if stale else "list", kind)
+        except TimeoutError as exc:
+            raise PlatformUnavailable("no response") from exc
         if stale and kind in self.stale_listings:
             listing = self.stale_listings[kind]
             check_era(self.era, listing.era)
@@ -139,4 +145,6 @@
 def make_stored_object(entry: ObjectJson) -> StoredObject:
     """Convert a table entry to the client's type."""
     metadata = entry["metadata"]
-    return StoredObject(metadata["name"], metadata["revision"], entry["spec"])
+    return StoredObject(
+        metadata["name"], metadata["revision"], entry["spec"], metadata["deleting"]
+    )
--- a/src/berylmast_dev/objects.py
+++ b/src/berylmast_dev/objects.py
@@ -26,23 +26,21 @@
 
 @dataclass(frozen=True, slots=True)
 class TableCopy:
-    """The state of a table at one moment."""
+    """The objects of a table at one revision."""
 
     revision: int
     objects: dict[tuple[str, str], ObjectJson]
-    history: tuple[Change, ...]
-    history_start: int
 
 
 class ObjectTable:
     """Objects by kind and name; each change increments the revision of the store.
 
-    ``era`` is 0 in a store that names no era.
+    ``era`` rises each time the table is replaced by a copy.
     """
 
     def __init__(self) -> None:
         self.revision = 1
-        self.era = 0
+        self.era = 1
         self._objects: dict[tuple[str, str], ObjectJson] = {}
         self._history: list[Change] = []
         self._history_start = 1
@@ -98,34 +96,28 @@
         self._record(Change(self.revision, kind, True, last))
         return 200
 
-    def compact(self) -> None:
-        """Discard the history: watches from older revisions get status 410."""
-        self._history.clear()
-        self._history_start = self.revision
-
     def copy(self) -> TableCopy:
-        """Return a copy from which the table can be restored."""
-        return TableCopy(
-            self.revision,
-            dict(self._objects),
-            tuple(self._history),
-            self._history_start,
-        )
+        """Return a copy to go back to."""
+        return TableCopy(self.revision, dict(self._objects))
 
     def restore(self, copy: TableCopy) -> None:
-        """Go back to a copy: the era rises, and revisions are given out again.
+        """Go back to a copy; what was written since is lost.
 
-        All that was written since is lost. Watches from later revisions get status
-        410, until the revisions exist again.
+        Revisions since the copy are assigned again.
         """
+        self.era += 1
         self.revision = copy.revision
         self._objects = dict(copy.objects)
-        self._history = list(copy.history)
-        self._history_start = copy.history_start
-        self.era += 1
+        self._history = [c for c in self._history if c.revision <= copy.revision]
+        self._history_start = min(self._history_start, copy.revision)
         self._changed.set()
         self._changed = anyio.Event()
 
+    def compact(self) -> None:
+        """Discard the history: watches from older revisions get status 410."""
+        self._history.clear()
+        self._history_start = self.revision
+
     def has_history_since(self, revision: int) -> bool:
         """Return whether the history holds all changes after a revision."""
         return self._history_start <= revision <= self.revision
--- a/src/berylmast_dev/store.py
+++ b/src/berylmast_dev/store.py
@@ -17,6 +17,7 @@
 MAX_PAGE_ITEMS = 500
 MAX_WATCH_WAIT_MS = 30_000
 ENDPOINT_KIND = "berylmast-endpoints"
+ERA_HEADER = b"store-era"
 WRITE_VERBS = ("create", "put", "delete")
 
 
@@ -55,6 +56,7 @@
 
     async def app(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Serve the object store, ``/control`` and ``/calls`` over ASGI."""
+        send = self._add_era(send)
         segments = scope["path"].strip("/").split("/")
         if segments == ["calls"]:
             await send_json(send, 200, self.get_call_report())
@@ -62,16 +64,14 @@
             self.control(json.loads(await read_body(receive)))
             await send_json(send, 200, {})
         elif segments[:2] == API_PATH_PREFIX and len(segments) in (3, 4):
-            await self._serve_call(scope, segments[2:], receive, self._add_era(send))
+            await self._serve_call(scope, segments[2:], receive, send)
         else:
             await send_json(send, 404, {"error": "no such path"})
 
     def _add_era(self, send: Any) -> Any:
-        """Return a function that names the era in each response, if there is one."""
-
         async def send_with_era(message: dict[str, Any]) -> None:
-            if self.table.era and message["type"] == "http.response.start":
-                era = (b"store-era", str(self.table.era).encode())
+            if message["type"] == "http.response.start":
+                era = (ERA_HEADER, str(self.table.era).encode())
                 message = {**message, "headers": [*message["headers"], era]}
             await send(message)
 
