--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -116,7 +116,9 @@
             rng,
             freshness,
             evacuations,
+            on_store_era=record_sync.hear_era,
         )
+        record_sync.set_era_listener(gossip.spread_store_era)
         quotas = Quotas(
             QuotaFleet(
                 location,
--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -43,6 +43,8 @@
             ),
             Counter("store_calls", "Calls to the store", store.calls),
         ]
+        if store.era.current:
+            metrics.append(Gauge("store_era", "Era of the store", store.era.current))
         metrics += _read_rejections()
         if freshness is not None:
             metrics += _read_freshness(freshness)
--- a/src/berylmast/daemons/codec.py
+++ b/src/berylmast/daemons/codec.py
@@ -19,7 +19,7 @@
 from pydantic_core import ArgsKwargs
 
 from ..model import AttemptId, Evacuations, LoadReport, RequestHead
-from .frames import Compare, Compared, Frame
+from .frames import Compare, Compared, Frame, Tell
 
 MAX_FRAME_BYTES = 256 * 1024
 """Larger frames are a protocol error. A body frame carries at most 16 KiB."""
@@ -30,7 +30,7 @@
 arrays are subscriptions to all services."""
 
 _NESTED_TYPES = (AttemptId, Evacuations, LoadReport, RequestHead)
-_EXTENSIBLE_FRAMES = (Compare, Compared)
+_EXTENSIBLE_FRAMES = (Compare, Compared, Tell)
 # A tag is the position of a type in the Frame union, so new frame types must be
 # appended to the union.
 _FRAME_TYPES: tuple[type[Any], ...] = get_args(Frame)
--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -52,6 +52,7 @@
     frames.Compared(1, 3, "d2", evacuations=Evacuations(2, 9)),
     frames.Compared(1, 3, "d2", 250),
     frames.Tell(0, (RECORD,)),
+    frames.Tell(0, (), 3),
     frames.Borrow(1, "orders-n1", 7, 3, (("t", 2.5, 1.0, 0.0, 0.5, 0.0),), (2,)),
     frames.Lend(1, (("t", 1.0, 0.0),), (2,)),
     frames.Probe(1),
@@ -145,6 +146,14 @@
     assert decode_frame([tag, exchange, load]) == frames.Load(1, LOAD)
 
 
+def test_records_are_told_as_before_while_no_era_has_risen() -> None:
+    """A peer of an earlier version rejects a longer frame."""
+    frame = frames.Tell(0, (RECORD,))
+    items = msgpack.unpackb(encode_frame(frame))
+    assert len(items) == 3
+    assert decode_frame([*items, 0, "later"]) == frame
+
+
 @pytest.mark.parametrize(("age_ms", "length"), [(-1, 4), (0, 5), (1_200, 5)])
 def test_age_of_the_evidence_is_sent_only_if_known(age_ms: int, length: int) -> None:
     """A peer of an earlier version ends the connection at an unknown field."""
--- a/src/berylmast/membership/document_sync.py
+++ b/src/berylmast/membership/document_sync.py
@@ -129,7 +129,7 @@
     async def _wait_for_change(self, timeout_s: float) -> bool:
         """Wait for one change; return whether there was one."""
         sent_s = self._get_time_s()
-        if self._revision is None:
+        if self._revision is None or self._era < self._store.era.current:
             stored = await self._store.read_document()
             changed = self._adopt(stored)
             self._record_answer(sent_s, stored)
@@ -140,6 +140,11 @@
         except RevisionExpired:
             self._revision = None
             return False
+        except PlatformUnavailable:
+            if era:
+                # The store may come back from a copy. A read shows its era at once.
+                self._revision = None
+            raise
         changed = self._adopt(stored)
         if stored.era != era:
             # A watch from a revision of another era of the store may miss changes.
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -22,7 +22,6 @@
     Compared,
     DocumentHead,
     End,
-    EndpointRecord,
     Endpoints,
     Tell,
 )
@@ -73,6 +72,7 @@
     With ``freshness``, replies to comparisons are evidence for the configuration, and
     watchers are asked if it gets old. With ``evacuations``, also these are compared and
     passed on.
+    ``on_store_era`` is called with the era of the store that another daemon tells.
     """
 
     def __init__(
@@ -84,9 +84,11 @@
         rng: Random,
         freshness: Freshness | None = None,
         evacuations: ActiveEvacuations | None = None,
+        on_store_era: Callable[[int], None] = lambda _era: None,
     ) -> None:
         self._freshness = freshness
         self._evacuations = evacuations
+        self._on_store_era = on_store_era
         self._pool = pool
         self._registry = registry
         self._active_document = active_document
@@ -176,9 +178,25 @@
         self._compare_soon(self._fleet.choose_document_targets())
         self._spread_in_region()
 
-    def handle_tell(self, records: tuple[EndpointRecord, ...]) -> None:
-        """Merge the records of a received ``Tell`` frame."""
-        self._registry.merge(unpack_records(records))
+    def spread_store_era(self, era: int, *, heard: bool) -> None:
+        """Tell other daemons that the store has come back from a copy.
+
+        If this one has heard of it from another daemon, it tells a few at random.
+        """
+        frame = Tell(CONNECTION_EXCHANGE_ID, (), era)
+        peers = (
+            self._fleet.choose_relay_targets()
+            if heard
+            else self._fleet.choose_record_targets()
+        )
+        for peer in peers:
+            self._start(partial(self._send_to_peer, peer, frame))
+
+    def handle_tell(self, frame: Tell) -> None:
+        """Merge the records of a received ``Tell`` frame, and note the store's era."""
+        self._registry.merge(unpack_records(frame.records))
+        if frame.store_era:
+            self._on_store_era(frame.store_era)
 
     async def compare_with(
         self, peer: Endpoint, on_response: Callable[[], None] = lambda: None
--- a/src/berylmast/membership/store.py
+++ b/src/berylmast/membership/store.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from ..model import Endpoint, Evacuations
+from ..platform.store_era import StoreEra
 
 
 @dataclass(frozen=True, slots=True)
@@ -50,6 +51,10 @@
     def calls(self) -> int:
         """Return the number of calls made so far."""
 
+    @property
+    def era(self) -> StoreEra:
+        """Return the era that the responses have named."""
+
     async def read_document(
         self, *, stale: bool = False, timeout_s: float | None = None
     ) -> StoredDocument:
@@ -62,7 +67,8 @@
     async def wait_document(self, revision: int, wait_s: float) -> StoredDocument:
         """Wait at most ``wait_s`` seconds for a change of the configuration.
 
-        Raises RevisionExpired if the store no longer knows the revision.
+        Raises RevisionExpired if the store no longer knows the revision, or if its era
+        rises meanwhile.
         """
 
     async def read_evacuations(self, *, stale: bool = False) -> Evacuations:
--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -109,7 +109,7 @@
         """Deliver a frame that belongs to no exchange."""
         if self.count_and_check_frame(frame, self.source, self.target):
             assert isinstance(frame, Tell)
-            self.fleet.daemons[self.target].gossip.handle_tell(frame.records)
+            self.fleet.daemons[self.target].gossip.handle_tell(frame)
 
     def count_and_check_frame(self, frame: Frame, source: str, target: str) -> bool:
         """Count a frame and return whether it reaches its target."""
@@ -243,10 +243,18 @@
                 lambda: document.version,
                 lambda: anyio.current_time() + daemon.boot_offset_s,
             )
+        record_sync = RecordSync(store, registry, (name, 1), status, rng)
         gossip = Gossip(
-            pool, registry, document, fleet_view, rng, freshness, evacuations
+            pool,
+            registry,
+            document,
+            fleet_view,
+            rng,
+            freshness,
+            evacuations,
+            on_store_era=record_sync.hear_era,
         )
-        record_sync = RecordSync(store, registry, (name, 1), status, rng)
+        record_sync.set_era_listener(gossip.spread_store_era)
         document_sync = DocumentSync(
             store,
             document,
--- a/src/berylmast/membership/tests/test_strict_revocation.py
+++ b/src/berylmast/membership/tests/test_strict_revocation.py
@@ -46,7 +46,7 @@
     ``linearizable_down`` makes all calls but stale reads fail.
     """
 
-    era = 1
+    named_era = 1
     linearizable_down = False
 
     async def list(
@@ -55,14 +55,14 @@
         listing = await super().list(kind, stale=stale, timeout_s=timeout_s)
         if self.linearizable_down and not stale:
             raise PlatformUnavailable("injected fault: stale reads only")
-        return replace(listing, era=self.era)
+        return replace(listing, era=self.named_era)
 
     async def wait_changes(self, kind: str, revision: int, wait_s: float) -> Changes:
         if self.linearizable_down:
             await anyio.sleep(0.01)
             raise PlatformUnavailable("injected fault: stale reads only")
         changes = await super().wait_changes(kind, revision, wait_s)
-        return replace(changes, era=self.era)
+        return replace(changes, era=self.named_era)
 
 
 @asynccontextmanager
@@ -135,7 +135,7 @@
     fleet.apply(version, orders=6)
     for store in get_stores(fleet):
         store.table = fleet.table
-        store.era = 2
+        store.named_era = 2
 
 
 async def test_daemons_in_touch_have_evidence_all_the_time() -> None:
@@ -324,7 +324,7 @@
         daemon = fleet.daemons[NAME]
         store = daemon.platform
         assert isinstance(store, EraStore)
-        store.era = 2
+        store.named_era = 2
         if peers:
             reconnect(fleet, NAME)
         else:
--- a/src/berylmast/platform/platform_store.py
+++ b/src/berylmast/platform/platform_store.py
@@ -9,6 +9,7 @@
 from . import records
 from .evacuations import make_evacuations
 from .objects import ObjectStore, RevisionExpired, StoredObject
+from .store_era import StoreEra
 
 
 class PlatformStore:
@@ -34,6 +35,11 @@
         """Return the number of calls made so far."""
         return self._client.calls
 
+    @property
+    def era(self) -> StoreEra:
+        """Return the era that the responses have named."""
+        return self._client.era
+
     async def read_document(
         self, *, stale: bool = False, timeout_s: float | None = None
     ) -> StoredDocument:
--- a/src/berylmast_dev/store.py
+++ b/src/berylmast_dev/store.py
@@ -52,6 +52,7 @@
         self.calls: Counter[str] = Counter()
         self.watching: Counter[str] = Counter()
         self._watch_epoch = 0
+        self._copy = self.table.copy()
 
     async def app(self, scope: dict[str, Any], receive: Any, send: Any) -> None:
         """Serve the object store, ``/control`` and ``/calls`` over ASGI."""
@@ -85,9 +86,16 @@
         }
 
     def control(self, change: dict[str, Any]) -> None:
-        """Set faults by name; ``compact`` discards the history at once."""
+        """Set faults by name; ``compact`` discards the history at once.
+
+        ``copy`` copies the data, ``restore`` brings the store back from that copy.
+        """
         if change.pop("compact", False):
             self.table.compact()
+        if change.pop("copy", False):
+            self._copy = self.table.copy()
+        if change.pop("restore", False):
+            self.table.restore(self._copy)
         for name, value in change.items():
             setattr(self.faults, name, value)
         if self.faults.silent_watches:
