--- a/src/berylmast/callers/classify.py
+++ b/src/berylmast/callers/classify.py
@@ -163,7 +163,7 @@
             service,
             length,
             expects and head.has_body,
-            route=f"{method} {route.path_prefix}",
+            route=route.path_prefix,
         )
     )
 
