--- a/src/berylmast/limits/slot_admission.py
+++ b/src/berylmast/limits/slot_admission.py
@@ -11,8 +11,9 @@
 from ..errors import ErrorKind, Refusal
 from ..model import AttemptResult, LoadReport, RequestHead, ServiceSlice
 from .active_entries import ActiveEntries
-from .admission import Permit
+from .admission import EVACUATED_REFUSAL, Permit
 from .backend_notices import BackendNotices, NoNotices
+from .cold_limit import ColdLimit, NoColdLimit
 from .full_slowdown import UNKNOWN_SLOWDOWN, FullSlowdownEstimator
 from .moving_average import MovingAverage
 from .rate_limiter import RateLimiter
@@ -75,7 +76,8 @@
 
     ``get_slice`` returns the service slice with the slots of the current backend
     server, or None while there is no such server. ``notices`` holds the rate limit that
-    the server states; all requests pass here, so it holds for all entries together.
+    the server states, ``cold_limit`` the bound while it is or may be cold; all requests
+    pass here, so they hold for all entries together.
     """
 
     def __init__(
@@ -87,11 +89,15 @@
         rng: Random | None = None,
         get_median_full_slowdown: Callable[[], float] = lambda: UNKNOWN_SLOWDOWN,
         notices: BackendNotices | None = None,
+        cold_limit: ColdLimit | None = None,
     ) -> None:
         self._notices = notices or NoNotices()
+        self._cold_limit = cold_limit or NoColdLimit()
+        self._cold_limit.set_listener(self._dispatch_waiting)
         self._rate_limiter = RateLimiter()
         self._entries = ActiveEntries()
         self._draining = False
+        self._evacuated = False
         self._backend = backend
         self._incarnation = incarnation
         self._get_slice = get_slice
@@ -120,10 +126,20 @@
         unknown time after it was announced as leaving.
         """
         self._draining = draining
-        if not draining:
-            return
-        for request in list(self._queue):
-            self._settle_refused(request, _DRAINING_REFUSAL)
+        if draining:
+            self._refuse_queued(_DRAINING_REFUSAL)
+
+    @property
+    def evacuated(self) -> bool:
+        """Return whether the failure domain of the backend server is evacuated."""
+        return self._evacuated
+
+    @evacuated.setter
+    def evacuated(self, evacuated: bool) -> None:
+        """Refuse all requests, also queued ones, or admit them again."""
+        self._evacuated = evacuated
+        if evacuated:
+            self._refuse_queued(EVACUATED_REFUSAL)
 
     def set_backend(self, backend: str, incarnation: int) -> None:
         """Report the load of another backend server or incarnation from now on.
@@ -146,8 +162,9 @@
         """
         service = self._get_slice()
         self._entries.record(head.attempt.entry, anyio.current_time())
-        if self._draining:
-            return Err(_DRAINING_REFUSAL)
+        closed = self._find_closed_refusal()
+        if closed is not None:
+            return Err(closed)
         if service is None:
             return _make_refusal(ErrorKind.NO_BACKEND, "no backend server has reported")
         if service.service != head.service:
@@ -157,8 +174,9 @@
         request = self._make_pending(head, kind, anyio.current_time())
         if head.may_spill and await self._should_spill(request, service.slots):
             return _make_refusal(ErrorKind.BUSY, "backend server busy; try another one")
-        if self._draining:
-            return Err(_DRAINING_REFUSAL)
+        closed = self._find_closed_refusal()
+        if closed is not None:
+            return Err(closed)
         now_s = anyio.current_time()
         self._queue.add(request, now_s)
         self._dispatch(service.slots, now_s)
@@ -179,7 +197,7 @@
         """Return the current load of the backend server."""
         self._seq += 1
         service = self._get_slice()
-        rate_limit = self._notices.rate_limit
+        rate_limit = self._get_rate_limit()
         return LoadReport(
             backend=self._backend,
             incarnation=self._incarnation,
@@ -204,6 +222,16 @@
         """Return the number of requests that the backend server is processing."""
         return self._in_flight
 
+    def _find_closed_refusal(self) -> Refusal | None:
+        """Return why all requests are refused, None if they are admitted."""
+        if self._draining:
+            return _DRAINING_REFUSAL
+        return EVACUATED_REFUSAL if self._evacuated else None
+
+    def _refuse_queued(self, refusal: Refusal) -> None:
+        for request in list(self._queue):
+            self._settle_refused(request, refusal)
+
     def _make_pending(
         self, head: RequestHead, kind: str, now_s: float
     ) -> _PendingRequest:
@@ -214,7 +242,13 @@
         service_time_s = self._service_times.estimate_s(kind)
         short = service_time_s <= SHORT_REQUEST_FRACTION * self._service_times.longest_s
         return _PendingRequest(
-            head.rank, service_time_s, now_s, target_s, deadline_s, short
+            head.rank,
+            service_time_s,
+            now_s,
+            target_s,
+            deadline_s,
+            short,
+            head.tenant,
         )
 
     async def _should_spill(self, request: _PendingRequest, slots: int) -> bool:
@@ -243,6 +277,7 @@
             self._in_flight,
             reserved_slots,
             late_may_start=self._rate_limiter.get_full_wait_s(now_s) == 0,
+            get_tag=self._queue.get_tag,
         )
 
     def _get_usable_slots(self, slots: int) -> int:
@@ -250,8 +285,31 @@
 
     def _get_rate_wait_s(self, now_s: float) -> float:
         """Return the time in seconds until the rate limit allows a start."""
-        self._rate_limiter.set_rate(self._notices.rate_limit, now_s)
-        return self._rate_limiter.get_wait_s(now_s)
+        self._rate_limiter.set_rate(self._get_rate_limit(), now_s)
+        return max(
+            self._rate_limiter.get_wait_s(now_s), self._cold_limit.get_wait_s(now_s)
+        )
+
+    def _get_expected_wait_s(self, now_s: float) -> float:
+        """Return the expected time in seconds until a start is allowed."""
+        return max(
+            self._rate_limiter.get_wait_s(now_s),
+            self._cold_limit.get_expected_wait_s(now_s),
+        )
+
+    def _get_rate_limit(self) -> float | None:
+        """Return the lower of the stated limit and that of a cold server."""
+        stated = self._notices.rate_limit
+        cold = self._cold_limit.get_rate_limit()
+        if stated is None or cold is None:
+            return cold if stated is None else stated
+        return min(stated, cold)
+
+    def _dispatch_waiting(self) -> None:
+        """Grant or refuse waiting requests after a limit has changed."""
+        service = self._get_slice()
+        if service is not None and len(self._queue):
+            self._dispatch(service.slots, anyio.current_time())
 
     def _dispatch(self, slots: int, now_s: float) -> None:
         """Grant free slots, then refuse requests that cannot meet their deadlines."""
@@ -268,7 +326,7 @@
         expected_starts = sum_up_waits(
             self._queue.list_in_order(now_s),
             slots,
-            max(self._service_times.mean_s / slots, self._get_rate_wait_s(now_s)),
+            max(self._service_times.mean_s / slots, self._get_expected_wait_s(now_s)),
             0.0 if rate_per_s is None else 1 / rate_per_s,
         )
         backlog_s = expected_starts[-1].wait_s if expected_starts else 0.0
@@ -283,9 +341,10 @@
     def _grant_free_slots(self, slots: int, now_s: float) -> None:
         while request := self._select_next(self._queue.list_heads(now_s), slots):
             assert isinstance(request, _PendingRequest)
-            self._queue.discard(request)
+            self._queue.start(request)
             self._in_flight += 1
             self._rate_limiter.record_start(now_s)
+            self._cold_limit.record_start(now_s)
             request.in_flight = self._in_flight
             request.granted = True
             request.changed.set()
--- a/src/berylmast/membership/store.py
+++ b/src/berylmast/membership/store.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from ..model import Endpoint
+from ..model import Endpoint, Evacuations
 
 
 @dataclass(frozen=True, slots=True)
@@ -12,11 +12,15 @@
 
     ``spec`` is the decoded JSON, None if there is no configuration or no newer one.
     ``revision`` is the one from which to wait for the next change, None if a stale read
-    found no configuration.
+    found no configuration. ``era`` is the era of the store that the revision belongs to
+    (see ``platform.objects.Listing``). ``expired`` is set if a watch ended without any
+    change.
     """
 
     revision: int | None
     spec: object | None
+    era: int = 0
+    expired: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -46,10 +50,13 @@
     def calls(self) -> int:
         """Return the number of calls made so far."""
 
-    async def read_document(self, *, stale: bool = False) -> StoredDocument:
+    async def read_document(
+        self, *, stale: bool = False, timeout_s: float | None = None
+    ) -> StoredDocument:
         """Read the configuration.
 
-        With ``stale``, what is read may be seconds old, which is cheaper.
+        With ``stale``, what is read may be seconds old, which is cheaper. ``timeout_s``
+        replaces the time within which the store must answer.
         """
 
     async def wait_document(self, revision: int, wait_s: float) -> StoredDocument:
@@ -58,6 +65,20 @@
         Raises RevisionExpired if the store no longer knows the revision.
         """
 
+    async def read_evacuations(self, *, stale: bool = False) -> Evacuations:
+        """Read which failure domains are evacuated.
+
+        What is read with ``stale`` may be seconds old, which is cheaper; its revision
+        is 0, because the store does not tell how old it is.
+        """
+
+    async def wait_evacuations(self, known: Evacuations, wait_s: float) -> Evacuations:
+        """Wait at most ``wait_s`` seconds for a change; return what then holds.
+
+        Raises RevisionExpired if the store no longer knows the revision of ``known``,
+        or answers from another era.
+        """
+
     async def list_records(self, *, stale: bool = False) -> list[StoredRecord]:
         """Read all endpoint records; those that cannot be decoded are left out.
 
--- a/src/berylmast/platform/objects.py
+++ b/src/berylmast/platform/objects.py
@@ -26,11 +26,15 @@
 
 @dataclass(frozen=True, slots=True)
 class StoredObject:
-    """One object of the store at the revision of its last change."""
+    """One object of the store at the revision of its last change.
+
+    ``deleting`` is set while its deletion waits for other programs.
+    """
 
     name: str
     revision: int
     spec: Any
+    deleting: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -80,10 +84,13 @@
     async def get(self, kind: str, name: str) -> StoredObject | None:
         """Read one object; None if it does not exist."""
 
-    async def list(self, kind: str, *, stale: bool = False) -> Listing:
+    async def list(
+        self, kind: str, *, stale: bool = False, timeout_s: float | None = None
+    ) -> Listing:
         """Read all objects of a kind.
 
         A ``stale`` read costs a tenth and may return data that is seconds old.
+        ``timeout_s`` replaces the time within which each page must arrive.
         """
 
     async def put(
--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -4,6 +4,7 @@
 from dataclasses import replace
 
 from ..backends.interface import BackendInterface, ResponseClass
+from ..backends.warmth import ColdStatement
 from ..callers.response import ERROR_HEADER, OUTCOME_HEADER, ErrorResponse
 from ..errors import ErrorKind, Outcome, Refusal
 from ..model import BackendLoad, BackendNotice, Headers, RequestHead
@@ -21,23 +22,35 @@
 SERVER_LOAD_HEADER = b"x-server-load"
 # Requests per second that the server accepts from all daemons together.
 RATE_LIMIT_HEADER = b"server-limit"
+# The key of the caller's tenant, which is not passed to servers.
+KEY_HEADER = b"x-api-key"
+# The name of the tenant that the key belongs to.
+TENANT_HEADER = b"x-tenant"
 # "1" if the server is shutting down.
 LEAVING_HEADER = b"server-leaving"
 # The id of the server that sent a health response.
 INSTANCE_ID_HEADER = b"x-instance-id"
+# Milliseconds for which the server that sent a health response stays cold.
+COLD_MS_HEADER = b"x-cold-ms"
 
 _OVERWRITTEN_HEADERS = frozenset(
     {DEADLINE_MS_HEADER, TARGET_INSTANCE_HEADER, CALLER_SERVICE_HEADER}
 )
+_TENANT_HEADERS = frozenset({KEY_HEADER, TENANT_HEADER})
 READ_AHEAD_BYTES = 64 * 1024
 
 MAX_DEADLINE_MS = 24 * 3600 * 1000
 """Longest deadline that counts; a caller that waits longer waits for as long."""
 
+MS_PER_S = 1000
+
+_OK = 200
+_MULTIPLE_CHOICES = 300
 _MISDIRECTED_REQUEST = 421
 _NORMAL_SLOWDOWN_PERCENT = 100.0
 
 
+_TOO_MANY_REQUESTS = 429
 _BAD_GATEWAY = 502
 _SERVICE_UNAVAILABLE = 503
 _GATEWAY_TIMEOUT = 504
@@ -51,7 +64,9 @@
     ErrorKind.TOO_MANY_HEADERS: 431,
     ErrorKind.HEADERS_TIMEOUT: 408,
     ErrorKind.UNKNOWN_SERVICE: 404,
+    ErrorKind.TENANT_LIMIT: _TOO_MANY_REQUESTS,
     ErrorKind.DEADLINE_UNKNOWN: _GATEWAY_TIMEOUT,
+    ErrorKind.UNKNOWN_KEY: 401,
 }
 """Status codes of the error kinds that are answered with neither 502 nor 503.
 
@@ -88,6 +103,33 @@
     return [*forwarded, (CALLER_SERVICE_HEADER, service.encode("latin-1"))]
 
 
+def read_key(headers: Headers) -> bytes | None:
+    """Return the key of a request, None without one.
+
+    Returns an empty key, which no tenant has, if there is more than one.
+    """
+    keys = [value for name, value in headers if name == KEY_HEADER]
+    if not keys:
+        return None
+    return keys[0] if len(keys) == 1 else b""
+
+
+def set_tenant(headers: Headers, tenant: str) -> list[tuple[bytes, bytes]]:
+    """Return the headers with ``x-tenant`` set to a tenant, absent if it is empty.
+
+    The key is removed. Names with underscores are removed too, because some servers
+    treat them as the same names.
+    """
+    kept = [
+        (name, value)
+        for name, value in headers
+        if name.lower().replace(b"_", b"-") not in _TENANT_HEADERS
+    ]
+    if tenant:
+        kept.append((TENANT_HEADER, tenant.encode("latin-1")))
+    return kept
+
+
 def make_error_response(refusal: Refusal) -> ErrorResponse:
     """Return the status and headers of an error response.
 
@@ -101,10 +143,10 @@
         (OUTCOME_HEADER, refusal.response_spec.outcome.encode()),
         (ERROR_HEADER, refusal.kind.encode()),
     ]
-    if status == _SERVICE_UNAVAILABLE:
+    if status in (_SERVICE_UNAVAILABLE, _TOO_MANY_REQUESTS):
         headers.append((b"retry-after", f"{refusal.retry_delay_s:.3f}".encode()))
     assert (
-        status != _SERVICE_UNAVAILABLE
+        status not in (_SERVICE_UNAVAILABLE, _TOO_MANY_REQUESTS)
         or refusal.response_spec.outcome is Outcome.NOT_RUN
     )
     return ErrorResponse(status, tuple(headers))
@@ -179,6 +221,28 @@
     return _get_header(headers, INSTANCE_ID_HEADER).decode("latin-1")
 
 
+def read_warmth(backend: str, status: int, headers: Headers) -> ColdStatement:
+    """Return what a health response states about the warm-up of its server.
+
+    A response that names another server states nothing. One without the header states
+    that the server is warm if it is a success and names the server.
+    """
+    sender = read_health_sender(headers)
+    if sender and sender != backend:
+        return ColdStatement()
+    text = _get_header(headers, COLD_MS_HEADER).decode("latin-1").strip()
+    if not text:
+        success = _OK <= status < _MULTIPLE_CHOICES
+        return ColdStatement(0.0 if success and sender else None)
+    try:
+        cold_ms = float(text)
+    except ValueError:
+        cold_ms = math.nan
+    if not math.isfinite(cold_ms) or cold_ms < 0:
+        return ColdStatement(invalid=True)
+    return ColdStatement(cold_ms / MS_PER_S)
+
+
 def _parse_notice(headers: Headers) -> BackendNotice:
     leaving = _get_header(headers, LEAVING_HEADER).strip() == b"1"
     text = _get_header(headers, RATE_LIMIT_HEADER).decode("latin-1").strip()
@@ -201,6 +265,7 @@
     read_notice=read_notice,
     read_health_notice=read_health_notice,
     read_health_sender=read_health_sender,
+    read_warmth=read_warmth,
     read_ahead_bytes=READ_AHEAD_BYTES,
 )
 
--- a/src/berylmast/platform/store_client.py
+++ b/src/berylmast/platform/store_client.py
@@ -119,8 +119,13 @@
             return None
         return _parse_object(reply)
 
-    async def list(self, kind: str, *, stale: bool = False) -> Listing:
-        """Read all objects of a kind; a ``stale`` read may be seconds old."""
+    async def list(
+        self, kind: str, *, stale: bool = False, timeout_s: float | None = None
+    ) -> Listing:
+        """Read all objects of a kind; a ``stale`` read may be seconds old.
+
+        ``timeout_s`` replaces the time within which each page must arrive.
+        """
         items: list[StoredObject] = []
         after = ""
         while True:
@@ -128,7 +133,9 @@
             if after:
                 options["after"] = after
             query = f"?{urlencode(options, errors=_NAME_ERRORS)}" if options else ""
-            reply = await self._call("GET", _make_path(kind) + query)
+            path = _make_path(kind) + query
+            limit_s = CALL_TIMEOUT_S if timeout_s is None else timeout_s
+            reply = await self._call("GET", path, timeout_s=limit_s)
             if reply.status != 200:
                 raise _make_status_error(reply)
             page = _validate(_ListPage, reply.data)
@@ -251,7 +258,11 @@
     try:
         return model.model_validate(data)
     except ValidationError as exc:
-        raise PlatformUnavailable(f"invalid response from the store: {exc}") from exc
+        # The text of the exception quotes the input, which may contain callers' keys.
+        error = exc.errors(include_url=False, include_input=False)[0]
+        location = ".".join(str(part) for part in error["loc"])
+        detail = f"invalid response from the store: {location}: {error['msg']}"
+        raise PlatformUnavailable(detail) from exc
 
 
 def _read_era(headers: Headers) -> int:
@@ -273,4 +284,5 @@
 
 
 def _make_stored_object(item: _Object) -> StoredObject:
-    return StoredObject(item.metadata.name, item.metadata.revision, item.spec)
+    metadata = item.metadata
+    return StoredObject(metadata.name, metadata.revision, item.spec, metadata.deleting)
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -2,40 +2,57 @@
 
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
+from functools import partial
 from itertools import count
 
+import anyio
 from anyio.abc import TaskGroup
 
 from ._http_server import make_server
 from .adapter import Adapter
 from .backends import AttemptLedger, Owner
 from .backends.backend_state import BackendReport, BackendState
+from .backends.cold_start_guard import ColdStartGuard
 from .backends.health import Health, make_http_check, monitor_health
 from .backends.load_monitor import LoadMonitor
 from .backends.notice_tracker import NoticeTracker
 from .backends.report_handler import BackendReportHandler
 from .backends.sender_query import make_sender_query
 from .daemons import Exchange, ExchangeHandler, Identity, PeerListener
-from .daemons.frames import Compare, OpeningFrame
+from .daemons.frames import Borrow, Compare, OpeningFrame
 from .http_client import HttpClient
 from .lifecycle import LeaveReason, Lifecycle
 from .limits import Admission, AdmissionInputs, Limits, RetryBudget
 from .limits.hedging import Hedging
 from .membership import Directory
 from .membership.active_document import ActiveDocument
+from .membership.active_evacuations import ActiveEvacuations
 from .membership.gossip import Gossip
 from .membership.record_sync import RecordSync
 from .membership.registry import EndpointRegistry
 from .membership.store import Store
 from .membership.store_calls import StoreStatus
-from .model import AttemptId, DaemonLocation, Endpoint, Headers, ServiceSlice
+from .model import (
+    AttemptId,
+    DaemonLocation,
+    Endpoint,
+    EndpointState,
+    Headers,
+    ServiceSlice,
+)
 from .routing import Router
 from .settings import DaemonSettings, LiveSettings
+from .supervision import run_supervised
 from .telemetry import log_event
+from .tenancy import Quotas
+from .tenancy.freshness import Freshness
 
 BACKEND_CONNECTIONS = 1_000
 """Far above the slots of a backend server: only admission limits its requests."""
 
+HEALTH_QUERY_TIMEOUT_S = 0.2
+"""Longest wait for the health response that confirms that the server is warm."""
+
 PublishEndpoint = Callable[[Endpoint], None]
 
 
@@ -63,6 +80,7 @@
     load_monitor: LoadMonitor
     notices: NoticeTracker
     ask_sender: Callable[[], Awaitable[str]]
+    cold_guard: ColdStartGuard | None
 
     @classmethod
     def make(
@@ -99,13 +117,20 @@
             if notice is not None:
                 notices.record_health(backend, notice)
 
+        def record_warmth(sent_s: float, status: int, headers: Headers) -> None:
+            if cold_guard is not None:
+                statement = adapter.backend.read_warmth(get_backend(), status, headers)
+                cold_guard.record_health(statement, sent_s)
+
         load_monitor = LoadMonitor(
             cfg.backend,
             client,
             get_health_path,
             adapter.backend.read_load,
             record_health_notice,
+            record_warmth,
         )
+        cold_guard = _make_cold_guard(cfg, backend_state, get_slice, load_monitor)
         admission = limits.make_admission(
             AdmissionInputs(
                 cfg.daemon_id,
@@ -114,6 +139,7 @@
                 load_monitor,
                 get_median_full_slowdown,
                 notices,
+                cold_guard,
             )
         )
         owner = Owner(
@@ -129,7 +155,15 @@
         ask_sender = make_sender_query(
             cfg.backend, client, get_health_path, adapter.backend.read_health_sender
         )
-        return cls(admission, owner, backend_state, load_monitor, notices, ask_sender)
+        return cls(
+            admission,
+            owner,
+            backend_state,
+            load_monitor,
+            notices,
+            ask_sender,
+            cold_guard,
+        )
 
     def start_tracking(
         self,
@@ -163,6 +197,8 @@
                 components.listener.send_goaway()
 
         components.lifecycle.add_listener(on_change)
+        if self.cold_guard is not None:
+            tg.start_soon(run_supervised, "cold_guard", self.cold_guard.run)
         if cfg.announcements is not None:
             app = adapter.make_report_app(
                 report_handler.handle_report,
@@ -178,6 +214,23 @@
             start_health_monitor(tg, cfg, components.lifecycle)
 
 
+def _make_cold_guard(
+    cfg: DaemonSettings,
+    backend_state: BackendState,
+    get_slice: Callable[[], ServiceSlice | None],
+    load_monitor: LoadMonitor,
+) -> ColdStartGuard | None:
+    """Return the guard of a cold server, None if the settings ask for none."""
+    if cfg.cold_servers is None:
+        return None
+    query_health = partial(load_monitor.query, HEALTH_QUERY_TIMEOUT_S)
+    guard = ColdStartGuard(
+        cfg.cold_servers, get_slice, query_health, anyio.current_time()
+    )
+    backend_state.set_report_listener(guard.record_report)
+    return guard
+
+
 def _log_invalid_message(backend: str, reason: str) -> None:
     log_event("report_unusable", backend=backend, reason=reason)
 
@@ -246,12 +299,16 @@
     return get_slice
 
 
-def make_exchange_handler(owner: Owner | None, gossip: Gossip) -> ExchangeHandler:
+def make_exchange_handler(
+    owner: Owner | None, gossip: Gossip, quotas: Quotas
+) -> ExchangeHandler:
     """Return the handler of exchanges that other daemons open."""
 
     async def accept(exchange: Exchange, frame: OpeningFrame) -> None:
         if isinstance(frame, Compare):
             await gossip.serve_comparison(exchange, frame)
+        elif isinstance(frame, Borrow):
+            await quotas.serve(exchange, frame)
         elif owner is not None:
             await owner.accept(exchange, frame)
 
@@ -263,20 +320,53 @@
     registry: EndpointRegistry,
     store: Store,
     store_status: StoreStatus,
+    freshness: Freshness | None = None,
+    evacuations: ActiveEvacuations | None = None,
 ) -> Callable[[], object]:
-    """Return a function that builds the membership section of the status report."""
+    """Return a function that builds the membership section of the status report.
+
+    With ``freshness``, it contains the age in ms of the evidence that the version is
+    current, -1 without evidence.
+    """
 
     def report() -> object:
-        return {
+        values: dict[str, object] = {
             "version": active_document.version,
             "records": len(registry.records()),
             "store_up": store_status.up,
             "store_calls": store.calls,
         }
+        if freshness is not None:
+            values["current_age_ms"] = freshness.get_age_ms()
+        if evacuations is not None:
+            values["evacuations"] = evacuations.report()
+        return values
 
     return report
 
 
+def make_freshness(
+    cfg: DaemonSettings, active_document: ActiveDocument
+) -> Freshness | None:
+    """Return what tracks how current the keys are, None if nothing depends on it."""
+    if cfg.key_revocation is None:
+        return None
+    return Freshness(cfg.key_revocation.within_s, lambda: active_document.version)
+
+
+def make_announcement_check(
+    local_backend: LocalBackend | None, registry: EndpointRegistry
+) -> Callable[[], bool]:
+    """Return a function that tells whether other daemons know this one by a record."""
+
+    def is_announced() -> bool:
+        report = None if local_backend is None else local_backend.backend_state.current
+        record = None if report is None else registry.get(report.backend)
+        return record is not None and record.state is not EndpointState.GONE
+
+    return is_announced
+
+
 def make_request_counter(
     listener: PeerListener, admission: Admission | None
 ) -> Callable[[], int]:
@@ -292,6 +382,26 @@
     return count_requests
 
 
+def make_evacuations(
+    cfg: DaemonSettings, local_backend: LocalBackend | None
+) -> ActiveEvacuations | None:
+    """Return the evacuations, which the local backend server's admission follows.
+
+    Returns None if the settings have no section for them.
+    """
+    if cfg.evacuations is None:
+        return None
+    evacuations = ActiveEvacuations()
+    if local_backend is not None:
+        admission = local_backend.admission
+
+        def set_evacuated(failure_domains: frozenset[str]) -> None:
+            admission.evacuated = cfg.failure_domain in failure_domains
+
+        evacuations.add_listener(set_evacuated)
+    return evacuations
+
+
 def make_retry_budget(live: LiveSettings, registry: EndpointRegistry) -> RetryBudget:
     """Return this daemon's share of the fleet's retry budget.
 
