Explain requests of host routes, with homes and evacuations

The query knew routes of documents only. It now also explains host routes, for a tenant if one is named, and says of each server why it is left out. The store's client may open six connections: the second watch and its reads would otherwise wait for those of the configuration.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -210,7 +210,7 @@
             make_membership_report(
                 active_document, registry, store, store_status, evacuations
             ),
-            make_explain_handler(directory, router),
+            make_explain_handler(directory, router, lambda: active_document.current),
         )
 
         def is_ready() -> bool:
--- a/src/berylmast/operators/tests/test_explain.py
+++ b/src/berylmast/operators/tests/test_explain.py
@@ -11,6 +11,7 @@
 from ...lifecycle import Lifecycle
 from ...membership import Directory
 from ...model import Endpoint
+from ...routes import Configuration, HostRoute, RoutePart, Tenant
 from ...routing import Router
 from ...telemetry import RequestRecorder
 from ..daemon_admin import make_daemon_admin
@@ -57,6 +58,71 @@
     assert response["candidates"][0]["failure_domain"] == "n1"
 
 
+ROUTE = HostRoute(
+    "browse",
+    "/",
+    (RoutePart("rare", 0.1), RoutePart("orders", 0.9)),
+    True,
+    5,
+    3000,
+    1000,
+    2,
+    home_regions=frozenset({"north", "south"}),
+)
+TENANTS = {
+    "a": Tenant("a", rank=1, home_regions=frozenset({"south"})),
+    "b": Tenant("b", home_regions=frozenset({"east"})),
+    "c": Tenant("c"),
+}
+
+
+@pytest.mark.parametrize(
+    ("query", "expected", "left_out"),
+    [
+        ({}, ("5", ["north", "south"], "o1"), ["failure domain evacuated", ""]),
+        ({"tenant": "c"}, ("5", ["north", "south"], "o1"), [""]),
+        ({"tenant": "a"}, ("1", ["south"], None), ["outside the home regions"]),
+        ({"tenant": "b"}, ("5", [], None), ["outside the home regions"]),
+    ],
+)
+async def test_host_route_with_homes_and_evacuations(
+    query: dict[str, str],
+    expected: tuple[str, list[str], str | None],
+    left_out: list[str],
+) -> None:
+    """Guards against operators who can't see why a request has no server."""
+    directory = Directory()
+    service = make_slice(parse_document(EXAMPLE.read_text()), "orders", 7)
+    directory.put_slice(service)
+    for name, domain in (("o1", "n1"), ("o2", "n2")):
+        directory.put_endpoint(
+            Endpoint(name, "orders", "127.0.0.1", 1, "north", domain, 1, 1)
+        )
+    router = Router(
+        directory,
+        region="north",
+        failure_domain="n1",
+        rng=Random(1),
+        get_evacuated=lambda: frozenset({"n2"}),
+    )
+    cfg = Configuration(7, {"shop": (ROUTE,)}, {"orders": service}, tenants=TENANTS)
+    explain = make_explain_handler(directory, router, lambda: cfg)
+    response: Any = explain({"host": "Shop:80", "method": "GET", "path": "/"} | query)
+    found = (response["priority"], response["home_regions"], response["chosen"])
+    assert found == expected
+    reasons = [candidate["left_out"] for candidate in response["candidates"]]
+    assert set(left_out) <= set(reasons)
+    assert ("" in reasons) == (response["chosen"] is not None)
+
+
+async def test_unknown_tenant_is_an_error() -> None:
+    cfg = Configuration(7, {"shop": (ROUTE,)}, {}, tenants=TENANTS)
+    router = Router(Directory(), region="r", failure_domain="d", rng=Random(1))
+    explain = make_explain_handler(Directory(), router, lambda: cfg)
+    query = {"host": "shop", "method": "GET", "path": "/", "tenant": "x"}
+    assert explain(query) == {"error": "no tenant 'x'"}
+
+
 @pytest.mark.parametrize(
     ("query", "error"),
     [
--- a/src/berylmast/platform/store_client.py
+++ b/src/berylmast/platform/store_client.py
@@ -35,7 +35,9 @@
 This also detects a dead connection while a watch waits without traffic.
 """
 
-MAX_CONNECTIONS = 4
+MAX_CONNECTIONS = 6
+"""Two watches, a look and the calls for records, with some to spare while one of them is
+silent."""
 
 _ERA_HEADER = b"store-era"
 
