--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -48,6 +48,7 @@
     make_attempt_id_factory,
     make_evacuations,
     make_exchange_handler,
+    make_freshness,
     make_membership_report,
     make_request_counter,
     make_retry_budget,
@@ -75,6 +76,7 @@
     directory = Directory()
     registry = EndpointRegistry(directory)
     active_document = ActiveDocument(adapter.parse_configuration, directory)
+    freshness = make_freshness(cfg, active_document)
     lifecycle = Lifecycle()
     statsd = make_statsd_reporter(cfg.statsd)
     recorder = RequestRecorder(statsd)
@@ -108,7 +110,8 @@
             active_document,
             fleet_view,
             rng,
-            evacuations=evacuations,
+            freshness,
+            evacuations,
         )
         document_sync = DocumentSync(
             store,
@@ -117,6 +120,7 @@
             rng,
             fleet_view,
             gossip.spread_document,
+            freshness,
         )
         evacuation_sync: EvacuationSync | None = None
         if evacuations is not None and cfg.evacuations is not None:
@@ -184,7 +188,12 @@
             endpoints=directory.endpoints,
         )
         classify = adapter.make_classifier(
-            live, directory, active_document, rng, forwarding_context.next_attempt
+            live,
+            directory,
+            active_document,
+            rng,
+            forwarding_context.next_attempt,
+            freshness,
         )
         app = make_app(
             classify,
@@ -208,7 +217,12 @@
             local_backend.admission if local_backend else None,
             router.summarize,
             make_membership_report(
-                active_document, registry, store, store_status, evacuations
+                active_document,
+                registry,
+                store,
+                store_status,
+                freshness,
+                evacuations,
             ),
             make_explain_handler(directory, router, lambda: active_document.current),
         )
@@ -229,6 +243,7 @@
                     store,
                     store_status,
                     local_backend,
+                    freshness,
                     evacuations,
                 ),
             )
--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -8,6 +8,7 @@
 from .membership.store import Store
 from .membership.store_calls import StoreStatus
 from .telemetry import Counter, Gauge, get_event_count
+from .tenancy.freshness import Freshness
 from .wiring import LocalBackend
 
 Metric = Gauge | Counter
@@ -19,6 +20,7 @@
     store: Store,
     store_status: StoreStatus,
     local_backend: LocalBackend | None,
+    freshness: Freshness | None = None,
     evacuations: ActiveEvacuations | None = None,
 ) -> Callable[[], list[Metric]]:
     """Return a function that reads the current metric values of this daemon."""
@@ -36,6 +38,8 @@
             Counter("store_calls", "Calls to the store", store.calls),
         ]
         metrics += _read_rejections()
+        if freshness is not None:
+            metrics += _read_freshness(freshness)
         if evacuations is not None:
             metrics += _read_evacuations(evacuations)
         if local_backend is not None:
@@ -63,6 +67,21 @@
     ]
 
 
+def _read_freshness(freshness: Freshness) -> list[Metric]:
+    return [
+        Gauge(
+            "configuration_current_age_ms",
+            "Time since the configuration is known to have been current, -1 if unknown",
+            freshness.get_age_ms(),
+        ),
+        Counter(
+            "keys_not_current",
+            "Requests with a key that were refused because that time is too long",
+            freshness.refusals,
+        ),
+    ]
+
+
 _FAULT_EVENTS = ("fault", "request_fault", "dispatch_fault", "task_failed")
 
 
--- a/src/berylmast/daemons/tests/test_codec.py
+++ b/src/berylmast/daemons/tests/test_codec.py
@@ -1,6 +1,6 @@
 """Tests that frames survive encoding and that invalid frames are rejected."""
 
-from dataclasses import astuple, replace
+from dataclasses import astuple, fields, replace
 
 import msgpack
 import pytest
@@ -49,7 +49,7 @@
     frames.Compare(1, 3, "d1"),
     frames.Compared(1, 3, "d2"),
     frames.Compare(1, 3, "d1", Evacuations(2, 9, ("z1", "z2"))),
-    frames.Compared(1, 3, "d2", Evacuations(2, 9)),
+    frames.Compared(1, 3, "d2", evacuations=Evacuations(2, 9)),
     frames.Tell(0, (RECORD,)),
     frames.Probe(1),
     frames.Load(1, LOAD),
@@ -130,7 +130,8 @@
     """A peer of an earlier version rejects longer ones."""
     items = msgpack.unpackb(encode_frame(frame))
     assert items[1:] == [1, 3, frame.digest]  # type: ignore[union-attr]
-    assert decode_frame([*items, None, "later", [1]]) == frame
+    defaults = [field.default for field in fields(frame)[3:]]
+    assert decode_frame([*items, *defaults, "later", [1]]) == frame
 
 
 def test_fields_of_a_later_version_are_ignored() -> None:
--- a/src/berylmast/platform/tests/test_evacuations.py
+++ b/src/berylmast/platform/tests/test_evacuations.py
@@ -32,7 +32,9 @@
         super().__init__(ObjectTable())
         self.answer = answer
 
-    async def list(self, kind: str, *, stale: bool = False) -> Listing:
+    async def list(
+        self, kind: str, *, stale: bool = False, timeout_s: float | None = None
+    ) -> Listing:
         assert kind == EVACUATION_KIND
         listing: Listing = self.answer
         return listing
