--- a/src/berylmast_dev/tests/test_evacuation.py
+++ b/src/berylmast_dev/tests/test_evacuation.py
@@ -19,6 +19,7 @@
     read_arrivals_s,
     run_platform_fleet,
     run_platform_load,
+    wait_until_ready,
 )
 
 pytestmark = pytest.mark.anyio
@@ -78,3 +79,25 @@
     for result in results.values():
         assert set(result.statuses) <= {200, 503}
         assert result.statuses[200] > 0.97 * result.statuses.total()
+
+
+async def test_restarted_daemons_know_an_evacuation_while_the_store_is_away() -> None:
+    """Guards against daemons that are ready before another one told them."""
+    members = make_platform_members({"orders": 20.0}, ZONES)
+    async with run_platform_fleet(members, SPEC, SECTIONS) as fleet:
+        await fleet.evacuate("n1")
+        await anyio.sleep(1.0)
+        await fleet.control_store(outage="refuse")
+        restarted = members[:2]
+        for member in restarted:
+            process = fleet.processes[f"daemon-{member.name}"]
+            process.kill()
+            process.wait()
+            fleet.start_platform_daemon(member)
+        for member in restarted:
+            await wait_until_ready(member)
+        before = len(await read_arrivals_s(members[0]))
+        results = await run_platform_load(restarted, [READS], 2.0)
+        assert len(await read_arrivals_s(members[0])) == before
+        statuses = results[READS.path].statuses
+        assert statuses[200] > 0.9 * statuses.total()
