--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -245,7 +245,7 @@
                 freshness,
                 evacuations,
             ),
-            make_explain_handler(directory, router),
+            make_explain_handler(directory, router, lambda: active_document.current),
             quotas.report,
         )
 
--- a/src/berylmast/membership/evacuation_sync.py
+++ b/src/berylmast/membership/evacuation_sync.py
@@ -28,8 +28,9 @@
 
 MIN_WATCH_S = 1.0
 
-BACKUP_WATCH_S = 15.0
-"""How long the watches of the other watchers wait, which cover for the first one."""
+BACKUP_WATCH_S = 30.0
+"""How long the watches of the other watchers wait, which cover for the first one. Each
+watch costs a call, and the store allows no longer ones."""
 
 PEER_WAIT_S = 0.5
 """Time in which another daemon should tell the evacuations to one that starts. After
