--- a/src/berylmast/limits/request_queue.py
+++ b/src/berylmast/limits/request_queue.py
@@ -39,7 +39,8 @@
     """Keeps requests in groups that start one after another.
 
     Within a group the newest request starts first. A request changes its group once,
-    when it can no longer be on time. Tenants are served fairly if there are several.
+    when it can no longer be on time. Tenants are served fairly from the first request
+    of a tenant on, which sets ``has_tenants``.
     """
 
     def __init__(self) -> None:
@@ -49,6 +50,7 @@
         self._turning_late: list[tuple[float, int, _Request]] = []
         self._numbers = count()
         self._ranks: dict[int, _RankTenants] = {}
+        self.has_tenants = False
 
     def __len__(self) -> int:
         return len(self._group_of)
@@ -59,10 +61,8 @@
     def add(self, request: _Request, now_s: float) -> None:
         """Add a request that has arrived."""
         late = is_late(request, now_s)
-        tenants = self._ranks.setdefault(request.rank, _RankTenants())
-        if not tenants.counts[request.tenant]:
-            tenants.tags.activate(request.tenant, tenants.counts)
-        tenants.counts[request.tenant] += 1
+        if self.has_tenants or request.tenant:
+            self._count(request)
         self._put(request, late)
         if not late and not request.short:
             item = (request.late_after_s, next(self._numbers), request)
@@ -73,17 +73,12 @@
         if request not in self._group_of:
             return
         self._take(request)
-        tenants = self._ranks[request.rank]
-        tenants.counts[request.tenant] -= 1
-        if not tenants.counts[request.tenant]:
-            del tenants.counts[request.tenant]
-        if not tenants.counts:
-            # Without waiting requests there is nothing to be fair about.
-            del self._ranks[request.rank]
+        if self.has_tenants:
+            self._uncount(request)
 
     def start(self, request: _Request) -> None:
         """Remove a request that starts, and charge its tenant for it."""
-        if not is_exempt(request):
+        if self.has_tenants and not is_exempt(request):
             tags = self._ranks[request.rank].tags
             tags.charge(request.tenant, request.service_time_s)
         self.discard(request)
@@ -107,10 +102,29 @@
         # Short requests start among the others of their duration. The list is nearly in
         # order, which sorting takes advantage of.
         ordered.sort(key=lambda request: get_sort_key(request, now_s))
-        if all(len(tenants.counts) < 2 for tenants in self._ranks.values()):
+        if not any(len(tenants.counts) > 1 for tenants in self._ranks.values()):
             return ordered
         return order_fairly(ordered, now_s, self.get_tag)
 
+    def _count(self, request: _Request) -> None:
+        """Count a request that is being added for its tenant."""
+        waiting = [request] if self.has_tenants else [*self._group_of, request]
+        self.has_tenants = True
+        for counted in waiting:
+            tenants = self._ranks.setdefault(counted.rank, _RankTenants())
+            if not tenants.counts[counted.tenant]:
+                tenants.tags.activate(counted.tenant, tenants.counts)
+            tenants.counts[counted.tenant] += 1
+
+    def _uncount(self, request: _Request) -> None:
+        tenants = self._ranks[request.rank]
+        tenants.counts[request.tenant] -= 1
+        if not tenants.counts[request.tenant]:
+            del tenants.counts[request.tenant]
+        if not tenants.counts:
+            # Without waiting requests there is nothing to be fair about.
+            del self._ranks[request.rank]
+
     def _put(self, request: _Request, late: bool) -> None:
         group = _Group(
             late, request.rank, request.duration_class, request.short, request.tenant
--- a/src/berylmast/limits/scheduling.py
+++ b/src/berylmast/limits/scheduling.py
@@ -180,22 +180,18 @@
         if in_use < _get_slot_limit(request, now_s, slots, reserved_slots)
         and (late_may_start or not is_late(request, now_s))
     ]
-    tags = _get_tags(startable, get_tag)
-    return min(
-        startable,
-        key=lambda request: get_sort_key(request, now_s, tags(request)),
-        default=None,
-    )
-
-
-def _get_tags(
-    startable: Collection[QueuedRequest],
-    get_tag: Callable[[QueuedRequest], float] | None,
-) -> Callable[[QueuedRequest], float]:
-    """Return a function that returns the tag of a request, equal for one tenant."""
     if get_tag is None or len({request.tenant for request in startable}) < 2:
-        return lambda request: 0.0
-    return lambda request: -math.inf if is_exempt(request) else get_tag(request)
+        return min(
+            startable, key=lambda request: get_sort_key(request, now_s), default=None
+        )
+
+    def get_fair_sort_key(
+        request: QueuedRequest,
+    ) -> tuple[bool, int, float, int, float]:
+        tag = -math.inf if is_exempt(request) else get_tag(request)
+        return get_sort_key(request, now_s, tag)
+
+    return min(startable, key=get_fair_sort_key)
 
 
 def _get_slot_limit(
--- a/src/berylmast/limits/slot_admission.py
+++ b/src/berylmast/limits/slot_admission.py
@@ -249,7 +249,7 @@
             self._in_flight,
             reserved_slots,
             late_may_start=self._rate_limiter.get_full_wait_s(now_s) == 0,
-            get_tag=self._queue.get_tag,
+            get_tag=self._queue.get_tag if self._queue.has_tenants else None,
         )
 
     def _get_usable_slots(self, slots: int) -> int:
--- a/src/berylmast/limits/tests/test_tenant_fairness.py
+++ b/src/berylmast/limits/tests/test_tenant_fairness.py
@@ -1,6 +1,7 @@
 """Guards against a tenant that starves others at a server that reports its slots."""
 
 from collections import Counter
+from collections.abc import Iterable
 from dataclasses import replace
 
 import anyio
@@ -18,7 +19,9 @@
 SERVICE_TIME_S = 0.1
 
 
-def make_queue(tenants: str, **changes: object) -> RequestQueue[QueuedRequest]:
+def make_queue(
+    tenants: Iterable[str], **changes: object
+) -> RequestQueue[QueuedRequest]:
     """Return a queue to which requests of the given tenants came one after another."""
     queue: RequestQueue[QueuedRequest] = RequestQueue()
     for number, tenant in enumerate(tenants):
@@ -60,6 +63,12 @@
     assert start_all(queue).count("a", 0, 4) == 3
 
 
+def test_requests_without_a_tenant_that_wait_already_are_counted() -> None:
+    expected = [r.tenant for r in make_queue(["", "", "", "a"]).list_in_order(0.01)]
+    assert expected == ["a", "", "", ""]
+    assert start_all(make_queue(["", "", "", "a"])) == "a"
+
+
 def test_a_nested_call_is_not_held_back() -> None:
     """Its caller's request holds a slot meanwhile."""
     queue = make_queue("aabb")
