--- a/src/berylmast_dev/platform_backend.py
+++ b/src/berylmast_dev/platform_backend.py
@@ -39,6 +39,8 @@
     the server does not enforce them. ``arrivals_s`` holds the monotonic times at which
     requests arrived, which ``/_arrivals`` returns. ``acknowledged`` is set once the
     daemon has accepted a heartbeat with the state "draining"; ``/_state`` returns it.
+    The server states that it is cold until the monotonic time ``cold_until_s``, in
+    heartbeats and health responses; it is as fast as otherwise.
     """
 
     draining: bool = False
@@ -47,9 +49,15 @@
     garble: str = ""
     rate_limit: float | None = None
     leaving: bool = False
+    cold_until_s: float = 0.0
     runs: list[str] = field(default_factory=list)
     arrivals_s: list[float] = field(default_factory=list)
 
+    @property
+    def cold_left_ms(self) -> int:
+        """Return how much longer the server is cold."""
+        return max(0, round((self.cold_until_s - time.monotonic()) * 1000))
+
 
 class PlatformBackend:
     """Executes requests up to its number of slots.
@@ -180,6 +188,7 @@
     async def _send_health(self, send: Any) -> None:
         headers = [
             (b"x-instance-id", self.name.encode()),
+            (b"x-cold-ms", str(self.state.cold_left_ms).encode()),
             (b"content-length", b"0"),
             *self._make_notice_headers(),
         ]
@@ -250,7 +259,11 @@
                     "zone": "",
                     "slots": self._slots,
                 },
-                "status": {"state": state, "sequence": sequence, "coldLeft": "0ms"},
+                "status": {
+                    "state": state,
+                    "sequence": sequence,
+                    "coldLeft": f"{self.state.cold_left_ms}ms",
+                },
             }
             try:
                 with anyio.move_on_after(HEARTBEAT_TIMEOUT_S):
