--- a/src/berylmast/backends/tests/test_warmth.py
+++ b/src/berylmast/backends/tests/test_warmth.py
@@ -14,6 +14,7 @@
 
 COLD_4 = ColdStatement(4.0)
 WARM = ColdStatement(0.0)
+IMPLIED = ColdStatement(0.0, implied=True)
 NOTHING = ColdStatement()
 INVALID = ColdStatement(invalid=True)
 
@@ -37,6 +38,9 @@
         ([(1.0, COLD_4)], 5.0),
         ([(1.0, WARM)], 0.9),
         ([(1.0, NOTHING)], float("inf")),
+        ([(1.0, IMPLIED)], float("inf")),
+        ([(1.0, report(1, 9.0)), (2.0, IMPLIED)], 10.0),
+        ([(1.0, report(1)), (2.0, IMPLIED)], 1.9),
         ([(1.0, INVALID)], float("inf")),
         ([(1.0, COLD_4), (2.0, INVALID)], 5.0),
         ([(1.0, COLD_4), (2.0, NOTHING)], 5.0),
@@ -59,6 +63,9 @@
         "cold-response",
         "warm-response",
         "response-without-statement",
+        "implied-does-not-end-unknown",
+        "implied-does-not-end-a-report",
+        "implied-confirms",
         "invalid-response",
         "invalid-after-cold",
         "nothing-after-cold",
--- a/src/berylmast/backends/warmth.py
+++ b/src/berylmast/backends/warmth.py
@@ -17,11 +17,13 @@
 
     ``cold_left_s`` is the remaining time in seconds, 0 if the server is warm, None if
     the response says nothing usable. ``invalid`` is set if it states a time that can't
-    be used.
+    be used. ``implied`` is set if the server counts as warm because the response states
+    no time.
     """
 
     cold_left_s: float | None = None
     invalid: bool = False
+    implied: bool = False
 
 
 class WarmthTracker:
@@ -31,7 +33,8 @@
     said otherwise, then as long as the latest report or the latest health response
     says. It is unknown when a report was sent, so its time counts from its arrival,
     and it never shortens what a health response stated: that may be the later one. A
-    health response replaces the reports that arrived before its query was sent.
+    health response replaces the reports that arrived before its query was sent. One
+    that only implies that the server is warm ends no cold time, stated or unknown.
     """
 
     def __init__(self) -> None:
@@ -89,6 +92,8 @@
         if left_s is None or sent_s < self._health_sent_s:
             return
         self._health_sent_s = sent_s
+        if statement.implied and self.is_cold(now_s):
+            return
         if sent_s >= self._reported_s:
             self._report_until_s = None
         if left_s > 0:
--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -224,7 +224,7 @@
 def read_warmth(backend: str, status: int, headers: Headers) -> ColdStatement:
     """Return what a health response states about the warm-up of its server.
 
-    A response that names another server states nothing. One without the header states
+    A response that names another server states nothing. One without the header implies
     that the server is warm if it is a success and names the server.
     """
     sender = read_health_sender(headers)
@@ -233,7 +233,8 @@
     text = _get_header(headers, COLD_MS_HEADER).decode("latin-1").strip()
     if not text:
         success = _OK <= status < _MULTIPLE_CHOICES
-        return ColdStatement(0.0 if success and sender else None)
+        warm = success and bool(sender)
+        return ColdStatement(0.0 if warm else None, implied=warm)
     try:
         cold_ms = float(text)
     except ValueError:
--- a/src/berylmast/platform/tests/test_requests.py
+++ b/src/berylmast/platform/tests/test_requests.py
@@ -193,7 +193,7 @@
         (200, b"i-1", b"0", ColdStatement(0.0)),
         (503, b"i-1", b"2500", ColdStatement(2.5)),
         (200, b"", b"2500", ColdStatement(2.5)),
-        (200, b"i-1", None, ColdStatement(0.0)),
+        (200, b"i-1", None, ColdStatement(0.0, implied=True)),
         (503, b"i-1", None, ColdStatement()),
         (200, b"", None, ColdStatement()),
         (200, b"i-2", b"0", ColdStatement()),
