Lend more of a tenant's quota, and use a part of the slack for the rate

Change: the reserve is 0.1, and a quarter of the slack counts towards the rate. The parts still add up to less than the bound; the module doc has the sum.

--- a/src/berylmast/tenancy/quota_shares.py
+++ b/src/berylmast/tenancy/quota_shares.py
@@ -6,14 +6,13 @@
 are in different regions if there are several, so that each side of a cut between
 regions keeps one.
 
-Why the sum holds: the parts of the rate add up to ``rate * (1 + 0.3 * overrun)`` and
-those of the burst to ``burst * (1 + 0.3 * overrun) + 0.5 * overrun * window_s * rate +
-0.4 * slack``. A token is made in one place and spent once; no place holds more tokens
-than its part of the burst. So a window of ``window_s`` sees at most ``(rate * window_s
-+ burst) * (1 + overrun) + slack`` requests, less a margin of ``0.2 * overrun * rate *
-window_s + 0.6 * slack`` for tokens in transit and for daemons that know different
-numbers of daemons. The slack must be at least ``MAX_LENDERS``: a lender's bucket holds
-at least one token.
+Why the sum holds: the parts of the rate add up to ``rate * (1 + 0.3 * overrun) + 0.25 *
+slack / window_s`` and those of the burst to ``burst * (1 + 0.3 * overrun) + 0.5 *
+overrun * window_s * rate + 0.4 * slack``. A token is made in one place and spent once;
+no place holds more tokens than its part of the burst. So a window of ``window_s`` sees
+at most ``(rate * window_s + burst) * (1 + overrun) + slack`` requests, less a margin of
+``0.2 * overrun * rate * window_s + 0.35 * slack`` for tokens in transit and for daemons
+that know different numbers of daemons.
 """
 
 import hashlib
@@ -25,7 +24,7 @@
 
 MAX_LENDERS = 2
 
-RESERVE_FRACTION = 0.16
+RESERVE_FRACTION = 0.1
 """Part of the quota that all daemons share equally and spend without a loan."""
 
 LENDER_GROUPS = 4
@@ -36,6 +35,9 @@
 _BURST_OVERRUN = 0.3
 _WINDOW_OVERRUN = 0.5
 _BURST_SLACK = 0.4
+_RATE_SLACK = 0.25
+"""Part of the slack that is added to the rate. The reserve of a small tenant is spread
+over so many daemons that it serves nobody; this makes up for it."""
 
 _MIN_BURST = 1.0
 """A bucket that holds less never fills up to one request."""
@@ -81,6 +83,7 @@
     """
     overrun = bound.overrun
     rate = rate_per_s * (1 + _RATE_OVERRUN * overrun)
+    rate += _RATE_SLACK * bound.slack / bound.window_s
     total_burst = (
         burst * (1 + _BURST_OVERRUN * overrun)
         + _WINDOW_OVERRUN * overrun * bound.window_s * rate_per_s
