Keep the bound of 95% served by the servers that are not cold

Cause: the bound of a new test had been lowered to 90% after 94.7% was seen at a machine load of about 30, without a trace.

Change: the first bound is back.

--- a/src/berylmast_dev/tests/test_cold_servers.py
+++ b/src/berylmast_dev/tests/test_cold_servers.py
@@ -29,7 +29,7 @@
 SLACK = 8
 MAX_IN_A_SECOND = COLD_PER_S * OVERRUN + SLACK
 COLD_S = 5.0
-MIN_SERVED_BY_OTHERS = 0.9
+MIN_SERVED_BY_OTHERS = 0.95
 """Part of the requests that the servers serve that are not cold. Those on their way to
 the cold one when it becomes so may be refused, as the retries are limited."""
 
