--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -129,8 +129,16 @@
         return []
     return [
         Counter("quota_charged", "Requests that got a token", counts.charged),
-        Counter("quota_questions", "Questions to lenders", counts.questions),
-        Counter("quota_served", "Questions of other daemons", counts.served),
+        Counter(
+            "quota_exchanges_opened",
+            "Exchanges with lenders, each with the loan requests of several tenants",
+            counts.exchanges_opened,
+        ),
+        Counter(
+            "quota_exchanges_served",
+            "Exchanges that other daemons opened to borrow",
+            counts.exchanges_served,
+        ),
         *(
             Counter(
                 f"quota_refused_{reason.replace('-', '_')}",
--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -301,8 +301,8 @@
     store_era: int = 0
 
 
-TokenAsk = tuple[str, float, float, float, float, float]
-"""An encoded question for tokens of a tenant: the fields of ``tenancy`` ``Ask``."""
+TokenRequest = tuple[str, float, float, float, float, float]
+"""An encoded loan request: the fields of ``tenancy.quota_lender.LoanRequest``."""
 
 TokenLoan = tuple[str, float, float]
 """An encoded loan: tenant, tokens to spend on arrival, tokens that may be kept."""
@@ -310,18 +310,18 @@
 
 @dataclass(frozen=True, slots=True)
 class Borrow:
-    """Opens an exchange: asks a lender for tokens of tenants' quotas.
+    """Opens an exchange: requests loans of tokens of tenants' quotas from a lender.
 
-    ``daemon`` and ``incarnation`` identify the borrower, whose questions are numbered
-    by ``sequence``. ``claims`` are groups of tenants to which the sender is about to
-    lend, because it takes itself for the lender.
+    ``daemon`` and ``incarnation`` identify the borrower, which numbers its frames to
+    this lender by ``sequence``. ``claims`` are groups of tenants of which the sender is
+    about to become a lender.
     """
 
     exchange: int
     daemon: str
     incarnation: int
     sequence: int
-    asks: tuple[TokenAsk, ...]
+    requests: tuple[TokenRequest, ...]
     claims: tuple[int, ...] = ()
 
 
@@ -329,7 +329,7 @@
 class Lend:
     """Reply to ``Borrow``, without the tenants to which the sender does not lend.
 
-    ``disputed`` are the claimed groups for which the sender takes itself for a lender.
+    ``disputed`` are the claimed groups of which the sender is a lender itself.
     """
 
     exchange: int
--- a/src/berylmast/tenancy/boot_clock.py
+++ b/src/berylmast/tenancy/boot_clock.py
@@ -1,7 +1,7 @@
 """A clock that goes on while the process or its machine is suspended.
 
 Fault: a suspended process doesn't notice that time passes, because the clock of the
-event loop stands still. What it holds for a limited time would outlive its end.
+event loop stands still. Loans and evidence would then be used after they expired.
 """
 
 import time
--- a/src/berylmast/tenancy/freshness.py
+++ b/src/berylmast/tenancy/freshness.py
@@ -10,13 +10,13 @@
 - The store's linearizable answer: the time at which the call was sent. A watch that
   expired was held by the store, which adds the time for which it was held.
 - Another daemon's reply to a comparison, which states how old that daemon's evidence
-  is: the time at which the question was sent, minus that age. The daemon replied after
-  the question was sent, so it doesn't matter how long the reply was on the way.
+  is: the time at which the comparison was sent, minus that age. The daemon replied
+  after that, so it doesn't matter how long the reply took.
 
 A store that comes back from a copy has lost what was written last, and answers with an
 older configuration as if it were current. So the answers of a new era of the store
-count only once another daemon, which may hold what the store has lost, was asked. An
-era is new to a daemon that has just started, too.
+count only after a comparison with another daemon, which may hold what the store has
+lost. An era is new to a daemon that has just started, too.
 """
 
 import math
@@ -27,22 +27,22 @@
 UNKNOWN_AGE_MS = -1
 
 CURRENT_FRACTION = 0.9
-"""Keys are relied on until the evidence is this part of the bound old."""
+"""Largest age of the evidence at which keys are relied on, as a part of the bound."""
 
 READ_FRACTION = 0.65
 """Part of the bound after which a daemon reads the store itself. Two failed reads and
 their repetition fit into the time that is left."""
 
 WATCHER_READ_FRACTION = 0.35
-"""The same for a watcher, which the other daemons ask."""
+"""The same for a watcher, with which the other daemons compare."""
 
 COMPARE_AGE_S = 1.0
-"""Age of the evidence from which a watcher is asked."""
+"""Age of the evidence from which this daemon compares with a watcher."""
 
 START_CONFIRMATION_S = 1.0
-"""Time after the first answer of the store within which a daemon that has started asks
-another one. Without a reply, it relies on the store alone: perhaps there is no other
-daemon. The delay is the time in which a few daemons can be asked in turn."""
+"""Time after the first answer of the store within which a daemon that has started
+compares with another one. Without a reply, it relies on the store alone: perhaps there
+is no other daemon. The time is enough for comparisons with a few daemons in turn."""
 
 ERA_CONFIRMATION_BOUNDS = 3.0
 """The same after the era of the store has risen, in units of the bound. By then, the
@@ -76,7 +76,7 @@
         self._confirmed = True
 
     def get_time_s(self) -> float:
-        """Return the time to state as that of a question that is sent now."""
+        """Return the clock's time, to be passed as ``sent_s`` of what is sent now."""
         return self._clock()
 
     def get_age_s(self) -> float:
@@ -85,7 +85,7 @@
         return max(0.0, self._clock() - self._evidence_s)
 
     def get_age_ms(self) -> int:
-        """Return the age to state to another daemon, ``UNKNOWN_AGE_MS`` without one."""
+        """Return the age for another daemon, ``UNKNOWN_AGE_MS`` without evidence."""
         age_s = self.get_age_s()
         return UNKNOWN_AGE_MS if math.isinf(age_s) else math.ceil(age_s * 1000)
 
@@ -94,7 +94,7 @@
         return self.get_age_s() <= CURRENT_FRACTION * self.within_s
 
     def needs_comparison(self) -> bool:
-        """Return whether another daemon is to be asked now."""
+        """Return whether this daemon is to compare with another one now."""
         return self.get_age_s() > COMPARE_AGE_S or not self._confirmed
 
     def needs_read(self, *, is_watcher: bool) -> bool:
@@ -122,7 +122,7 @@
     def record_reply(self, sent_s: float, age_ms: int, version: int) -> None:
         """Record another daemon's reply, after what it sent was adopted.
 
-        The question was sent at ``sent_s``. The other daemon held ``version`` and had
+        The comparison was sent at ``sent_s``. The other daemon held ``version`` and had
         evidence of age ``age_ms``. It is evidence only if this daemon now holds at
         least that version.
         """
--- a/src/berylmast/tenancy/quota_duties.py
+++ b/src/berylmast/tenancy/quota_assignment.py
@@ -1,11 +1,11 @@
-"""Decides to which groups of tenants this daemon lends.
+"""Decides to which groups of tenants this daemon lends, and who lends to the others.
 
 Fault: a daemon that becomes a lender while the one that it replaces is cut off from it
 and goes on lending. A new lender therefore begins only after each daemon that it
-replaces has confirmed that it no longer lends. A daemon that never replies may be gone
-for good without a notice; after ``CLAIM_LIMIT_S`` the new lender begins without its
-confirmation. What a daemon decided before it knew any other one does not count: after a
-start the records of the others may arrive late.
+replaces has confirmed a claim: that it no longer lends. A daemon that never replies may
+be gone for good without a notice; after ``CLAIM_LIMIT_S`` the new lender begins without
+its confirmation. What a daemon decided before it knew any other one does not count:
+after a start the records of the others may arrive late.
 """
 
 from collections.abc import Iterable, Sequence
@@ -16,21 +16,26 @@
 from .quota_shares import LENDER_GROUPS, choose_lenders, find_displaced
 
 CLAIM_LIMIT_S = 30.0
-"""Longer than most cuts. Meanwhile the other lender of the group lends its part."""
+"""Longest wait for confirmations, longer than most network partitions. Meanwhile the
+other lender of the group lends its part."""
 
 CLAIM_INTERVAL_S = 0.5
+"""Interval at which claims that are not confirmed are sent again."""
 
 
 @dataclass(slots=True)
 class _Claim:
+    """A claim of this daemon to a group; ``confirmed`` by these replaced daemons."""
+
     since_s: float
     confirmed: set[PeerAddress] = field(default_factory=set)
     accepted: bool = False
 
 
-class QuotaDuties:
+class LenderAssignment:
     """The lenders of all groups as this daemon knows them, and its own claims.
 
+    ``lenders`` are the lenders by group, in the order of their rank.
     Times are in seconds on a clock that goes on while the process is suspended.
     """
 
@@ -44,9 +49,10 @@
     def set_daemons(
         self, others: Sequence[DaemonLocation], now_s: float, *, is_announced: bool
     ) -> None:
-        """Set the other daemons that are known.
+        """Set the other daemons that are known, and choose the lenders again.
 
-        The others know this daemon only if it ``is_announced`` by its record.
+        ``is_announced`` states whether the others know this daemon by its record. If
+        they don't, it is no lender.
         """
         if others and not self._knows_others:
             self._claims.clear()
@@ -84,7 +90,7 @@
         return claims
 
     def find_disputed(self, groups: Iterable[int]) -> tuple[int, ...]:
-        """Return those groups for which this daemon takes itself for a lender."""
+        """Return those of the groups of which this daemon is a lender itself."""
         return tuple(group for group in groups if group in self._claims)
 
     def record_confirmation(
--- a/src/berylmast/tenancy/quota_borrower.py
+++ b/src/berylmast/tenancy/quota_borrower.py
@@ -3,10 +3,11 @@
 Load patterns: a tenant that goes from idle to many times its usual rate within 100 ms;
 a small tenant whose requests come to any of many daemons, so that no daemon may keep
 tokens for it; a tenant far over its quota, which must not cost an exchange for each
-request. A request without a token asks at once, and the question covers all requests
-that wait. Tokens are kept in advance only for rates at which several requests are due
-before the next question. A lender that lent less than asked is not asked again for
-``SHORT_PAUSE_S`` or longer; the other one is asked for the rest.
+request. If a request finds no token, a loan request is sent at once and covers all
+requests that wait. Tokens are prefetched only at rates at which several requests are
+due before the next loan request. A lender that lent less than was requested gets no
+loan request for ``SHORTAGE_PAUSE_S`` or longer; the rest is requested from the other
+one.
 """
 
 import math
@@ -15,26 +16,28 @@
 
 from ..membership.peers import PeerAddress
 from .quota_bucket import QuotaBucket
-from .quota_lender import Ask, Loan
+from .quota_lender import Loan, LoanRequest
 
-DEMAND_SPAN_S = 0.3
+DEMAND_TIME_CONSTANT_S = 0.3
 """Time constant of the estimate of the rate at which requests arrive."""
 
-AHEAD_S = 0.3
-"""Tokens are kept for the requests that are due within this time, less one."""
+PREFETCH_S = 0.3
+"""Tokens are prefetched for the requests expected within this time, less one."""
 
-SHORT_PAUSE_S = 0.1
-MAX_SHORT_PAUSE_S = 0.3
-"""The pause grows up to this while a lender has no token for this daemon at all."""
+SHORTAGE_PAUSE_S = 0.1
+MAX_SHORTAGE_PAUSE_S = 0.3
+"""The pause after a loan that was too small doubles up to this while a lender has no
+token for this daemon at all."""
 
 FAILURE_PAUSE_S = 0.5
 MAX_FAILURE_PAUSE_S = 1.0
 
-HEDGE_S = 0.08
-"""A lender that has not replied for this time may be dead; the other one is asked."""
+HEDGE_DELAY_S = 0.08
+"""A lender that has not replied for this time may be dead; the loan request is then
+sent to the other one."""
 
 PENDING_LIMIT_S = 1.0
-"""A question that has had no result for this time was lost on the way out."""
+"""A loan request without a result for this time counts as lost."""
 
 _MAX_COUNTED_FAILURES = 10
 _ROUNDING = 1e-6
@@ -49,7 +52,7 @@
 
     def record(self, now_s: float) -> None:
         """Count a request."""
-        self._rate_per_s = self.get_rate_per_s(now_s) + 1 / DEMAND_SPAN_S
+        self._rate_per_s = self.get_rate_per_s(now_s) + 1 / DEMAND_TIME_CONSTANT_S
         self._updated_s = now_s
 
     def get_rate_per_s(self, now_s: float) -> float:
@@ -57,44 +60,46 @@
         if not self._rate_per_s:
             return 0.0
         elapsed_s = max(0.0, now_s - self._updated_s)
-        return self._rate_per_s * math.exp(-elapsed_s / DEMAND_SPAN_S)
+        return self._rate_per_s * math.exp(-elapsed_s / DEMAND_TIME_CONSTANT_S)
 
 
 @dataclass(slots=True)
 class _LenderState:
-    """When a lender may be asked again, and whether a reply is due.
+    """When a lender may get loan requests, and whether a reply is due.
 
-    ``failures`` counts the questions without a loan since the last loan. ``pause_s`` is
-    the pause after a reply with too few tokens.
+    Tokens for waiting requests may be requested from ``waiting_from_s`` on, tokens to
+    prefetch from ``prefetch_from_s`` on. ``failures`` counts the failed loan requests
+    since the last one that succeeded. ``pause_s`` is the pause after a reply with too
+    few tokens.
     """
 
     waiting_from_s: float = float("-inf")
-    ahead_from_s: float = float("-inf")
+    prefetch_from_s: float = float("-inf")
     pending: bool = False
-    asked_s: float = float("-inf")
+    requested_s: float = float("-inf")
     failures: int = 0
-    pause_s: float = SHORT_PAUSE_S
+    pause_s: float = SHORTAGE_PAUSE_S
 
     def is_pending(self, now_s: float) -> bool:
         """Return whether a reply is due."""
-        return self.pending and now_s < self.asked_s + PENDING_LIMIT_S
+        return self.pending and now_s < self.requested_s + PENDING_LIMIT_S
 
 
 @dataclass(frozen=True, slots=True)
-class Question:
-    """A question to one lender and the time at which it was sent."""
+class SentLoanRequest:
+    """A loan request that was sent to a lender at ``sent_s``."""
 
     lender: PeerAddress
-    ask: Ask
+    content: LoanRequest
     sent_s: float
 
 
 class QuotaBorrower:
     """The state of one tenant with a quota at this entry.
 
-    ``lenders`` are asked in this order. ``waiting`` is the number of requests that wait
-    for a token. Times are in seconds on a clock that goes on while the process is
-    suspended.
+    ``lenders`` are in the order in which they are preferred. ``waiting`` is the number
+    of requests that wait for a token. Times are in seconds on a clock that goes on
+    while the process is suspended.
     """
 
     def __init__(self, tenant: str, now_s: float) -> None:
@@ -106,9 +111,9 @@
         self._states: dict[PeerAddress, _LenderState] = {}
 
     def set_lenders(self, lenders: Sequence[PeerAddress]) -> None:
-        """Set the lenders in the order in which they are asked."""
+        """Set the lenders, the preferred one first."""
         self.lenders = lenders
-        # The state of a question that is still pending is kept until its end.
+        # The state of a loan request that is still pending is kept until its end.
         self._states = {
             lender: state
             for lender, state in self._states.items()
@@ -134,71 +139,78 @@
         }
 
     def is_short(self, now_s: float) -> bool:
-        """Return whether a request that has no token now would wait in vain."""
+        """Return whether a request that has no token now would wait in vain.
+
+        This is so if no reply is due and no lender may get a loan request yet.
+        """
         return all(
             not state.is_pending(now_s) and now_s < state.waiting_from_s
             for state in map(self._get_state, self.lenders)
         )
 
     def choose_lender(self, now_s: float) -> PeerAddress | None:
-        """Return the lender to ask now for what is missing; None if there is none."""
+        """Return the lender to send a loan request to now, None if there is none."""
         wants_now = self._get_waiting_need(now_s) > _ROUNDING
-        wants_ahead = self._get_ahead_need(now_s) > self._get_target(now_s) / 2
+        wants_prefetch = self._get_prefetch_need(now_s) > self._get_target(now_s) / 2
         by_failures = sorted(
             self.lenders, key=lambda x: self._get_state(x).failures > 0
         )
         for lender in by_failures:
             state = self._get_state(lender)
             if state.is_pending(now_s):
-                if not state.failures and now_s < state.asked_s + HEDGE_S:
+                if not state.failures and now_s < state.requested_s + HEDGE_DELAY_S:
                     # Its reply may be enough.
                     return None
                 continue
             if wants_now and now_s >= state.waiting_from_s:
                 return lender
-            if wants_ahead and now_s >= state.ahead_from_s:
+            if wants_prefetch and now_s >= state.prefetch_from_s:
                 return lender
         return self._find_excess(now_s)
 
-    def reserve_question(self, lender: PeerAddress, now_s: float) -> None:
-        """Record that a question to a lender will be sent as soon as possible."""
+    def reserve_loan_request(self, lender: PeerAddress, now_s: float) -> None:
+        """Mark a lender's reply as due; its loan request is sent when possible."""
         state = self._get_state(lender)
         state.pending = True
-        state.asked_s = now_s
+        state.requested_s = now_s
 
-    def make_question(self, lender: PeerAddress, now_s: float) -> Question:
-        """Return a question that is sent now."""
+    def make_loan_request(self, lender: PeerAddress, now_s: float) -> SentLoanRequest:
+        """Return a loan request to send at ``now_s``, with the current needs."""
         returned = self._get_excess(lender, now_s)
         waiting = self._get_waiting_need(now_s)
-        ahead = self._get_ahead_need(now_s)
-        held = self.bucket.begin_question(lender, returned, now_s)
+        prefetch = self._get_prefetch_need(now_s)
+        held = self.bucket.begin_loan_request(lender, returned, now_s)
         demand = self._demand.get_rate_per_s(now_s)
-        ask = Ask(self.tenant, demand, waiting, ahead, held, returned)
-        return Question(lender, ask, now_s)
-
-    def record_reply(self, question: Question, loan: Loan, now_s: float) -> None:
-        """Add the tokens of a reply, or none if it is too late to count."""
-        state = self._get_state(question.lender)
+        content = LoanRequest(self.tenant, demand, waiting, prefetch, held, returned)
+        return SentLoanRequest(lender, content, now_s)
+
+    def record_reply(
+        self, loan_request: SentLoanRequest, loan: Loan, now_s: float
+    ) -> None:
+        """Add the tokens of a reply; ignore those of a reply that came too late."""
+        state = self._get_state(loan_request.lender)
         state.pending = False
         state.failures = 0
-        if not self.bucket.add_loan(question.lender, loan, question.sent_s, now_s):
+        if not self.bucket.add_loan(
+            loan_request.lender, loan, loan_request.sent_s, now_s
+        ):
             return
-        is_short = loan.immediate < question.ask.waiting - _ROUNDING
-        state.pause_s = min(state.pause_s * 2, MAX_SHORT_PAUSE_S)
+        is_short = loan.immediate < loan_request.content.waiting - _ROUNDING
+        state.pause_s = min(state.pause_s * 2, MAX_SHORTAGE_PAUSE_S)
         if loan.immediate or loan.kept:
-            state.pause_s = SHORT_PAUSE_S
+            state.pause_s = SHORTAGE_PAUSE_S
         if is_short:
             state.waiting_from_s = now_s + state.pause_s
-        if is_short or loan.kept < question.ask.ahead - _ROUNDING:
-            state.ahead_from_s = now_s + state.pause_s
+        if is_short or loan.kept < loan_request.content.prefetch - _ROUNDING:
+            state.prefetch_from_s = now_s + state.pause_s
 
     def record_failure(self, lender: PeerAddress, now_s: float) -> None:
-        """Record that a lender did not reply or does not lend."""
+        """Record that a lender sent no reply or does not lend, and pause its use."""
         state = self._get_state(lender)
         state.pending = False
         pause_s = min(MAX_FAILURE_PAUSE_S, FAILURE_PAUSE_S * 2**state.failures)
         state.failures = min(state.failures + 1, _MAX_COUNTED_FAILURES)
-        state.waiting_from_s = state.ahead_from_s = now_s + pause_s
+        state.waiting_from_s = state.prefetch_from_s = now_s + pause_s
 
     def _get_state(self, lender: PeerAddress) -> _LenderState:
         return self._states.setdefault(lender, _LenderState())
@@ -207,10 +219,10 @@
         return max(0.0, self.waiting - self.bucket.count(now_s))
 
     def _get_target(self, now_s: float) -> float:
-        """Return the tokens that are kept for the next requests."""
-        return max(0.0, self._demand.get_rate_per_s(now_s) * AHEAD_S - 1.0)
+        """Return the number of tokens to hold for the next requests."""
+        return max(0.0, self._demand.get_rate_per_s(now_s) * PREFETCH_S - 1.0)
 
-    def _get_ahead_need(self, now_s: float) -> float:
+    def _get_prefetch_need(self, now_s: float) -> float:
         spare = max(0.0, self.bucket.count(now_s) - self.waiting)
         return max(0.0, self._get_target(now_s) - spare)
 
@@ -221,7 +233,7 @@
             if (
                 has_excess
                 and not state.is_pending(now_s)
-                and now_s >= state.ahead_from_s
+                and now_s >= state.prefetch_from_s
             ):
                 return lender
         return None
--- a/src/berylmast/tenancy/quota_bucket.py
+++ b/src/berylmast/tenancy/quota_bucket.py
@@ -2,11 +2,13 @@
 
 Faults: a process that is suspended while it holds loans, a reply that arrives late or
 never, and a lender that is lost. Loans expire by a clock that goes on during a
-suspension, counted from the time at which the question was sent. A reply counts only if
-it belongs to the latest question to its lender. Without loans the reserve remains.
+suspension, counted from the time at which the loan request was sent. A reply counts
+only if it belongs to the latest loan request to its lender. Without loans the reserve
+remains.
 
 Why the sum holds: the bucket begins empty, the reserve fills at this daemon's part of
-its rate, and the tokens kept from a lender never exceed what this lender counts.
+its rate, and the tokens kept from a lender never exceed what this lender counts as
+outstanding.
 """
 
 from dataclasses import dataclass
@@ -17,19 +19,20 @@
 
 NO_SHARE = QuotaShare(0.0, 0.0)
 
-IMMEDIATE_S = 0.3
-"""Time from a question within which tokens for waiting requests count. The lender does
-not count these, so they must not be spent after a suspension."""
+IMMEDIATE_LIFETIME_S = 0.3
+"""Time after a loan request within which tokens for waiting requests may be spent. The
+lender counts them as spent, so they must not be spent after a suspension."""
 
 _ONE_TOKEN = 1.0 - 1e-9
 
 
 @dataclass(slots=True)
-class _Held:
+class _HeldLoan:
     """Tokens from one lender.
 
-    ``counted`` is the most that the lender takes into account. ``sent_s`` is the time
-    of the latest question, ``expires_s`` that of the end of the loan.
+    ``counted`` is the number of tokens that the lender counts as outstanding at least.
+    ``sent_s`` is the time of the latest loan request, ``expires_s`` the end of the
+    loan.
     """
 
     tokens: float = 0.0
@@ -48,7 +51,7 @@
         self._reserve_share = NO_SHARE
         self._reserve = 0.0
         self._refilled_s = now_s
-        self._held: dict[PeerAddress, _Held] = {}
+        self._held: dict[PeerAddress, _HeldLoan] = {}
 
     def set_reserve(self, share: QuotaShare, now_s: float) -> None:
         """Set this daemon's part of the reserve, in force from now on."""
@@ -69,14 +72,14 @@
         return 0.0 if held is None else held.tokens
 
     def get_loan_age_s(self, lender: PeerAddress, now_s: float) -> float | None:
-        """Return the time since the question of the last loan, None without one."""
+        """Return the age of the last loan since its request, None without one."""
         held = self._held.get(lender)
         if held is None or held.expires_s == float("-inf"):
             return None
         return now_s - (held.expires_s - LOAN_S)
 
     def try_spend(self, now_s: float) -> bool:
-        """Spend a token, of the loan that expires first; False if there is none."""
+        """Spend a token, the first to expire; return whether there was one."""
         if self.count(now_s) < _ONE_TOKEN:
             return False
         left = 1.0
@@ -97,15 +100,15 @@
                 return
         self._reserve = min(self._reserve + 1.0, self._reserve_share.burst)
 
-    def begin_question(
+    def begin_loan_request(
         self, lender: PeerAddress, returned: float, now_s: float
     ) -> float:
-        """Take ``returned`` tokens out; return those that are held from the lender.
+        """Remove ``returned`` tokens; return how many are still held from the lender.
 
-        No reply to an earlier question to this lender counts any longer.
+        No reply to an earlier loan request to this lender counts any longer.
         """
         self._drop_expired(now_s)
-        held = self._held.setdefault(lender, _Held())
+        held = self._held.setdefault(lender, _HeldLoan())
         held.tokens = max(0.0, held.tokens - returned)
         held.counted = held.tokens
         held.sent_s = now_s
@@ -122,7 +125,7 @@
         if held is None or held.sent_s != sent_s or now_s >= sent_s + LOAN_S:
             return False
         self._drop_expired(now_s)
-        on_time = now_s < sent_s + IMMEDIATE_S
+        on_time = now_s < sent_s + IMMEDIATE_LIFETIME_S
         held.tokens += loan.kept + (loan.immediate if on_time else 0.0)
         held.counted += loan.kept
         held.expires_s = sent_s + LOAN_S
--- a/src/berylmast/tenancy/quota_lender.py
+++ b/src/berylmast/tenancy/quota_lender.py
@@ -2,16 +2,16 @@
 
 Load pattern: a tenant's requests arrive at a few of many daemons and move to others
 within milliseconds. The lender keeps one token bucket for each tenant, with its own
-part of the rate and burst, and hands out tokens to those that ask. Tokens that are not
-asked for stay available to all, so a daemon that gets a tenant's first request is
+part of the rate and burst, and lends tokens on request. Tokens that are not requested
+stay available to all, so a daemon that gets a tenant's first request is
 served at once, and nothing has to be called back when the load moves.
 
 A loan has two parts. Tokens for requests that wait at the borrower are spent when the
 reply arrives, or else dropped. Tokens that the borrower keeps for the next requests
-expire ``LOAN_S`` after it sent its question. The lender counts them until ``LOAN_S``
-and a margin after it received the question, or until the borrower states in its next
-question what it still holds. It received the question after it was sent, so it never
-forgets a token that can still be spent.
+expire ``LOAN_S`` after it sent its loan request. The lender counts them until
+``LOAN_S`` and a margin after it received the loan request, or until the borrower states
+in its next one what it still holds. A loan request is received after it was sent, so
+the lender never forgets a token that can still be spent.
 
 Why the sum holds: the tokens kept by borrowers and those in the bucket together never
 exceed this lender's part of the burst, and new ones are made at its part of the rate.
@@ -28,7 +28,8 @@
 from .quota_shares import QuotaShare, get_group
 
 LOAN_S = 1.5
-"""Time for which a borrower may keep tokens, by its own clock from its question."""
+"""Time for which a borrower may keep tokens, by its own clock and counted from its loan
+request."""
 
 LOAN_MARGIN_S = 0.25
 """Time for which the lender counts a loan beyond that: the clocks of machines run at
@@ -43,28 +44,30 @@
 one does not lend within ``QUARANTINE_S``, and stalls of a busy machine are shorter."""
 
 KEPT_FRACTION = 0.5
-"""Most of the burst that borrowers keep. The bucket needs room for the tokens that are
-made until the borrowers ask again."""
+"""Largest part of the burst that all borrowers together keep. The bucket needs room for
+the tokens that are made until their next loan requests."""
 
 FAIR_SPAN_S = 0.5
-"""Time for which a borrower's fair rate adds up while the quota is short."""
+"""Longest time for which a borrower's fair rate accumulates while the quota is
+short."""
 
 _ROUNDING = 1e-9
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
-    """What a borrower asks for one tenant, in tokens.
+class LoanRequest:
+    """A borrower's request for tokens of one tenant.
 
-    ``demand_per_s`` is the rate of requests that arrive at the borrower. ``waiting`` is
-    for requests that wait now, ``ahead`` for the next ones. The borrower holds ``held``
-    from this lender and gives ``returned`` back.
+    ``demand_per_s`` is the rate of requests that arrive at the borrower. All other
+    numbers are tokens: ``waiting`` for requests that wait now, ``prefetch`` for the
+    next ones. The borrower still holds ``held`` from this lender after it gave back
+    ``returned``.
     """
 
     tenant: str
     demand_per_s: float
     waiting: float
-    ahead: float
+    prefetch: float
     held: float
     returned: float
 
@@ -92,13 +95,13 @@
 
 
 @dataclass(slots=True)
-class _Counted:
-    """What one borrower may still hold, and what it asked last."""
+class _OutstandingLoan:
+    """The tokens that one borrower may still hold, and its last loan request."""
 
     tokens: float
     expires_s: float
     demand_per_s: float
-    asked_s: float
+    requested_s: float
     sequence: int
 
 
@@ -106,12 +109,13 @@
 class _Account:
     tokens: float
     refilled_s: float
-    loans: dict[Borrower, _Counted] = field(default_factory=dict)
+    loans: dict[Borrower, _OutstandingLoan] = field(default_factory=dict)
 
 
 class QuotaLender:
     """Keeps a token bucket for each tenant of the groups that this daemon lends to.
 
+    Outstanding loans are counted per borrower until they expire.
     Times are in seconds on a clock that goes on while the process is suspended.
     """
 
@@ -151,37 +155,37 @@
         self,
         borrower: Borrower,
         sequence: int,
-        ask: Ask,
+        loan_request: LoanRequest,
         share: QuotaShare,
         now_s: float,
     ) -> Loan | None:
         """Lend tokens of a tenant; return None if this daemon does not lend.
 
-        ``share`` is this lender's part of the tenant's quota now. A question with a
+        ``share`` is this lender's part of the tenant's quota now. A loan request with a
         lower ``sequence`` than an earlier one of the borrower is late; its reply would
         be ignored, so nothing is lent.
         """
-        if not self.is_lending(get_group(ask.tenant), now_s):
+        if not self.is_lending(get_group(loan_request.tenant), now_s):
             return None
-        account = self._get_account(ask.tenant)
+        account = self._get_account(loan_request.tenant)
         _refill(account, share, now_s)
         before = account.loans.get(borrower)
         if before is not None and sequence <= before.sequence:
             return NO_LOAN
-        held = max(0.0, ask.held)
+        held = max(0.0, loan_request.held)
         counted = 0.0 if before is None else before.tokens
-        account.tokens += min(max(0.0, ask.returned), max(0.0, counted - held))
-        current = _Counted(
+        account.tokens += min(max(0.0, loan_request.returned), max(0.0, counted - held))
+        current = _OutstandingLoan(
             held,
             now_s + LOAN_S + LOAN_MARGIN_S,
-            max(0.0, ask.demand_per_s),
+            max(0.0, loan_request.demand_per_s),
             now_s,
             sequence,
         )
         account.loans[borrower] = current
-        asked_s = now_s - FAIR_SPAN_S if before is None else before.asked_s
-        limit = _get_entitlement(account, current, share, now_s - asked_s)
-        return _take(account, current, ask, share, limit)
+        requested_s = now_s - FAIR_SPAN_S if before is None else before.requested_s
+        limit = _get_entitlement(account, current, share, now_s - requested_s)
+        return _take(account, current, loan_request, share, limit)
 
     def count_kept(self, tenant: str, now_s: float) -> float:
         """Return the tokens of a tenant that borrowers may hold."""
@@ -236,7 +240,7 @@
 
 
 def _get_entitlement(
-    account: _Account, current: _Counted, share: QuotaShare, elapsed_s: float
+    account: _Account, current: _OutstandingLoan, share: QuotaShare, elapsed_s: float
 ) -> float:
     """Return the most tokens that a borrower gets now, given the others' demands."""
     demands = [loan.demand_per_s for loan in account.loans.values()]
@@ -248,14 +252,18 @@
 
 
 def _take(
-    account: _Account, current: _Counted, ask: Ask, share: QuotaShare, limit: float
+    account: _Account,
+    current: _OutstandingLoan,
+    loan_request: LoanRequest,
+    share: QuotaShare,
+    limit: float,
 ) -> Loan:
     _clamp(account, share)
     available = min(account.tokens, limit)
-    immediate = _cut_to_whole_requests(max(0.0, ask.waiting), available)
+    immediate = _cut_to_whole_requests(max(0.0, loan_request.waiting), available)
     kept_by_all = sum(loan.tokens for loan in account.loans.values())
     room = max(0.0, share.burst * KEPT_FRACTION - kept_by_all)
-    kept = min(max(0.0, ask.ahead), available - immediate, room)
+    kept = min(max(0.0, loan_request.prefetch), available - immediate, room)
     account.tokens -= immediate + kept
     current.tokens += kept
     return Loan(immediate, kept)
--- a/src/berylmast/tenancy/quota_links.py
+++ b/src/berylmast/tenancy/quota_links.py
@@ -1,8 +1,8 @@
-"""Sends questions to lenders.
+"""Sends loan requests to lenders.
 
 Load pattern: dozens of tenants whose tokens run out at the same time. One exchange at a
-time to each lender carries the questions of all tenants that it lends to; those that
-come up meanwhile follow in the next exchange.
+time to each lender carries the loan requests of all tenants that it lends to. Those
+that become due meanwhile follow in the next exchange.
 """
 
 from collections.abc import Awaitable, Callable, Iterable
@@ -13,39 +13,44 @@
 from anyio.abc import TaskGroup
 
 from ..daemons import ConnectionLost, Exchange, ExchangeLost, Identity
-from ..daemons.frames import Borrow, Lend, TokenAsk
+from ..daemons.frames import Borrow, Lend, TokenRequest
 from ..membership.peers import PeerAddress
 from ..model import Endpoint
 from ..supervision import run_logged
-from .quota_borrower import Question
+from .quota_borrower import SentLoanRequest
 from .quota_lender import Loan
 from .quota_metrics import QuotaCounts
 
 REPLY_TIMEOUT_S = 0.3
 
-MAX_ASKS = 500
-"""Tenants in one question; the others follow in the next one."""
+MAX_TENANTS_PER_EXCHANGE = 500
+"""Loan requests in one exchange; the others follow in the next one."""
 
 OpenPeerExchange = Callable[[Endpoint], AbstractAsyncContextManager[Exchange]]
 
 
 @dataclass(frozen=True, slots=True)
-class QuestionHandlers:
-    """What makes questions and takes their results.
+class LoanRequestHandlers:
+    """Callbacks that make loan requests and take their results.
 
-    ``make`` returns the questions to a lender that are sent now, for those of the given
-    tenants that still have a quota. ``settle`` takes the questions and the loans in the
-    reply, ``fail`` a lender and tenants whose questions can't be sent.
+    ``make`` is called just before sending and returns the loan requests to a lender by
+    tenant, for those of the given tenants that still have a quota. ``settle`` takes
+    them and the loans of the reply by tenant; a tenant without a loan is missing there.
+    ``fail`` takes a lender and the tenants whose loan requests can't be sent.
     """
 
-    make: Callable[[PeerAddress, Iterable[str]], dict[str, Question]]
-    settle: Callable[[dict[str, Question], dict[str, Loan]], None]
+    make: Callable[[PeerAddress, Iterable[str]], dict[str, SentLoanRequest]]
+    settle: Callable[[dict[str, SentLoanRequest], dict[str, Loan]], None]
     fail: Callable[[PeerAddress, Iterable[str]], None]
 
 
 @dataclass(slots=True)
 class _Link:
-    """The questions to one lender; ``due`` are the tenants of the next one."""
+    """The exchanges with one lender.
+
+    ``due`` are the tenants of the next exchange, in the order of their requests.
+    ``running`` is set while a task sends. ``sequence`` numbers the exchanges.
+    """
 
     due: dict[str, None] = field(default_factory=dict)
     running: bool = False
@@ -62,7 +67,7 @@
         self,
         identity: Identity,
         open_exchange: OpenPeerExchange,
-        handlers: QuestionHandlers,
+        handlers: LoanRequestHandlers,
         counts: QuotaCounts,
     ) -> None:
         self.endpoints: dict[PeerAddress, Endpoint] = {}
@@ -93,13 +98,13 @@
         return True
 
     def take_sequence(self, lender: PeerAddress) -> int:
-        """Return the number of the next question to a lender."""
+        """Return the number of the next exchange with a lender."""
         link = self._links.setdefault(lender, _Link())
         link.sequence += 1
         return link.sequence
 
-    def ask_soon(self, lender: PeerAddress, tenant: str) -> None:
-        """Ask a lender for tokens of a tenant as soon as its link is free."""
+    def request_soon(self, lender: PeerAddress, tenant: str) -> None:
+        """Send a lender a loan request for a tenant as soon as its link is free."""
         link = self._links.setdefault(lender, _Link())
         link.due[tenant] = None
         if link.running:
@@ -117,30 +122,35 @@
         return None if reply is None else reply.disputed
 
     async def _send_due(self, lender: PeerAddress, link: _Link) -> None:
-        """Ask a lender until no question to it is due."""
+        """Send loan requests to a lender until none is due."""
         try:
             while link.due:
-                names = list(link.due)[:MAX_ASKS]
+                names = list(link.due)[:MAX_TENANTS_PER_EXCHANGE]
                 for name in names:
                     del link.due[name]
-                questions = self._handlers.make(lender, names)
-                if questions:
-                    await self._ask(lender, link, questions)
+                loan_requests = self._handlers.make(lender, names)
+                if loan_requests:
+                    await self._request(lender, link, loan_requests)
         finally:
             link.running = False
 
-    async def _ask(
-        self, lender: PeerAddress, link: _Link, questions: dict[str, Question]
+    async def _request(
+        self,
+        lender: PeerAddress,
+        link: _Link,
+        loan_requests: dict[str, SentLoanRequest],
     ) -> None:
-        asks = tuple(astuple(question.ask) for question in questions.values())
-        reply = await self._exchange(lender, asks, ())
+        encoded = tuple(
+            astuple(loan_request.content) for loan_request in loan_requests.values()
+        )
+        reply = await self._exchange(lender, encoded, ())
         loans: dict[str, Loan] = {}
         if reply is None:
             # The others would wait for the same lender.
             self._fail_due(lender, link)
         else:
             loans = {tenant: Loan(now, kept) for tenant, now, kept in reply.loans}
-        self._handlers.settle(questions, loans)
+        self._handlers.settle(loan_requests, loans)
 
     def _fail_due(self, lender: PeerAddress, link: _Link) -> None:
         names = list(link.due)
@@ -148,13 +158,16 @@
         self._handlers.fail(lender, names)
 
     async def _exchange(
-        self, address: PeerAddress, asks: tuple[TokenAsk, ...], claims: tuple[int, ...]
+        self,
+        address: PeerAddress,
+        requests: tuple[TokenRequest, ...],
+        claims: tuple[int, ...],
     ) -> Lend | None:
         """Return a daemon's reply, None if there is none in time."""
         endpoint, identity = self.endpoints.get(address), self._identity
         if endpoint is None:
             return None
-        self._counts.questions += 1
+        self._counts.exchanges_opened += 1
         sequence = self.take_sequence(address)
         with anyio.move_on_after(REPLY_TIMEOUT_S):
             try:
@@ -165,7 +178,7 @@
                             identity.daemon,
                             identity.incarnation,
                             sequence,
-                            asks,
+                            requests,
                             claims,
                         )
                     )
--- a/src/berylmast/tenancy/quota_metrics.py
+++ b/src/berylmast/tenancy/quota_metrics.py
@@ -46,21 +46,31 @@
 
 
 class QuotaCounts:
-    """Counts since the start of the daemon."""
+    """Counts since the start of the daemon.
+
+    ``charged`` and ``given_back`` count requests of callers. ``exchanges_opened``
+    counts the ``Borrow`` frames sent to other daemons, ``exchanges_served`` those
+    received from them.
+    """
 
     def __init__(self) -> None:
         self.charged = 0
         self.given_back = 0
-        self.questions = 0
-        self.served = 0
+        self.exchanges_opened = 0
+        self.exchanges_served = 0
         self.refused: Counter[QuotaRefusalReason] = Counter()
         self._logged: set[str] = set()
         self._limiter = EventRateLimiter(LINES_PER_S)
 
     @property
     def is_used(self) -> bool:
-        """Return whether any request was charged or any question asked or served."""
-        return bool(self.charged or self.refused or self.questions or self.served)
+        """Return whether any request was charged or any loan exchanged."""
+        return bool(
+            self.charged
+            or self.refused
+            or self.exchanges_opened
+            or self.exchanges_served
+        )
 
     def record_refusal(
         self, tenant: str, reason: QuotaRefusalReason, detail: str
--- a/src/berylmast/tenancy/quota_shares.py
+++ b/src/berylmast/tenancy/quota_shares.py
@@ -29,8 +29,9 @@
 """Part of the quota that all daemons share equally and spend without a loan."""
 
 LENDER_GROUPS = 4
-"""Tenants are lent to in this number of groups. A daemon asks one lender for all
-tenants of a group in one exchange, so the exchanges do not grow with the tenants."""
+"""Number of groups that all tenants are divided into; a group shares its lenders. One
+exchange carries the loan requests of all tenants of a group, so the number of exchanges
+does not grow with that of tenants."""
 
 _RATE_OVERRUN = 0.3
 _BURST_OVERRUN = 0.3
@@ -38,7 +39,7 @@
 _BURST_SLACK = 0.4
 
 _MIN_BURST = 1.0
-"""A bucket that holds less never fills up to one request."""
+"""Tokens. A smaller bucket never holds enough for one request."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,9 +111,9 @@
     ranked = sorted(daemons, key=lambda daemon: _rank(group, daemon), reverse=True)
     by_region = {daemon.region: daemon for daemon in reversed(ranked)}
     by_domain = {daemon.failure_domain: daemon for daemon in reversed(ranked)}
-    for champions in (by_region, by_domain):
-        if len(champions) >= MAX_LENDERS:
-            chosen = set(champions.values())
+    for best in (by_region, by_domain):
+        if len(best) >= MAX_LENDERS:
+            chosen = set(best.values())
             return tuple(d for d in ranked if d in chosen)[:MAX_LENDERS]
     return tuple(ranked[:MAX_LENDERS])
 
--- a/src/berylmast/tenancy/quotas.py
+++ b/src/berylmast/tenancy/quotas.py
@@ -1,4 +1,8 @@
-"""Charges callers' requests to their tenants' quotas, and lends to other daemons."""
+"""Charges callers' requests to their tenants' quotas, and lends to other daemons.
+
+Joins the decisions of ``quota_borrower``, ``quota_lender`` and ``quota_assignment``
+with the links to the lenders and with the requests that wait for a token.
+"""
 
 from collections import deque
 from collections.abc import Callable, Iterable, Sequence
@@ -14,17 +18,17 @@
 from ..model import DaemonLocation, Endpoint
 from ..routes import Configuration
 from ..settings import QuotaSettings
-from .quota_borrower import HEDGE_S, Question, QuotaBorrower
+from .quota_assignment import CLAIM_INTERVAL_S, LenderAssignment
+from .quota_borrower import HEDGE_DELAY_S, QuotaBorrower, SentLoanRequest
 from .quota_bucket import NO_SHARE
-from .quota_duties import CLAIM_INTERVAL_S, QuotaDuties
 from .quota_lender import (
     QUARANTINE_S,
-    Ask,
     Borrower,
     Loan,
+    LoanRequest,
     QuotaLender,
 )
-from .quota_links import LenderLinks, OpenPeerExchange, QuestionHandlers
+from .quota_links import LenderLinks, LoanRequestHandlers, OpenPeerExchange
 from .quota_metrics import QuotaCounts, QuotaRefusalReason, describe_refusal
 from .quota_shares import QuotaTerms, get_group, make_terms
 
@@ -34,10 +38,12 @@
 MAX_WAITING = 1_000
 """Requests of one tenant that wait for a token; more are refused at once."""
 
-TICK_S = 0.1
+TICK_INTERVAL_S = 0.1
+"""Interval at which tokens are prefetched and the groups to lend to are checked."""
 
-ACTIVE_S = 3.0
-"""Time after a tenant's last request for which its tokens are looked after."""
+ACTIVE_RETENTION_S = 3.0
+"""Time after a tenant's last request for which its tokens are prefetched and
+reported."""
 
 MIN_RETRY_AFTER_S = 0.1
 MAX_RETRY_AFTER_S = 5.0
@@ -95,15 +101,15 @@
         self._get_configuration = get_configuration
         self._clock = clock
         self._started_s = clock()
-        self._duties = QuotaDuties(fleet.own)
+        self._assignment = LenderAssignment(fleet.own)
         self._lender = QuotaLender()
         self._lending: set[int] = set()
         self._tenants: dict[str, _TenantState] = {}
-        self._basis: tuple[object, ...] = ()
+        self._adopted_inputs: tuple[object, ...] = ()
         self._links = LenderLinks(
             fleet.identity,
             fleet.open_exchange,
-            QuestionHandlers(self._make_questions, self._settle, self._fail),
+            LoanRequestHandlers(self._make_loan_requests, self._settle, self._fail),
             self.counts,
         )
         self._active: dict[str, None] = {}
@@ -149,21 +155,21 @@
             self.counts.given_back += 1
 
     async def run(self) -> None:
-        """Borrow ahead, claim and renew duties until cancelled."""
-        await self._links.run(self._tick, TICK_S)
+        """Prefetch tokens and keep up the claims as a lender until cancelled."""
+        await self._links.run(self._tick, TICK_INTERVAL_S)
 
     async def serve(self, exchange: Exchange, frame: Borrow) -> None:
         """Serve the exchange that another daemon opened with a ``Borrow`` frame."""
         self._refresh()
         self._update_groups()
-        self.counts.served += 1
+        self.counts.exchanges_served += 1
         borrower = Borrower(frame.daemon, frame.incarnation)
         loans = []
-        for ask in frame.asks:
-            loan = self._lend(borrower, frame.sequence, Ask(*ask))
+        for encoded in frame.requests:
+            loan = self._lend(borrower, frame.sequence, LoanRequest(*encoded))
             if loan is not None:
-                loans.append((ask[0], loan.immediate, loan.kept))
-        disputed = self._duties.find_disputed(frame.claims)
+                loans.append((encoded[0], loan.immediate, loan.kept))
+        disputed = self._assignment.find_disputed(frame.claims)
         await exchange.send(Lend(exchange.id, tuple(loans), disputed))
         await exchange.send(End(exchange.id))
 
@@ -208,17 +214,17 @@
         now_s = self._clock()
         settled = now_s >= self._started_s + QUARANTINE_S
         is_announced = self._fleet.is_announced()
-        basis = (bound, cfg, peers, settled, is_announced)
-        if len(basis) == len(self._basis) and all(
-            new is old for new, old in zip(basis, self._basis, strict=True)
+        inputs = (bound, cfg, peers, settled, is_announced)
+        if len(inputs) == len(self._adopted_inputs) and all(
+            new is old for new, old in zip(inputs, self._adopted_inputs, strict=True)
         ):
             return
-        self._basis = basis
+        self._adopted_inputs = inputs
         self._links.endpoints = {get_address(peer): peer for peer in peers}
         others = [
             DaemonLocation(p.host, p.port, p.region, p.failure_domain) for p in peers
         ]
-        self._duties.set_daemons(others, now_s, is_announced=is_announced)
+        self._assignment.set_daemons(others, now_s, is_announced=is_announced)
         tenants = {} if cfg is None or bound is None else cfg.tenants
         states: dict[str, _TenantState] = {}
         for name, tenant in tenants.items():
@@ -229,9 +235,9 @@
             if state is None:
                 state = _TenantState(QuotaBorrower(name, now_s), terms)
             state.terms = terms
-            lenders = self._duties.order_for_borrowing(get_group(name))
+            lenders = self._assignment.order_for_borrowing(get_group(name))
             state.borrower.set_lenders(lenders)
-            # Before that the number of daemons may not be known.
+            # Until the daemon is settled, the number of daemons may not be known.
             reserve = terms.get_reserve_share(len(peers) + 1) if settled else NO_SHARE
             state.borrower.bucket.set_reserve(reserve, now_s)
             states[name] = state
@@ -241,7 +247,7 @@
         self._lender.forget_tenants(states)
 
     def _admit_all(self, state: _TenantState) -> None:
-        """Let the waiting requests of a tenant run that has no quota any longer."""
+        """Admit the waiting requests of a tenant that no longer has a quota."""
         for waiter in state.waiters:
             waiter.granted = True
             waiter.event.set()
@@ -255,18 +261,18 @@
         self._update_groups()
         if now_s >= self._claimed_s + CLAIM_INTERVAL_S:
             self._claimed_s = now_s
-            for address, groups in self._duties.list_open_claims(now_s).items():
+            for address, groups in self._assignment.list_open_claims(now_s).items():
                 self._links.start(partial(self._claim, address, tuple(groups)))
         for name in list(self._active):
             state = self._tenants.get(name)
-            if state is None or now_s > state.last_request_s + ACTIVE_S:
+            if state is None or now_s > state.last_request_s + ACTIVE_RETENTION_S:
                 del self._active[name]
             else:
-                self._ask_lenders(state)
+                self._request_loans(state)
 
     def _update_groups(self) -> None:
         now_s = self._clock()
-        groups = self._duties.list_groups(now_s)
+        groups = self._assignment.list_groups(now_s)
         self._lender.update_groups(groups, now_s)
         lending = {group for group in groups if self._lender.is_lending(group, now_s)}
         for group in sorted(lending ^ self._lending):
@@ -274,7 +280,7 @@
         self._lending = lending
 
     async def _wait_for_token(self, state: _TenantState, waiter: _Waiter) -> bool:
-        """Wait until a token arrives or none is to be expected.
+        """Wait until a token arrives or none is expected.
 
         Returns whether a lender's reply was still due at the end.
         """
@@ -283,8 +289,8 @@
         finished = False
         try:
             with anyio.move_on_after(MAX_WAIT_S):
-                while not waiter.event.is_set() and self._ask_lenders(state):
-                    with anyio.move_on_after(HEDGE_S):
+                while not waiter.event.is_set() and self._request_loans(state):
+                    with anyio.move_on_after(HEDGE_DELAY_S):
                         await waiter.event.wait()
             finished = True
         finally:
@@ -311,68 +317,70 @@
         retry_after_s = max(MIN_RETRY_AFTER_S, min(MAX_RETRY_AFTER_S, 1 / rate_per_s))
         return Refusal(ErrorKind.TENANT_LIMIT, detail, retry_after_s)
 
-    def _ask_lenders(self, state: _TenantState) -> bool:
-        """Send the questions that are due; return whether a reply is to be expected."""
+    def _request_loans(self, state: _TenantState) -> bool:
+        """Send the loan requests that are due; return whether a reply is expected."""
         borrower = state.borrower
         for _ in borrower.lenders:
             now_s = self._clock()
             lender = borrower.choose_lender(now_s)
             if lender is None:
                 break
-            borrower.reserve_question(lender, now_s)
+            borrower.reserve_loan_request(lender, now_s)
             if lender == self._fleet.own.address:
-                self._ask_own_lender(state)
+                self._borrow_locally(state)
             else:
-                self._links.ask_soon(lender, borrower.tenant)
+                self._links.request_soon(lender, borrower.tenant)
         return borrower.is_pending(self._clock())
 
-    def _ask_own_lender(self, state: _TenantState) -> None:
+    def _borrow_locally(self, state: _TenantState) -> None:
         own = self._fleet.own.address
         identity = self._fleet.identity
         sequence = self._links.take_sequence(own)
         now_s = self._clock()
-        question = state.borrower.make_question(own, now_s)
+        loan_request = state.borrower.make_loan_request(own, now_s)
         borrower = Borrower(identity.daemon, identity.incarnation)
-        loan = self._lend(borrower, sequence, question.ask)
+        loan = self._lend(borrower, sequence, loan_request.content)
         if loan is None:
             state.borrower.record_failure(own, now_s)
         else:
-            state.borrower.record_reply(question, loan, now_s)
+            state.borrower.record_reply(loan_request, loan, now_s)
         self._serve_waiters(state)
 
-    def _make_questions(
+    def _make_loan_requests(
         self, lender: PeerAddress, names: Iterable[str]
-    ) -> dict[str, Question]:
+    ) -> dict[str, SentLoanRequest]:
         now_s = self._clock()
         return {
-            name: self._tenants[name].borrower.make_question(lender, now_s)
+            name: self._tenants[name].borrower.make_loan_request(lender, now_s)
             for name in names
             if name in self._tenants
         }
 
-    def _settle(self, questions: dict[str, Question], loans: dict[str, Loan]) -> None:
-        """Hand out the tokens of a reply."""
+    def _settle(
+        self, loan_requests: dict[str, SentLoanRequest], loans: dict[str, Loan]
+    ) -> None:
+        """Record a reply, and serve the requests that wait for its tokens."""
         now_s = self._clock()
-        for name, question in questions.items():
+        for name, loan_request in loan_requests.items():
             state = self._tenants.get(name)
             if state is None:
                 continue
             loan = loans.get(name)
             if loan is None:
-                state.borrower.record_failure(question.lender, now_s)
+                state.borrower.record_failure(loan_request.lender, now_s)
             else:
-                state.borrower.record_reply(question, loan, now_s)
+                state.borrower.record_reply(loan_request, loan, now_s)
             self._serve_waiters(state)
-            self._ask_lenders(state)
+            self._request_loans(state)
             self._refuse_waiters_if_short(state)
 
     def _fail(self, lender: PeerAddress, names: Iterable[str]) -> None:
-        """End the questions that are due to a lender that can't be reached."""
+        """Record that loan requests can't be sent to a lender; use the other one."""
         for name in names:
             state = self._tenants.get(name)
             if state is not None:
                 state.borrower.record_failure(lender, self._clock())
-                self._ask_lenders(state)
+                self._request_loans(state)
                 self._refuse_waiters_if_short(state)
 
     def _serve_waiters(self, state: _TenantState) -> None:
@@ -385,7 +393,7 @@
         bucket.drop_uncounted()
 
     def _refuse_waiters_if_short(self, state: _TenantState) -> None:
-        """Let the waiting requests be refused if no reply is to be expected."""
+        """Wake the waiting requests without a token if no reply is expected."""
         if state.borrower.is_pending(self._clock()):
             return
         for waiter in state.waiters:
@@ -393,15 +401,17 @@
         state.waiters.clear()
         state.borrower.waiting = 0
 
-    def _lend(self, borrower: Borrower, sequence: int, ask: Ask) -> Loan | None:
-        state = self._tenants.get(ask.tenant)
+    def _lend(
+        self, borrower: Borrower, sequence: int, loan_request: LoanRequest
+    ) -> Loan | None:
+        state = self._tenants.get(loan_request.tenant)
         if state is None:
             return None
-        lenders = max(1, len(self._duties.lenders[get_group(ask.tenant)]))
+        lenders = max(1, len(self._assignment.lenders[get_group(loan_request.tenant)]))
         share = state.terms.get_lender_share(lenders)
-        return self._lender.lend(borrower, sequence, ask, share, self._clock())
+        return self._lender.lend(borrower, sequence, loan_request, share, self._clock())
 
     async def _claim(self, address: PeerAddress, groups: tuple[int, ...]) -> None:
         disputed = await self._links.claim(address, groups)
         if disputed is not None:
-            self._duties.record_confirmation(address, groups, disputed)
+            self._assignment.record_confirmation(address, groups, disputed)
--- a/src/berylmast/tenancy/tests/test_freshness.py
+++ b/src/berylmast/tenancy/tests/test_freshness.py
@@ -53,7 +53,7 @@
 
 
 def reply(sent_s: float, age_ms: int, version: int = 1) -> Callable[[Fixture], None]:
-    """Return a step: a reply to a question sent that long after the start."""
+    """Return a step: a reply to a comparison sent that long after the start."""
     return lambda f: f.freshness.record_reply(f.started_s + sent_s, age_ms, version)
 
 
@@ -74,13 +74,13 @@
         (reply(9.0, 60_000), 10.0),
     ],
     ids=[
-        "answer-counts-from-its-question",
+        "answer-counts-from-its-call",
         "expired-watch-counts-from-the-time-it-was-held",
-        "watch-that-ended-early-counts-from-its-question",
+        "watch-that-ended-early-counts-from-its-call",
         "older-answer-changes-nothing",
         "answer-of-an-earlier-era-is-none",
         "answer-of-a-new-era-counts-later",
-        "reply-counts-from-its-question-minus-the-age",
+        "reply-counts-from-its-comparison-minus-the-age",
         "reply-that-was-delayed-on-its-way",
         "reply-that-names-a-version-not-held",
         "reply-without-an-age",
--- a/src/berylmast/tenancy/tests/test_freshness_schedules.py
+++ b/src/berylmast/tenancy/tests/test_freshness_schedules.py
@@ -208,7 +208,7 @@
 
 
 class CountsFromArrival(Freshness):
-    """Takes an answer for current at its arrival, not when the question was sent."""
+    """Takes an answer for current at its arrival, not when the call was sent."""
 
     def record_answer(self, sent_s: float, era: int, held_s: float = 0.0) -> None:
         super().record_answer(self.get_time_s(), era)
--- a/src/berylmast/tenancy/tests/test_quota_bucket.py
+++ b/src/berylmast/tenancy/tests/test_quota_bucket.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ..quota_bucket import IMMEDIATE_S, QuotaBucket
+from ..quota_bucket import IMMEDIATE_LIFETIME_S, QuotaBucket
 from ..quota_lender import LOAN_S, Loan
 from ..quota_shares import QuotaShare
 
@@ -17,7 +17,7 @@
 
 
 def borrow(bucket: QuotaBucket, loan: Loan, now_s: float = 0.0) -> None:
-    bucket.begin_question(LENDER, 0.0, now_s)
+    bucket.begin_loan_request(LENDER, 0.0, now_s)
     assert bucket.add_loan(LENDER, loan, now_s, now_s)
 
 
@@ -51,21 +51,21 @@
 
 
 @pytest.mark.parametrize(
-    ("arrives_s", "expected"), [(0.1, 3), (IMMEDIATE_S, 1), (LOAN_S, 0)]
+    ("arrives_s", "expected"), [(0.1, 3), (IMMEDIATE_LIFETIME_S, 1), (LOAN_S, 0)]
 )
 def test_a_late_reply_counts_less_or_not(arrives_s: float, expected: int) -> None:
     """The process may have been suspended meanwhile."""
     bucket = QuotaBucket(0.0)
-    bucket.begin_question(LENDER, 0.0, 0.0)
+    bucket.begin_loan_request(LENDER, 0.0, 0.0)
     bucket.add_loan(LENDER, Loan(2.0, 1.0), 0.0, arrives_s)
     assert spend_all(bucket, arrives_s) == expected
 
 
-def test_the_reply_to_an_earlier_question_does_not_count() -> None:
-    """The lender has forgotten that loan when it got the later question."""
+def test_the_reply_to_an_earlier_loan_request_does_not_count() -> None:
+    """The lender has forgotten that loan when it got the later request."""
     bucket = QuotaBucket(0.0)
-    bucket.begin_question(LENDER, 0.0, 0.0)
-    bucket.begin_question(LENDER, 0.0, 0.1)
+    bucket.begin_loan_request(LENDER, 0.0, 0.0)
+    bucket.begin_loan_request(LENDER, 0.0, 0.1)
     assert not bucket.add_loan(LENDER, Loan(0.0, 4.0), 0.0, 0.2)
     assert bucket.add_loan(LENDER, Loan(0.0, 2.0), 0.1, 0.2)
     assert spend_all(bucket, 0.2) == 2
@@ -74,7 +74,7 @@
 def test_returned_tokens_are_gone() -> None:
     bucket = QuotaBucket(0.0)
     borrow(bucket, Loan(0.0, 4.0))
-    assert bucket.begin_question(LENDER, 3.0, 0.1) == 1.0
+    assert bucket.begin_loan_request(LENDER, 3.0, 0.1) == 1.0
     assert spend_all(bucket, 0.1) == 1
 
 
@@ -82,7 +82,7 @@
     bucket = QuotaBucket(0.0)
     bucket.set_reserve(QuotaShare(0.25, 1.0), 0.0)
     for lender in (LENDER, OTHER):
-        bucket.begin_question(lender, 0.0, 1.0)
+        bucket.begin_loan_request(lender, 0.0, 1.0)
         bucket.add_loan(lender, Loan(0.0, 0.375), 1.0, 1.0)
     assert spend_all(bucket, 1.0) == 1
 
--- a/src/berylmast/tenancy/tests/test_quota_lender.py
+++ b/src/berylmast/tenancy/tests/test_quota_lender.py
@@ -8,9 +8,9 @@
     NO_LOAN,
     QUARANTINE_S,
     SUSPENSION_S,
-    Ask,
     Borrower,
     Loan,
+    LoanRequest,
     QuotaLender,
     divide_fairly,
 )
@@ -41,15 +41,17 @@
         self,
         borrower: Borrower = A,
         waiting: float = 0.0,
-        ahead: float = 0.0,
+        prefetch: float = 0.0,
         held: float = 0.0,
         returned: float = 0.0,
         demand: float = 0.0,
         share: QuotaShare = SHARE,
     ) -> Loan | None:
         self.sequence += 1
-        ask = Ask("t", demand, waiting, ahead, held, returned)
-        return self.lender.lend(borrower, self.sequence, ask, share, self.now_s)
+        loan_request = LoanRequest("t", demand, waiting, prefetch, held, returned)
+        return self.lender.lend(
+            borrower, self.sequence, loan_request, share, self.now_s
+        )
 
 
 @pytest.mark.parametrize(
@@ -70,12 +72,12 @@
 
 def test_kept_tokens_leave_room_in_the_bucket() -> None:
     """Tokens that are made while a borrower keeps others must not be lost."""
-    assert Lender().lend(ahead=15.0) == Loan(0.0, 10.0)
+    assert Lender().lend(prefetch=15.0) == Loan(0.0, 10.0)
 
 
 def test_kept_tokens_and_the_bucket_do_not_exceed_the_burst() -> None:
     lender = Lender()
-    assert lender.lend(ahead=10.0) == Loan(0.0, 10.0)
+    assert lender.lend(prefetch=10.0) == Loan(0.0, 10.0)
     lender.wait(1.0)
     assert lender.lend(B, waiting=20.0) == Loan(10.0, 0.0)
 
@@ -85,20 +87,20 @@
 )
 def test_a_loan_counts_until_it_has_expired(wait_s: float, expected: float) -> None:
     lender = Lender()
-    lender.lend(ahead=10.0)
+    lender.lend(prefetch=10.0)
     lender.wait(wait_s)
     assert lender.lend(B, waiting=20.0) == Loan(expected, 0.0)
 
 
 def test_a_restarted_borrower_does_not_free_the_loan_of_its_earlier_run() -> None:
     lender = Lender()
-    lender.lend(ahead=10.0)
+    lender.lend(prefetch=10.0)
     assert lender.lend(Borrower("a", 2), waiting=20.0) == Loan(10.0, 0.0)
 
 
 def test_spent_tokens_no_longer_count_once_the_borrower_states_it() -> None:
     lender = Lender()
-    lender.lend(ahead=10.0)
+    lender.lend(prefetch=10.0)
     lender.wait(0.5)
     lender.lend(held=0.0)
     lender.wait(1.0)
@@ -110,12 +112,12 @@
     returned: float, expected: float
 ) -> None:
     lender = Lender()
-    lender.lend(ahead=10.0)
+    lender.lend(prefetch=10.0)
     lender.lend(returned=returned)
     assert lender.lend(B, waiting=20.0) == Loan(expected, 0.0)
 
 
-def test_a_late_question_gets_nothing() -> None:
+def test_a_late_loan_request_gets_nothing() -> None:
     """Its reply would be ignored and its tokens lost."""
     lender = Lender()
     lender.lend(waiting=1.0)
@@ -125,11 +127,11 @@
 
 def test_a_new_lender_lends_nothing_at_first() -> None:
     lender = QuotaLender()
-    ask = Ask("t", 1.0, 1.0, 0.0, 0.0, 0.0)
+    loan_request = LoanRequest("t", 1.0, 1.0, 0.0, 0.0, 0.0)
     now_s = 0.0
     while now_s < QUARANTINE_S + 0.5:
         lender.update_groups({GROUP}, now_s)
-        loan = lender.lend(A, int(now_s * 10) + 1, ask, SHARE, now_s)
+        loan = lender.lend(A, int(now_s * 10) + 1, loan_request, SHARE, now_s)
         assert (loan is None) == (now_s < QUARANTINE_S)
         now_s += 0.1
 
--- a/src/berylmast/tenancy/tests/test_quota_shares.py
+++ b/src/berylmast/tenancy/tests/test_quota_shares.py
@@ -4,7 +4,7 @@
 
 from ...model import DaemonLocation
 from ...settings import QuotaSettings
-from ..quota_duties import CLAIM_LIMIT_S, QuotaDuties
+from ..quota_assignment import CLAIM_LIMIT_S, LenderAssignment
 from ..quota_shares import (
     LENDER_GROUPS,
     MAX_LENDERS,
@@ -77,48 +77,48 @@
                 assert choose_lenders(group, left) == chosen
 
 
-def make_claim() -> tuple[QuotaDuties, int, DaemonLocation]:
-    """Return the duties of a lender, its group and the daemon that it replaces."""
+def make_claim() -> tuple[LenderAssignment, int, DaemonLocation]:
+    """Return the assignment of a lender, its group and the daemon that it replaces."""
     daemons = make_daemons(12)
     own = choose_lenders(0, daemons)[0]
     others = [d for d in daemons if d is not own]
-    duties = QuotaDuties(own)
-    duties.set_daemons(others, 0.0, is_announced=True)
+    assignment = LenderAssignment(own)
+    assignment.set_daemons(others, 0.0, is_announced=True)
     (replaced,) = find_displaced(0, own, others)
-    return duties, 0, replaced
+    return assignment, 0, replaced
 
 
 def test_a_lender_waits_for_the_one_that_it_replaces() -> None:
-    duties, group, replaced = make_claim()
-    assert group not in duties.list_groups(1.0)
-    assert group in duties.list_open_claims(1.0)[replaced.address]
-    duties.record_confirmation(replaced.address, [group], disputed=[group])
-    assert group not in duties.list_groups(2.0)
-    duties.record_confirmation(replaced.address, [group], disputed=[])
-    assert group in duties.list_groups(3.0)
+    assignment, group, replaced = make_claim()
+    assert group not in assignment.list_groups(1.0)
+    assert group in assignment.list_open_claims(1.0)[replaced.address]
+    assignment.record_confirmation(replaced.address, [group], disputed=[group])
+    assert group not in assignment.list_groups(2.0)
+    assignment.record_confirmation(replaced.address, [group], disputed=[])
+    assert group in assignment.list_groups(3.0)
 
 
 def test_a_lender_does_not_wait_for_ever() -> None:
-    duties, group, _ = make_claim()
-    assert group not in duties.list_groups(CLAIM_LIMIT_S)
-    assert group in duties.list_groups(CLAIM_LIMIT_S + 0.1)
+    assignment, group, _ = make_claim()
+    assert group not in assignment.list_groups(CLAIM_LIMIT_S)
+    assert group in assignment.list_groups(CLAIM_LIMIT_S + 0.1)
 
 
 def test_a_claim_of_a_daemon_that_knew_no_other_does_not_count() -> None:
     """After a start the records of the others may arrive late."""
     daemons = make_daemons(12)
     own = choose_lenders(0, daemons)[0]
-    duties = QuotaDuties(own)
-    duties.set_daemons([], 0.0, is_announced=True)
-    assert 0 in duties.list_groups(0.1)
-    duties.set_daemons([d for d in daemons if d is not own], 0.2, is_announced=True)
-    assert 0 not in duties.list_groups(0.3)
+    assignment = LenderAssignment(own)
+    assignment.set_daemons([], 0.0, is_announced=True)
+    assert 0 in assignment.list_groups(0.1)
+    assignment.set_daemons([d for d in daemons if d is not own], 0.2, is_announced=True)
+    assert 0 not in assignment.list_groups(0.3)
 
 
 def test_a_daemon_whose_record_is_gone_does_not_lend() -> None:
     """The others don't know it and have chosen another lender."""
-    duties, group, replaced = make_claim()
-    duties.record_confirmation(replaced.address, [group], disputed=[])
-    assert group in duties.list_groups(1.0)
-    duties.set_daemons([replaced], 2.0, is_announced=False)
-    assert duties.list_groups(2.0) == []
+    assignment, group, replaced = make_claim()
+    assignment.record_confirmation(replaced.address, [group], disputed=[])
+    assert group in assignment.list_groups(1.0)
+    assignment.set_daemons([replaced], 2.0, is_announced=False)
+    assert assignment.list_groups(2.0) == []
--- a/src/berylmast/tenancy/tests/test_quota_sockets.py
+++ b/src/berylmast/tenancy/tests/test_quota_sockets.py
@@ -69,7 +69,7 @@
         second = await start_daemon(tg, "b", ports["b"], (endpoints["a"],))
         # The rate of requests is above the first lender's part, so both are asked.
         with anyio.fail_after(20):
-            while not (second.counts.served and first.counts.charged):
+            while not (second.counts.exchanges_served and first.counts.charged):
                 await first.charge("t")
                 await anyio.sleep(0.02)
         tg.cancel_scope.cancel()
--- a/src/berylmast/tenancy/tests/test_quotas.py
+++ b/src/berylmast/tenancy/tests/test_quotas.py
@@ -188,7 +188,7 @@
         async with anyio.create_task_group() as tg:
             for tenant in rates:
                 tg.start_soon(fleet.load, tenant, 20.0, [0], 5.0)
-        # One lender for each of four groups, at most ten questions a second to each.
+        # One lender for each of four groups, at most ten exchanges a second to each.
         assert fleet.messages - before <= 4 * 10 * 5 * 1.5
 
 
