Say polls, comparisons and peer eras in membership

Cause: "look", "hear", "heard", "questions" and "stand in" had to be read twice, and several comments gave a consequence without its condition.

Change: names and comments only. Daemons that don't watch poll the store, the evidence is renewed by comparisons, an era sent by another daemon is a peer's era, and the callback for Tell frames is named after them.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -116,7 +116,7 @@
             rng,
             freshness,
             evacuations,
-            on_store_era=record_sync.hear_era,
+            on_store_era=record_sync.record_peer_era,
         )
         record_sync.set_era_listener(gossip.spread_store_era)
         quotas = Quotas(
--- a/src/berylmast/daemons/connection.py
+++ b/src/berylmast/daemons/connection.py
@@ -41,7 +41,7 @@
 ExchangeHandler = Callable[[Exchange, OpeningFrame], Awaitable[None]]
 """Serves one exchange that the peer opened."""
 
-OnRecords = Callable[[Tell], None]
+OnTell = Callable[[Tell], None]
 """Called with each ``Tell`` frame."""
 
 
@@ -63,7 +63,7 @@
         *,
         accept: ExchangeHandler | None = None,
         on_goaway: Callable[[str], None] | None = None,
-        on_records: OnRecords | None = None,
+        on_tell: OnTell | None = None,
     ) -> None:
         self.peer: Identity | None = None
         self.closed = False
@@ -73,7 +73,7 @@
         self._identity = identity
         self._accept = accept
         self._on_goaway = on_goaway
-        self._on_records = on_records
+        self._on_tell = on_tell
         self._reader = FrameReader()
         self._send_queue = SendQueue()
         self._frame_queued: anyio.Event | None = None
@@ -254,8 +254,8 @@
                 if self._on_goaway is not None and self.peer is not None:
                     self._on_goaway(self.peer.daemon)
             case Tell():
-                if self._on_records is not None:
-                    self._on_records(frame)
+                if self._on_tell is not None:
+                    self._on_tell(frame)
             case _:
                 self._route_to_exchange(frame, tg)
 
--- a/src/berylmast/daemons/listener.py
+++ b/src/berylmast/daemons/listener.py
@@ -7,7 +7,7 @@
 
 from ..settings import Address
 from ..telemetry import log_event
-from .connection import ExchangeHandler, Identity, OnRecords, PeerConnection
+from .connection import ExchangeHandler, Identity, OnTell, PeerConnection
 from .frames import GoAway
 
 ACCEPT_RETRY_S = 0.2
@@ -22,12 +22,12 @@
         address: Address,
         identity: Identity,
         accept: ExchangeHandler | None,
-        on_records: OnRecords | None = None,
+        on_tell: OnTell | None = None,
     ) -> None:
         self._address = address
         self._identity = identity
         self._accept = accept
-        self._on_records = on_records
+        self._on_tell = on_tell
         self._connections: set[PeerConnection] = set()
 
     async def run(
@@ -58,7 +58,7 @@
 
     async def _serve_stream(self, stream: SocketStream) -> None:
         conn = PeerConnection(
-            stream, self._identity, accept=self._accept, on_records=self._on_records
+            stream, self._identity, accept=self._accept, on_tell=self._on_tell
         )
         self._connections.add(conn)
         try:
--- a/src/berylmast/daemons/tests/test_connection.py
+++ b/src/berylmast/daemons/tests/test_connection.py
@@ -120,7 +120,7 @@
 
     left, right = make_streams()
     dialer = PeerConnection(left, Identity("a", 1))  # type: ignore[arg-type]
-    owner = PeerConnection(right, Identity("b", 2), on_records=fail)  # type: ignore[arg-type]
+    owner = PeerConnection(right, Identity("b", 2), on_tell=fail)  # type: ignore[arg-type]
     async with anyio.create_task_group() as tg:
         tg.start_soon(dialer.run)
         tg.start_soon(owner.run)
--- a/src/berylmast/membership/active_evacuations.py
+++ b/src/berylmast/membership/active_evacuations.py
@@ -13,15 +13,15 @@
 
 
 class ActiveEvacuations:
-    """The newest evacuations that are known, None before any are.
+    """The newest known evacuations.
 
-    ``failure_domains`` holds the evacuated ones.
+    ``current`` is None until any are known. ``failure_domains`` are the evacuated ones.
     """
 
     def __init__(self) -> None:
         self.current: Evacuations | None = None
         self.failure_domains: frozenset[str] = frozenset()
-        self._heard_s = anyio.current_time()
+        self._refreshed_s = anyio.current_time()
         self._listeners: list[Callable[[frozenset[str]], None]] = []
 
     def add_listener(self, listener: Callable[[frozenset[str]], None]) -> None:
@@ -30,8 +30,8 @@
 
     @property
     def age_s(self) -> float:
-        """Return the time in seconds since these or newer ones were last heard of."""
-        return anyio.current_time() - self._heard_s
+        """Return the time in seconds since the current value was last received."""
+        return anyio.current_time() - self._refreshed_s
 
     def is_older(self, value: Evacuations) -> bool:
         """Return whether a value is older than the current one."""
@@ -42,9 +42,9 @@
         if self.is_older(new):
             return False
         last, age_s = self.current, self.age_s
-        self._heard_s = anyio.current_time()
+        self._refreshed_s = anyio.current_time()
         if last is not None and new.order == last.order:
-            # Two values of one order that differ are of a faulty sender.
+            # Values of the same order differ only if a sender is faulty.
             return False
         self.current = new
         if last is None:
--- a/src/berylmast/membership/document_sync.py
+++ b/src/berylmast/membership/document_sync.py
@@ -1,8 +1,8 @@
 """Keeps the configuration of this daemon up to date from the store.
 
-Watchers (see ``watchers``) wait for changes and pass them on. Every other daemon looks
-at the store now and then, so that a change is noticed even if no watcher can reach the
-store.
+Watchers (see ``watchers``) wait for changes and pass them on. Every other daemon polls
+the store at long intervals, so that a change is noticed even if no watcher can reach
+the store.
 """
 
 import math
@@ -19,7 +19,7 @@
 from .fleet_view import FleetView
 from .store import Store, StoredDocument
 from .store_calls import Backoff, StoreStatus
-from .watch_loop import compute_look_interval_s, run_looks, run_watch
+from .watch_loop import compute_poll_interval_s, run_polls, run_watch
 from .watchers import WatchRole
 
 WATCH_TIMEOUTS_S = {WatchRole.FIRST: 3.5, WatchRole.BACKUP: 15.0}
@@ -28,8 +28,8 @@
 change that is made three seconds later and must be in force after two more."""
 
 FRESHNESS_WATCH_TIMEOUT_S = 1.0
-"""The same for the first watcher if the age of the configuration counts. The end of a
-watch without a change is evidence that the configuration is current."""
+"""The same for the first watcher if the freshness of the configuration is tracked. The
+end of a watch without a change is evidence that the configuration is current."""
 
 FRESHNESS_CHECK_INTERVAL_S = 0.2
 """Interval at which the evidence for the configuration is checked. It is short because
@@ -46,9 +46,9 @@
 
 MAX_FRESHNESS_READ_TIMEOUT_S = 1.6
 
-STAND_IN_BOUNDS = 2.0
+FREQUENT_READ_BOUNDS = 2.0
 """Time for which a daemon that had to read the store itself reads it as often as a
-watcher, in units of the bound. The watchers seem to have no way to the store."""
+watcher, in units of the bound. The watchers probably can't reach the store then."""
 
 
 class DocumentSync:
@@ -78,7 +78,7 @@
         self._spread = spread
         self._revision: int | None = None
         self._era = 0
-        self._stands_in_until_s = -math.inf
+        self._frequent_reads_until_s = -math.inf
 
     async def run(self) -> None:
         """Keep the configuration up to date until cancelled."""
@@ -89,11 +89,11 @@
                 run_watch, self._fleet, backoffs[0], self._watch, self._log_role
             )
             tg.start_soon(
-                run_looks,
+                run_polls,
                 self._fleet,
                 backoffs[1],
-                self._look,
-                self._get_look_interval_s,
+                self._poll,
+                self._get_poll_interval_s,
             )
             if self._freshness is not None:
                 tg.start_soon(self._renew_evidence, self._freshness)
@@ -142,7 +142,8 @@
             return False
         except PlatformUnavailable:
             if era:
-                # The store may come back from a copy. A read shows its era at once.
+                # The store may have come back from a copy of its data. A read shows its
+                # era at once, a watch only at its end.
                 self._revision = None
             raise
         changed = self._adopt(stored)
@@ -174,15 +175,15 @@
                 continue
             backoff.reset()
             timeout_s = FRESHNESS_READ_TIMEOUT_S
-            stand_in_s = STAND_IN_BOUNDS * freshness.within_s
-            self._stands_in_until_s = anyio.current_time() + stand_in_s
+            frequent_reads_s = FREQUENT_READ_BOUNDS * freshness.within_s
+            self._frequent_reads_until_s = anyio.current_time() + frequent_reads_s
 
     def _needs_read(self, freshness: Freshness) -> bool:
-        # To find the role of this daemon takes long in a large fleet.
+        # The lower threshold first: to find the role is slow in a large fleet.
         if not freshness.needs_read(is_watcher=True):
             return False
-        stands_in = anyio.current_time() < self._stands_in_until_s
-        is_watcher = stands_in or self._fleet.get_watch_role() is not WatchRole.NONE
+        reads_often = anyio.current_time() < self._frequent_reads_until_s
+        is_watcher = reads_often or self._fleet.get_watch_role() is not WatchRole.NONE
         return freshness.needs_read(is_watcher=is_watcher)
 
     async def _read_evidence(self, timeout_s: float) -> None:
@@ -205,16 +206,16 @@
         if self._freshness is not None:
             self._freshness.record_answer(sent_s, stored.era, held_s)
 
-    async def _look(self) -> None:
+    async def _poll(self) -> None:
         stored = await self._store.read_document(stale=True)
         if self._freshness is not None:
             # The revision of a stale item may be of an earlier era.
             stored = replace(stored, revision=None)
         self._adopt(stored)
 
-    def _get_look_interval_s(self) -> float:
+    def _get_poll_interval_s(self) -> float:
         known = self._active_document.current is not None
-        return compute_look_interval_s(self._fleet.size if known else 0, self._rng)
+        return compute_poll_interval_s(self._fleet.size if known else 0, self._rng)
 
     def _adopt(self, stored: StoredDocument) -> bool:
         """Activate what was read; return whether the store sent a configuration."""
--- a/src/berylmast/membership/evacuation_sync.py
+++ b/src/berylmast/membership/evacuation_sync.py
@@ -2,9 +2,9 @@
 
 Fault: an operator evacuates a failure domain while watches are silent, daemons restart
 or the store answers only some of them. The watchers of the configuration also watch the
-evacuations and pass them on. What is in force comes from reads that are not stale, as
-the store may name its present revision beside stale items. Stale reads only tell that
-there is something to read.
+evacuations and pass them on. Only reads that are not stale are acted on, because the
+store may state its present revision with stale items. A stale read only shows whether
+such a read is needed.
 """
 
 from collections.abc import Callable
@@ -19,25 +19,25 @@
 from .fleet_view import FleetView
 from .store import Store
 from .store_calls import Backoff, StoreStatus
-from .watch_loop import compute_look_interval_s, run_looks, run_watch
+from .watch_loop import compute_poll_interval_s, run_polls, run_watch
 from .watchers import WatchRole
 
 SPREAD_TIME_S = 1.0
-"""Part of the bound that is left after a silent watch. The store's client ends it half
-a second late; the rest is for reading the change and passing it on."""
+"""Part of the bound, in seconds, that is left after a silent watch. The store's client
+ends it half a second late; the rest is for reading the change and passing it on."""
 
 MIN_WATCH_S = 1.0
 
 BACKUP_WATCH_S = 30.0
-"""How long the watches of the other watchers wait, which cover for the first one. Each
-watch costs a call, and the store allows no longer ones."""
+"""How long the watches of the backup watchers wait. Each watch costs a call, and the
+store allows no longer ones."""
 
 PEER_WAIT_S = 0.5
-"""Time in which another daemon should tell the evacuations to one that starts. After
-it, they are read from the store."""
+"""Mean time for which a daemon that starts waits for the evacuations from another one,
+before it reads them from the store."""
 
-FIRST_LIMIT_S = 3.0
-"""Time after which a daemon is ready although it learned nothing of evacuations."""
+INITIAL_LOAD_LIMIT_S = 3.0
+"""Time after its start from which a daemon is ready without knowing the evacuations."""
 
 _POLL_S = 0.05
 
@@ -57,7 +57,7 @@
     """Reads and watches the evacuations.
 
     ``spread`` is called after a change was read from the store. ``settled`` is set once
-    evacuations are known, or no one could tell them for FIRST_LIMIT_S.
+    evacuations are known, or after INITIAL_LOAD_LIMIT_S without any source.
     """
 
     def __init__(
@@ -83,22 +83,22 @@
     async def run(self) -> None:
         """Keep the evacuations up to date until cancelled."""
         async with anyio.create_task_group() as tg:
-            tg.start_soon(self._learn_first)
+            tg.start_soon(self._load_initial)
             tg.start_soon(run_watch, self._fleet, self._make_backoff(), self._watch)
             tg.start_soon(
-                run_looks,
+                run_polls,
                 self._fleet,
                 self._make_backoff(),
-                self._look,
-                lambda: compute_look_interval_s(self._fleet.size, self._rng),
+                self._poll,
+                lambda: compute_poll_interval_s(self._fleet.size, self._rng),
             )
 
-    async def _learn_first(self) -> None:
-        with anyio.move_on_after(FIRST_LIMIT_S):
+    async def _load_initial(self) -> None:
+        with anyio.move_on_after(INITIAL_LOAD_LIMIT_S):
             await self._wait_for_peer()
             await self._read_first()
         if self._active.current is None:
-            log_event("evacuations_unknown", waited_s=FIRST_LIMIT_S)
+            log_event("evacuations_unknown", waited_s=INITIAL_LOAD_LIMIT_S)
         self.settled = True
 
     async def _wait_for_peer(self) -> None:
@@ -107,7 +107,7 @@
                 await anyio.sleep(_POLL_S)
 
     async def _read_first(self) -> None:
-        """Read the evacuations, or return once another daemon has told them."""
+        """Read the evacuations, or return once another daemon has sent them."""
         backoff = self._make_backoff()
         while self._active.current is None:
             try:
@@ -129,7 +129,7 @@
             self._must_read = True
             return False
 
-    async def _look(self) -> None:
+    async def _poll(self) -> None:
         """Read the evacuations if a stale read differs from what is known."""
         seen = await self._store.read_evacuations(stale=True)
         known = self._active.current
--- a/src/berylmast/membership/fleet_view.py
+++ b/src/berylmast/membership/fleet_view.py
@@ -83,10 +83,10 @@
         return self._rng.choice(candidates) if candidates else None
 
     def choose_evidence_peer(self) -> Endpoint | None:
-        """Choose the daemon to ask how current the configuration is.
+        """Choose the daemon whose evidence for the configuration is likely the newest.
 
-        It is a watcher of this region. A watcher asks the first one, and the first one
-        any daemon. None if no such daemon is known.
+        It is a watcher of this region, for a watcher the first one. Returns None for
+        the first watcher itself, or if no such daemon is known.
         """
         watchers = self._choose_watchers()
         peers = [p for p in self._regional_peers if get_address(p) in watchers]
@@ -112,7 +112,7 @@
     def choose_relay_targets(self) -> list[Endpoint]:
         """Choose daemons to pass on a configuration that came from a peer.
 
-        They are also asked for evidence, if the watchers have none.
+        Comparisons with them also look for evidence that the watchers don't have.
         """
         return self._sample(self._regional_peers, RELAY_PEERS)
 
--- a/src/berylmast/membership/gossip.py
+++ b/src/berylmast/membership/gossip.py
@@ -46,15 +46,16 @@
 
 FRESHNESS_CHECK_INTERVAL_S = 0.1
 """Shortest interval between two checks of the evidence for the configuration, each of
-which asks another daemon if the evidence is old."""
+which starts a comparison if the evidence is old."""
 
 MAX_FRESHNESS_CHECK_INTERVAL_S = 0.5
-"""The longest one. Timers stand still while the process is suspended, and the evidence
+"""Longest interval. Timers stand still while the process is suspended, and the evidence
 gets old."""
 
-FAST_QUESTIONS = 6
-"""Number of questions in a row after which the interval is the longest one. The first
-watcher's own evidence is as old as that of the others for a moment."""
+MAX_FAST_COMPARISONS = 6
+"""Number of comparisons in a row without newer evidence after which the interval is the
+longest one. The first watcher's evidence may be as old as that of the others for a
+moment."""
 
 FIRST_PEER_TIMEOUT_S = 3.0
 _FIRST_PEER_POLL_S = 0.1
@@ -70,9 +71,9 @@
     """Sends, compares and receives records and the configuration for this daemon.
 
     With ``freshness``, replies to comparisons are evidence for the configuration, and
-    watchers are asked if it gets old. With ``evacuations``, also these are compared and
-    passed on.
-    ``on_store_era`` is called with the era of the store that another daemon tells.
+    this daemon compares with watchers if the evidence gets old. With ``evacuations``,
+    these are compared and passed on, too. ``on_store_era`` is called with the era of
+    the store that another daemon has sent.
     """
 
     def __init__(
@@ -128,23 +129,23 @@
             self._tg.start_soon(run_logged, "gossip", run)
 
     async def _renew_evidence(self, freshness: Freshness) -> None:
-        """Ask another daemon whenever the evidence for the configuration gets old.
+        """Compare with another daemon when the evidence for the configuration gets old.
 
-        If a watcher has none, a random daemon is asked in turn with the watchers, and
-        later several: perhaps only a few daemons have a way to the store.
+        Watchers and random daemons take turns, and later there are several comparisons
+        at a time: perhaps only a few daemons can reach the store.
         """
-        questions = 0
+        comparisons = 0
         while True:
-            await anyio.sleep(_get_check_interval_s(freshness, questions))
+            await anyio.sleep(_get_check_interval_s(freshness, comparisons))
             if not freshness.needs_comparison():
-                questions = 0
+                comparisons = 0
                 continue
-            ask_watcher = questions % 2 == 0
-            peer = self._fleet.choose_evidence_peer() if ask_watcher else None
-            if questions > FAST_QUESTIONS:
+            with_watcher = comparisons % 2 == 0
+            peer = self._fleet.choose_evidence_peer() if with_watcher else None
+            if comparisons > MAX_FAST_COMPARISONS:
                 self._compare_soon(self._fleet.choose_relay_targets())
             await self._run_round(peer)
-            questions += 1
+            comparisons += 1
 
     async def _run_round(self, first_peer: Endpoint | None = None) -> None:
         """Compare with one daemon, and with others if it does not respond soon.
@@ -178,15 +179,15 @@
         self._compare_soon(self._fleet.choose_document_targets())
         self._spread_in_region()
 
-    def spread_store_era(self, era: int, *, heard: bool) -> None:
-        """Tell other daemons that the store has come back from a copy.
+    def spread_store_era(self, era: int, *, from_peer: bool) -> None:
+        """Tell other daemons that the store has come back from a copy of its data.
 
-        If this one has heard of it from another daemon, it tells a few at random.
+        If this one has learned it ``from_peer``, it tells only a few at random.
         """
         frame = Tell(CONNECTION_EXCHANGE_ID, (), era)
         peers = (
             self._fleet.choose_relay_targets()
-            if heard
+            if from_peer
             else self._fleet.choose_record_targets()
         )
         for peer in peers:
@@ -209,7 +210,7 @@
         try:
             with anyio.move_on_after(COMPARE_TIMEOUT_S):
                 async with self._pool.open_exchange(peer) as exchange:
-                    sent_s = self._get_question_time_s()
+                    sent_s = self._get_send_time_s()
                     await exchange.send(self._make_compare(exchange))
                     reply = await self._receive_response(exchange)
                     self._record_evidence(sent_s, reply)
@@ -266,7 +267,7 @@
             return UNKNOWN_AGE_MS
         return self._freshness.get_age_ms()
 
-    def _get_question_time_s(self) -> float:
+    def _get_send_time_s(self) -> float:
         return 0.0 if self._freshness is None else self._freshness.get_time_s()
 
     def _record_evidence(self, sent_s: float, reply: Compared | None) -> None:
@@ -338,7 +339,7 @@
             self._relay()
 
     def _relay(self) -> None:
-        """Pass on what another daemon has told."""
+        """Pass on what another daemon has sent."""
         self._compare_soon(self._fleet.choose_relay_targets())
         if self._fleet.get_watch_role() is not WatchRole.NONE:
             self._spread_in_region()
@@ -375,13 +376,13 @@
         conn.write(frame)
 
 
-def _get_check_interval_s(freshness: Freshness, questions: int) -> float:
-    """Return the time until the evidence may need to be renewed.
+def _get_check_interval_s(freshness: Freshness, comparisons: int) -> float:
+    """Return the time in seconds until the evidence is checked again.
 
-    ``questions`` is the number of questions in a row that have not renewed it.
+    ``comparisons`` is the number of comparisons in a row that have not renewed it.
     """
     due_s = COMPARE_AGE_S - freshness.get_age_s()
-    if questions > FAST_QUESTIONS:
+    if comparisons > MAX_FAST_COMPARISONS:
         due_s = MAX_FRESHNESS_CHECK_INTERVAL_S
     due_s = max(due_s, FRESHNESS_CHECK_INTERVAL_S)
     return min(due_s, MAX_FRESHNESS_CHECK_INTERVAL_S)
--- a/src/berylmast/membership/record_sync.py
+++ b/src/berylmast/membership/record_sync.py
@@ -37,9 +37,9 @@
 
 
 class EraListener(Protocol):
-    """Called with an era of the store, and whether another daemon has told of it."""
+    """Called with a new era of the store; ``from_peer`` if another daemon sent it."""
 
-    def __call__(self, era: int, *, heard: bool) -> None: ...
+    def __call__(self, era: int, *, from_peer: bool) -> None: ...
 
 
 class RecordSync:
@@ -66,21 +66,21 @@
         self._revisions: dict[str, int] = {}
         self._replaced_records: list[Endpoint] = []
         self._own_record_stored = anyio.Event()
-        self._heard_era = 0
+        self._peer_era = 0
         self._restore_wanted = False
         self._restoring = False
         self._tg: TaskGroup | None = None
         store.era.add_listener(self._handle_era)
-        self._on_era: EraListener = lambda _era, *, heard: None
+        self._on_era: EraListener = lambda _era, *, from_peer: None
 
     def set_era_listener(self, listener: EraListener) -> None:
         """Call ``listener`` when this daemon sees that the era of the store rose."""
         self._on_era = listener
 
-    def hear_era(self, era: int) -> None:
-        """Look at the store soon, as another daemon says that its era rose."""
-        if era > max(self._store.era.current, self._heard_era):
-            self._heard_era = era
+    def record_peer_era(self, era: int) -> None:
+        """Read the store soon if another daemon has sent a later era than is known."""
+        if era > max(self._store.era.current, self._peer_era):
+            self._peer_era = era
             self._restore_soon()
 
     async def run(self) -> None:
@@ -159,10 +159,10 @@
             await self._retry(self._list_records)
 
     def _handle_era(self, era: int) -> None:
-        """Forget what the store held before it came back from a copy."""
+        """Forget what the store held before its era rose, and restore what it lost."""
         self._stored.clear()
         self._revisions.clear()
-        self._on_era(era, heard=era <= self._heard_era)
+        self._on_era(era, from_peer=era <= self._peer_era)
         self._restore_soon()
 
     def _restore_soon(self) -> None:
@@ -173,7 +173,8 @@
     async def _restore(self) -> None:
         """Store again what the store has lost.
 
-        All daemons learn of it at about the same time, so each waits for a moment.
+        All daemons learn of it at about the same time, so each first waits for a random
+        time.
         """
         self._restoring = True
         try:
@@ -187,7 +188,7 @@
     async def _restore_records(self) -> None:
         """Compare the store with what this daemon had written, and write what it lacks.
 
-        The list is no stale one: that might hold what the store has lost.
+        The read must not be stale: a stale list may hold what the store has lost.
         """
         listed = await self._store.list_records()
         self._restore_wanted = False
--- a/src/berylmast/membership/store_restore.py
+++ b/src/berylmast/membership/store_restore.py
@@ -10,8 +10,8 @@
 from .store import StoredRecord
 
 JITTER_PER_RECORD_S = 0.02
-"""Fifty daemons a second read the records again, each with one full read and up to two
-writes. The store takes several hundred writes a second."""
+"""Makes fifty daemons a second read the records again, each with one full read and up
+to two writes. The store takes several hundred writes a second."""
 
 MIN_JITTER_S = 0.2
 MAX_JITTER_S = 30.0
--- a/src/berylmast/membership/tests/fleet.py
+++ b/src/berylmast/membership/tests/fleet.py
@@ -252,7 +252,7 @@
             rng,
             freshness,
             evacuations,
-            on_store_era=record_sync.hear_era,
+            on_store_era=record_sync.record_peer_era,
         )
         record_sync.set_era_listener(gossip.spread_store_era)
         document_sync = DocumentSync(
--- a/src/berylmast/membership/tests/test_evacuation_spread.py
+++ b/src/berylmast/membership/tests/test_evacuation_spread.py
@@ -12,7 +12,7 @@
 
 from ...daemons.frames import Compare, Compared, Frame
 from ...platform.evacuations import EVACUATION_KIND
-from ..evacuation_sync import BACKUP_WATCH_S, FIRST_LIMIT_S, SPREAD_TIME_S
+from ..evacuation_sync import BACKUP_WATCH_S, INITIAL_LOAD_LIMIT_S, SPREAD_TIME_S
 from .fleet import Daemon, Fleet, run_fleet
 from .started_fleets import start_domains
 
@@ -47,7 +47,7 @@
 async def wait_settled(fleet: Fleet, *names: str) -> None:
     """Wait until daemons are ready; each must know what is evacuated by then."""
     waiting = list(names or fleet.daemons)
-    with anyio.fail_after(FIRST_LIMIT_S + 1):
+    with anyio.fail_after(INITIAL_LOAD_LIMIT_S + 1):
         while waiting:
             for name in list(waiting):
                 daemon = fleet.daemons[name]
@@ -141,8 +141,10 @@
         daemon.platform.down = True
         sync = daemon.evacuation_sync
         assert sync is not None
-        waited_s = await fleet.wait_until(lambda: sync.settled, FIRST_LIMIT_S + 0.2)
-        assert waited_s > FIRST_LIMIT_S - 0.2
+        waited_s = await fleet.wait_until(
+            lambda: sync.settled, INITIAL_LOAD_LIMIT_S + 0.2
+        )
+        assert waited_s > INITIAL_LOAD_LIMIT_S - 0.2
 
 
 async def test_removal_during_an_outage_holds_once_the_store_is_back() -> None:
--- a/src/berylmast/membership/tests/test_store_restore.py
+++ b/src/berylmast/membership/tests/test_store_restore.py
@@ -210,7 +210,7 @@
         daemon = fleet.daemons["a1"]
         daemon.platform.call_log.clear()
         for _ in range(3):
-            daemon.record_sync.hear_era(1_000)
+            daemon.record_sync.record_peer_era(1_000)
         await anyio.sleep(5.0)
         assert daemon.platform.era.current == 1
         lists = daemon.platform.call_log.count(("list", records.ENDPOINT_KIND))
--- a/src/berylmast/membership/watch_loop.py
+++ b/src/berylmast/membership/watch_loop.py
@@ -1,4 +1,4 @@
-"""Watches the store while this daemon is a watcher, and looks at it otherwise.
+"""Watches the store while this daemon is a watcher, and polls it otherwise.
 
 Load pattern: as in ``watchers``. The configuration and the evacuations are followed in
 the same way, but with other calls and times.
@@ -29,12 +29,12 @@
 
 ISOLATION_CHECK_INTERVAL_S = 0.25
 
-LOOK_INTERVAL_PER_DAEMON_S = 1.0
-"""The interval between two looks of a daemon grows with the fleet, so that the fleet
-as a whole looks about once per second."""
+POLL_INTERVAL_PER_DAEMON_S = 1.0
+"""The interval between two polls of a daemon grows with the fleet, so that the fleet
+as a whole polls about once per second."""
 
-MIN_LOOK_INTERVAL_S = 3.0
-MAX_LOOK_INTERVAL_S = 120.0
+MIN_POLL_INTERVAL_S = 3.0
+MAX_POLL_INTERVAL_S = 120.0
 
 
 async def run_watch(
@@ -43,7 +43,7 @@
     watch: Callable[[WatchRole], Awaitable[bool]],
     on_role: Callable[[WatchRole], None] = lambda _role: None,
 ) -> None:
-    """Call ``watch`` again and again while this daemon is a watcher.
+    """Call ``watch`` repeatedly while this daemon is a watcher.
 
     ``watch`` waits for one change and returns whether there was one. ``on_role`` is
     called when the role has changed.
@@ -68,29 +68,32 @@
             await anyio.sleep(WATCH_DELAY_S)
 
 
-async def run_looks(
+async def run_polls(
     fleet: FleetView,
     backoff: Backoff,
-    look: Callable[[], Awaitable[None]],
+    poll: Callable[[], Awaitable[None]],
     get_interval_s: Callable[[], float],
 ) -> None:
-    """Call ``look`` at intervals while this daemon is not a watcher."""
+    """Call ``poll`` at intervals while this daemon is not a watcher.
+
+    ``get_interval_s`` returns the time in seconds until the next call.
+    """
     while True:
         await anyio.sleep(get_interval_s())
         if fleet.get_watch_role() is not WatchRole.NONE:
             continue
         try:
-            await look()
+            await poll()
         except PlatformUnavailable as exc:
             await backoff.wait(exc)
             continue
         backoff.reset()
 
 
-def compute_look_interval_s(fleet_size: int, rng: Random) -> float:
-    """Return the time in seconds to the next look of a daemon of the fleet."""
-    interval_s = max(MIN_LOOK_INTERVAL_S, fleet_size * LOOK_INTERVAL_PER_DAEMON_S)
-    return min(interval_s, MAX_LOOK_INTERVAL_S) * rng.uniform(0.5, 1.5)
+def compute_poll_interval_s(fleet_size: int, rng: Random) -> float:
+    """Return the time in seconds to the next poll by a daemon of the fleet."""
+    interval_s = max(MIN_POLL_INTERVAL_S, fleet_size * POLL_INTERVAL_PER_DAEMON_S)
+    return min(interval_s, MAX_POLL_INTERVAL_S) * rng.uniform(0.5, 1.5)
 
 
 async def _wait_for_fleet(fleet: FleetView) -> None:
--- a/src/berylmast/platform/evacuations.py
+++ b/src/berylmast/platform/evacuations.py
@@ -31,7 +31,7 @@
 def select_failure_domains(names: Iterable[str]) -> tuple[str, ...]:
     """Return the names that a failure domain can have, in order; log the others.
 
-    Objects of other writers must not hide sound ones.
+    An invalid object of another writer must not hide the valid ones.
     """
     usable = []
     for name in sorted(names):
--- a/src/berylmast/platform/store_client.py
+++ b/src/berylmast/platform/store_client.py
@@ -38,7 +38,7 @@
 """
 
 MAX_CONNECTIONS = 6
-"""Two watches, a look and the calls for records, with some to spare while one of them
+"""Two watches, a poll and the calls for records, with some to spare while one of them
 is silent."""
 
 _ERA_HEADER = b"store-era"
--- a/src/berylmast/platform/store_era.py
+++ b/src/berylmast/platform/store_era.py
@@ -30,8 +30,7 @@
     def observe(self, era: int) -> bool:
         """Record the era of a response; return False if the response is too old to use.
 
-        A response that names no era is usable. The first era that is named is the one
-        in which this process has begun, so it is no rise.
+        A response without an era (0) is usable. The first era seen is not a rise.
         """
         if era == 0:
             return True
@@ -50,9 +49,9 @@
     async def run_in_era(self, call: Callable[[], Awaitable[_Result]]) -> _Result:
         """Run a call that waits for changes after a revision of the present era.
 
-        Raises RevisionExpired if the era rises meanwhile: the store would count the
-        revision among its new ones, and changes before it would be missed. A response
-        of the call itself is returned.
+        Raises RevisionExpired if the era rises meanwhile: the store would take the
+        revision for one of the new era, and changes before it would be missed.
+        If the call has completed by then, its response is returned.
         """
         with anyio.CancelScope() as scope:
             self._waiting.add(scope)
