Name the cold state of a server plainly

Cause: "warmth" stood for three things, the metric backend_cold_questions counted what the code calls queries, and some waits had no unit.

--- a/src/berylmast/backends/cold_start_guard.py
+++ b/src/berylmast/backends/cold_start_guard.py
@@ -1,4 +1,4 @@
-"""Keeps the requests to a cold server within its bound, also if it is cold unnoticed.
+"""Keeps requests to a cold server within its bound, also before it is known as cold.
 
 Fault: a server becomes cold at any moment, also between two reports and while its owner
 restarts. In any second at most ``rate * overrun + slack`` requests may reach it.
@@ -14,26 +14,26 @@
 from ..settings import ColdServerSettings
 from ..telemetry import EventRateLimiter
 from .backend_state import BackendReport
-from .warmth import ColdStatement, WarmthTracker
+from .cold_state import ColdStatement, ColdStateTracker
 
 CONFIRM_FRACTION = 0.85
-"""Fraction of the bound that may start without confirmation before the health path is
-queried, so that the response arrives before the bound holds any request back."""
+"""Fraction of the bound that may start unconfirmed before the health path is queried,
+so that the response arrives before the bound holds any request back."""
 
 MIN_QUERY_INTERVAL_S = 0.025
-"""Together with the queries for the load, which share their responses, this leaves a
-server below 60 health checks a second."""
+"""Shortest time in seconds between two queries. Together with the queries for the load,
+which share their responses, a server gets less than 60 health checks a second."""
 
 RETRY_INTERVAL_S = 0.25
-"""Time in seconds between two queries while the health path does not answer."""
+"""Time in seconds between two queries while the health path states nothing usable."""
 
 COLD_QUERY_INTERVAL_S = 1.0
 """Time in seconds between two queries of a cold server that gets requests. It may
 become warm earlier than it stated."""
 
-UNANSWERED_S = 1.0
-"""Time in seconds without an answer of the health path, since the first query, after
-which the server counts as cold."""
+UNANSWERED_LIMIT_S = 1.0
+"""Time in seconds since the first query without a usable answer, after which the server
+counts as cold."""
 
 MAX_SLEEP_S = 3600.0
 """Longest wait for the end of a stated time, which may be any number."""
@@ -43,7 +43,8 @@
 _ROUNDING_S = 1e-6
 
 _HEALTH_QUERIES = 1
-"""Health queries that a server gets before its owner learns that it is cold."""
+"""Health queries that a server gets before its owner learns that it is cold. They count
+towards the bound."""
 
 
 class ColdStartGuard:
@@ -67,7 +68,7 @@
         self._settings = settings
         self._get_slice = get_slice
         self._query_health = query_health
-        self._tracker = WarmthTracker()
+        self._tracker = ColdStateTracker()
         self._window = StartWindow(began_s)
         self._listener: Callable[[], None] = lambda: None
         self._query_wanted = anyio.Event()
@@ -105,9 +106,10 @@
         return wait_s
 
     def get_expected_wait_s(self, now_s: float) -> float:
-        """Return the expected time until a start.
+        """Return the expected time in seconds until a start.
 
-        A server that was warm and answers is soon confirmed to be warm again.
+        It is 0 for a server that was warm and answers: a query will soon confirm that
+        it still is.
         """
         unanswered = self._unanswered_since_s is not None
         if unanswered or self._is_cold(now_s):
@@ -129,11 +131,11 @@
         now_s = anyio.current_time()
         self._tracker.record_report(report, now_s)
         self._log_change(now_s, "report")
-        # A state that ends or begins changes the limit of the requests that wait.
+        # A change of the cold state changes the limit of the requests that wait.
         self._listener()
 
     def record_health(self, statement: ColdStatement, sent_s: float) -> None:
-        """Apply what the response to a health query states that was sent then."""
+        """Apply the statement in the response to a health query sent at ``sent_s``."""
         now_s = anyio.current_time()
         if statement.invalid:
             self.invalid_statement_count += 1
@@ -146,7 +148,7 @@
         self._listener()
 
     async def run(self) -> None:
-        """Query the health path when that is wanted, until cancelled."""
+        """Query the health path when a query is due, until cancelled."""
         while True:
             with anyio.move_on_after(self._get_cold_left_s()):
                 await self._query_wanted.wait()
@@ -182,12 +184,12 @@
 
     def _is_cold(self, now_s: float) -> bool:
         since_s = self._unanswered_since_s
-        if since_s is not None and now_s - since_s >= UNANSWERED_S:
+        if since_s is not None and now_s - since_s >= UNANSWERED_LIMIT_S:
             return True
         return self._tracker.is_cold(now_s)
 
     def _get_cold_left_s(self) -> float:
-        """Return the time in seconds until the stated end, infinity without one."""
+        """Return the seconds until the stated end of the cold state, else infinity."""
         left_s = self._tracker.cold_until_s - anyio.current_time()
         return min(left_s, MAX_SLEEP_S) + _ROUNDING_S if left_s > 0 else math.inf
 
@@ -196,7 +198,7 @@
         return None if service is None else service.cold_rate_per_s
 
     def _get_allowed(self, rate_per_s: float) -> int:
-        """Return how many starts are allowed in any second at a cold server."""
+        """Return the number of starts allowed in any second at a cold server."""
         allowed = rate_per_s * self._settings.overrun + self._settings.slack
         return max(1, math.floor(allowed) - _HEALTH_QUERIES)
 
--- a/src/berylmast/backends/warmth.py
+++ b/src/berylmast/backends/cold_state.py
@@ -9,6 +9,7 @@
 from .backend_state import BackendReport
 
 UNKNOWN_UNTIL_S = float("inf")
+"""End of the cold state of a server that nothing is known about."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -24,14 +25,15 @@
     invalid: bool = False
 
 
-class WarmthTracker:
+class ColdStateTracker:
     """Keeps what the reports and health responses of the current server state.
 
-    Times are seconds on the event loop's clock. A server is cold until one of them has
-    said otherwise, then as long as the latest report or the latest health response
-    says. It is unknown when a report was sent, so its time counts from its arrival,
-    and it never shortens what a health response stated: that may be the later one. A
-    health response replaces the reports that arrived before its query was sent.
+    Times are seconds on the event loop's clock. A server counts as cold until a report
+    or a health response has said otherwise, then until the later of the ends that the
+    latest report and the latest health response stated. The time of a report counts
+    from its arrival, because it is unknown when it was sent. So it never shortens what
+    a health response stated, which may be newer. A health response replaces the reports
+    that arrived before its query was sent.
     """
 
     def __init__(self) -> None:
@@ -45,17 +47,17 @@
 
     @property
     def confirmed_s(self) -> float:
-        """Return when the last query was sent whose response said "warm"."""
+        """Return when the last query was sent whose response stated "warm"."""
         return self._warm_s
 
     @property
     def health_sent_s(self) -> float:
-        """Return when the last query was sent whose response said cold or warm."""
+        """Return when the last query was sent whose response stated cold or warm."""
         return self._health_sent_s
 
     @property
     def cold_until_s(self) -> float:
-        """Return until when the server is cold, infinity if nothing is known."""
+        """Return the end of the cold state, infinity if nothing is known."""
         known = [
             until_s
             for until_s in (self._report_until_s, self._health_until_s)
@@ -64,7 +66,7 @@
         return max(known, default=UNKNOWN_UNTIL_S)
 
     def is_cold(self, now_s: float) -> bool:
-        """Return whether the server is cold, or nothing is known about it."""
+        """Return whether the server is cold, also if nothing is known about it."""
         return now_s < self.cold_until_s
 
     def record_report(self, report: BackendReport, now_s: float) -> None:
@@ -98,7 +100,7 @@
             self._warm_s = sent_s
 
     def _forget(self, server: tuple[str, int]) -> None:
-        """Forget a server that another one, or another start of it, has replaced."""
+        """Begin with a server that replaced the last one, or with a restarted one."""
         first = self._server is None
         self._server = server
         self._report_until_s = None
--- a/src/berylmast/backends/interface.py
+++ b/src/berylmast/backends/interface.py
@@ -5,8 +5,8 @@
 from enum import StrEnum
 
 from ..model import BackendLoad, BackendNotice, Headers, RequestHead
+from .cold_state import ColdStatement
 from .headers import make_backend_head
-from .warmth import ColdStatement
 
 
 class ResponseClass(StrEnum):
@@ -33,8 +33,8 @@
     about the server that was asked, None if another server may have sent it.
     ``read_health_notice`` does so for a response of the health endpoint, given the id
     of the backend server. ``read_health_sender`` returns the id that such a response
-    names as its sender, empty if it names none. ``read_warmth`` returns what such a
-    response with the given status states about the warm-up of the backend server.
+    names as its sender, empty if it names none. ``read_cold_statement`` returns what
+    such a response with the given status states about the warm-up of the server.
     Up to ``read_ahead_bytes`` of a response body are buffered before any of it is
     forwarded, so that a request whose short response is cut off can still be retried.
     """
@@ -46,7 +46,7 @@
     read_notice: Callable[[int, Headers], BackendNotice | None]
     read_health_notice: Callable[[str, Headers], BackendNotice | None]
     read_health_sender: Callable[[Headers], str]
-    read_warmth: Callable[[str, int, Headers], ColdStatement]
+    read_cold_statement: Callable[[str, int, Headers], ColdStatement]
     read_ahead_bytes: int = 0
 
 
@@ -58,5 +58,5 @@
     read_notice=lambda _status, _headers: None,
     read_health_notice=lambda _backend, _headers: None,
     read_health_sender=lambda _headers: "",
-    read_warmth=lambda _backend, _status, _headers: ColdStatement(),
+    read_cold_statement=lambda _backend, _status, _headers: ColdStatement(),
 )
--- a/src/berylmast/backends/load_monitor.py
+++ b/src/berylmast/backends/load_monitor.py
@@ -82,7 +82,8 @@
     async def query(self, timeout_s: float) -> None:
         """Query the health path now, or wait for a query that is in progress.
 
-        Queries itself if the one in progress, whose caller may leave, gets no response.
+        Sends its own query if the one in progress gets no response, as when its caller
+        is cancelled.
         Does nothing without a health path.
         """
         path = self._get_path()
--- a/src/berylmast/backends/tests/cold_service.py
+++ b/src/berylmast/backends/tests/cold_service.py
@@ -12,7 +12,7 @@
 from ...http_client import HttpClient, HttpResponse
 from ...limits.slot_admission import SlotAdmission
 from ...model import AttemptResult, Headers, ServiceSlice
-from ...platform.requests import read_warmth
+from ...platform.requests import read_cold_statement
 from ...settings import Address, ColdServerSettings
 from ...tests.fake_parts import make_head, make_slice
 from ..backend_state import BackendReport
@@ -123,7 +123,9 @@
 
     def _record_health(self, sent_s: float, status: int, headers: Headers) -> None:
         if self.guard is not None:
-            self.guard.record_health(read_warmth(BACKEND, status, headers), sent_s)
+            self.guard.record_health(
+                read_cold_statement(BACKEND, status, headers), sent_s
+            )
 
     async def run(self) -> None:
         """Run the guard, if there is one."""
--- a/src/berylmast/backends/tests/test_cold_start_guard.py
+++ b/src/berylmast/backends/tests/test_cold_start_guard.py
@@ -9,7 +9,7 @@
 
 from ...model import Headers
 from ...settings import ColdServerSettings
-from ..cold_start_guard import UNANSWERED_S
+from ..cold_start_guard import UNANSWERED_LIMIT_S
 from .cold_service import BACKEND, SETTINGS, ColdServer, OwnerRun
 
 pytestmark = pytest.mark.anyio
@@ -179,7 +179,7 @@
         tg.start_soon(owner.run)
         tg.start_soon(owner.report)
         tg.start_soon(owner.send, 100.0, 6.0)
-        await anyio.sleep(UNANSWERED_S + 1.0)
+        await anyio.sleep(UNANSWERED_LIMIT_S + 1.0)
         assert owner.admission.report().rate_limit == 10.0
         server.health_s = 0.001
         await anyio.sleep(0.6)
--- a/src/berylmast/backends/tests/test_warmth.py
+++ b/src/berylmast/backends/tests/test_cold_state.py
@@ -9,7 +9,7 @@
 import pytest
 
 from ..backend_state import BackendReport
-from ..warmth import ColdStatement, WarmthTracker
+from ..cold_state import ColdStatement, ColdStateTracker
 from .test_backend_state import make_report
 
 COLD_4 = ColdStatement(4.0)
@@ -75,7 +75,7 @@
     steps: list[tuple[float, BackendReport | ColdStatement]], cold_until_s: float
 ) -> None:
     """Each response arrives 0.1 s after its query was sent."""
-    tracker = WarmthTracker()
+    tracker = ColdStateTracker()
     for now_s, step in steps:
         if isinstance(step, BackendReport):
             tracker.record_report(step, now_s)
@@ -87,9 +87,9 @@
         assert not tracker.is_cold(cold_until_s + 0.01)
 
 
-def test_only_a_response_confirms_warmth_from_when_its_query_was_sent() -> None:
+def test_only_a_response_confirms_that_a_server_is_warm() -> None:
     """A report was sent at an unknown time, so it proves nothing about now."""
-    tracker = WarmthTracker()
+    tracker = ColdStateTracker()
     tracker.record_report(report(1), 1.0)
     assert tracker.confirmed_s == float("-inf")
     tracker.record_health(WARM, 1.5, 1.7)
--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -56,7 +56,7 @@
             metrics += _read_load(local_backend)
             metrics += _read_notices(local_backend)
             metrics += _read_attempts(local_backend)
-            metrics += _read_warmth(local_backend)
+            metrics += _read_cold_state(local_backend)
         if hedging is not None:
             metrics += _read_hedging(hedging)
         return metrics
@@ -193,7 +193,7 @@
     ]
 
 
-def _read_warmth(local_backend: LocalBackend) -> list[Metric]:
+def _read_cold_state(local_backend: LocalBackend) -> list[Metric]:
     guard = local_backend.cold_guard
     if guard is None:
         return []
@@ -204,7 +204,7 @@
             int(guard.is_cold(anyio.current_time())),
         ),
         Counter(
-            "backend_cold_questions",
+            "backend_cold_queries",
             "Health queries that asked whether the server is cold",
             guard.query_count,
         ),
--- a/src/berylmast/platform/requests.py
+++ b/src/berylmast/platform/requests.py
@@ -3,8 +3,8 @@
 import math
 from dataclasses import replace
 
+from ..backends.cold_state import ColdStatement
 from ..backends.interface import BackendInterface, ResponseClass
-from ..backends.warmth import ColdStatement
 from ..callers.response import ERROR_HEADER, OUTCOME_HEADER, ErrorResponse
 from ..errors import ErrorKind, Outcome, Refusal
 from ..model import BackendLoad, BackendNotice, Headers, RequestHead
@@ -221,7 +221,7 @@
     return _get_header(headers, INSTANCE_ID_HEADER).decode("latin-1")
 
 
-def read_warmth(backend: str, status: int, headers: Headers) -> ColdStatement:
+def read_cold_statement(backend: str, status: int, headers: Headers) -> ColdStatement:
     """Return what a health response states about the warm-up of its server.
 
     A response that names another server states nothing. One without the header states
@@ -265,7 +265,7 @@
     read_notice=read_notice,
     read_health_notice=read_health_notice,
     read_health_sender=read_health_sender,
-    read_warmth=read_warmth,
+    read_cold_statement=read_cold_statement,
     read_ahead_bytes=READ_AHEAD_BYTES,
 )
 
--- a/src/berylmast/platform/tests/test_requests.py
+++ b/src/berylmast/platform/tests/test_requests.py
@@ -4,8 +4,8 @@
 
 import pytest
 
+from ...backends.cold_state import ColdStatement
 from ...backends.interface import ResponseClass
-from ...backends.warmth import ColdStatement
 from ...errors import RESPONSE_SPECS, ErrorKind, Outcome, Refusal
 from ...model import BackendLoad, BackendNotice, Headers
 from ...tests.fake_parts import make_head
@@ -15,11 +15,11 @@
     is_stray,
     make_backend_head,
     make_error_response,
+    read_cold_statement,
     read_deadline_ms,
     read_health_notice,
     read_load,
     read_notice,
-    read_warmth,
     set_caller_service,
 )
 
@@ -206,11 +206,11 @@
         (200, b"i-1", b"\xff", ColdStatement(invalid=True)),
     ],
 )
-def test_warmth_is_read_from_usable_responses_of_the_server(
+def test_cold_statement_is_read_from_usable_responses_of_the_server(
     status: int, sender: bytes, cold_ms: bytes | None, statement: ColdStatement
 ) -> None:
     """A value that can't be used must not make a cold server look warm."""
     headers = [(b"x-instance-id", sender)]
     if cold_ms is not None:
         headers.append((b"x-cold-ms", cold_ms))
-    assert read_warmth("i-1", status, headers) == statement
+    assert read_cold_statement("i-1", status, headers) == statement
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -117,9 +117,11 @@
             if notice is not None:
                 notices.record_health(backend, notice)
 
-        def record_warmth(sent_s: float, status: int, headers: Headers) -> None:
+        def record_cold_statement(sent_s: float, status: int, headers: Headers) -> None:
             if cold_guard is not None:
-                statement = adapter.backend.read_warmth(get_backend(), status, headers)
+                statement = adapter.backend.read_cold_statement(
+                    get_backend(), status, headers
+                )
                 cold_guard.record_health(statement, sent_s)
 
         load_monitor = LoadMonitor(
@@ -128,7 +130,7 @@
             get_health_path,
             adapter.backend.read_load,
             record_health_notice,
-            record_warmth,
+            record_cold_statement,
         )
         cold_guard = _make_cold_guard(cfg, backend_state, get_slice, load_monitor)
         admission = limits.make_admission(
@@ -348,7 +350,7 @@
 def make_freshness(
     cfg: DaemonSettings, active_document: ActiveDocument
 ) -> Freshness | None:
-    """Return what tracks how current the keys are, None if nothing depends on it."""
+    """Return the age tracker of the configuration, None without strict revocation."""
     if cfg.key_revocation is None:
         return None
     return Freshness(cfg.key_revocation.within_s, lambda: active_document.version)
@@ -357,7 +359,7 @@
 def make_announcement_check(
     local_backend: LocalBackend | None, registry: EndpointRegistry
 ) -> Callable[[], bool]:
-    """Return a function that tells whether other daemons know this one by a record."""
+    """Return a function that returns whether a record names this daemon's server."""
 
     def is_announced() -> bool:
         report = None if local_backend is None else local_backend.backend_state.current
@@ -425,7 +427,7 @@
 
 
 def make_hedging(cfg: DaemonSettings) -> Hedging | None:
-    """Return what decides on copies of late requests, None if the settings have none.
+    """Return the decisions on copies of late requests, None if the settings have none.
 
     Each daemon keeps to the ratio for its own requests, so all of them together do.
     """
