State why a server is ineligible under one name

Cause: the explanation's field left_out had the name of a log event with another meaning, find_obstacle and describe_lack were vague, and a comment on resets was a riddle.

Change: names and comments only.

--- a/src/berylmast/callers/idempotency.py
+++ b/src/berylmast/callers/idempotency.py
@@ -116,7 +116,7 @@
     endpoints = context.endpoints(head.service)
     holders = select_holders(allowed.select(endpoints), head.service, head.tenant, key)
     if not holders:
-        detail = allowed.describe_lack(head.service, endpoints)
+        detail = allowed.describe_no_endpoint(head.service, endpoints)
         return Err(Refusal(ErrorKind.NO_BACKEND, detail))
     status = KeyStatus.NOT_RUN
     sink = RecordingSink(response)
--- a/src/berylmast/http_client/_connection.py
+++ b/src/berylmast/http_client/_connection.py
@@ -265,8 +265,8 @@
                 await anyio.wait_readable(self._sock)
             except OSError as exc:
                 raise ConnectionCut(f"receiving failed: {exc}") from exc
-        # A reset is reported once. If sending was told of it, receiving is told of an
-        # end, as if the server had closed the connection in order.
+        # The kernel reports a reset once. If a send call got it, the receive call
+        # returns an end, as if the server had closed the connection in order.
         if not data and self._sending_failed:
             raise ConnectionCut("the connection failed while sending")
         parser.feed(data)
--- a/src/berylmast/operators/tests/test_explain.py
+++ b/src/berylmast/operators/tests/test_explain.py
@@ -77,7 +77,7 @@
 
 
 @pytest.mark.parametrize(
-    ("query", "expected", "left_out"),
+    ("query", "expected", "ineligible_reasons"),
     [
         ({}, ("5", ["north", "south"], "o1"), ["failure domain evacuated", ""]),
         ({"tenant": "c"}, ("5", ["north", "south"], "o1"), [""]),
@@ -88,7 +88,7 @@
 async def test_host_route_with_homes_and_evacuations(
     query: dict[str, str],
     expected: tuple[str, list[str], str | None],
-    left_out: list[str],
+    ineligible_reasons: list[str],
 ) -> None:
     """Guards against operators who can't see why a request has no server."""
     directory = Directory()
@@ -110,8 +110,8 @@
     response: Any = explain({"host": "Shop:80", "method": "GET", "path": "/"} | query)
     found = (response["priority"], response["home_regions"], response["chosen"])
     assert found == expected
-    reasons = [candidate["left_out"] for candidate in response["candidates"]]
-    assert set(left_out) <= set(reasons)
+    reasons = [candidate["ineligible_reason"] for candidate in response["candidates"]]
+    assert set(ineligible_reasons) <= set(reasons)
     assert ("" in reasons) == (response["chosen"] is not None)
 
 
--- a/src/berylmast/routing/eligibility.py
+++ b/src/berylmast/routing/eligibility.py
@@ -1,7 +1,7 @@
-"""Decides which backend servers a request may be sent to, whatever their load is.
+"""Decides which backend servers a request may be sent to, regardless of their load.
 
-Fault: none; a request must not leave its home regions, and the servers of an evacuated
-failure domain must get no requests although they run and report that they are ready.
+Fault: an operator evacuates a failure domain whose servers still run and report that
+they are ready. Independent of faults, a request must not leave its home regions.
 """
 
 from collections.abc import Sequence
@@ -16,12 +16,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Eligibility:
-    """The home regions of a request (None: all) and the evacuated failure domains."""
+    """Decides by the home regions of a request and the evacuated failure domains.
+
+    With ``home_regions`` None, all regions are allowed.
+    """
 
     home_regions: frozenset[str] | None = None
     evacuated: frozenset[str] = frozenset()
 
-    def find_obstacle(self, endpoint: Endpoint) -> str:
+    def find_exclusion(self, endpoint: Endpoint) -> str:
         """Return why an endpoint may not get the request, empty if it may."""
         if self.home_regions is not None and endpoint.region not in self.home_regions:
             return OUTSIDE_HOMES
@@ -31,19 +34,21 @@
         """Return the endpoints that may get the request."""
         if self.home_regions is None and not self.evacuated:
             return endpoints
-        return [e for e in endpoints if not self.find_obstacle(e)]
+        return [e for e in endpoints if not self.find_exclusion(e)]
 
-    def describe_lack(self, service: str, endpoints: Sequence[Endpoint]) -> str:
-        """Describe for a refusal that no endpoint of a service is usable.
+    def describe_no_endpoint(self, service: str, endpoints: Sequence[Endpoint]) -> str:
+        """Return the detail of a refusal because no endpoint of a service is usable.
 
-        ``endpoints`` are all of the service.
+        ``endpoints`` are all endpoints of the service.
         """
         detail = f"no backend server of {service}"
         if self.home_regions is not None:
             detail += f" {describe_home_regions(self.home_regions)}"
-        obstructed = {
-            e.failure_domain for e in endpoints if self.find_obstacle(e) == EVACUATED
+        evacuated_domains = {
+            e.failure_domain for e in endpoints if self.find_exclusion(e) == EVACUATED
         }
-        if obstructed:
-            detail += f"; evacuated failure domains: {', '.join(sorted(obstructed))}"
+        if evacuated_domains:
+            detail += (
+                f"; evacuated failure domains: {', '.join(sorted(evacuated_domains))}"
+            )
         return detail
--- a/src/berylmast/routing/explain.py
+++ b/src/berylmast/routing/explain.py
@@ -36,8 +36,8 @@
     ``own`` is the number of requests in flight from this entry. ``report_age_s`` is
     None if there is no load report. ``ramp_limit`` is None for a backend server that is
     not ramping up. ``hot`` is relative to the other endpoints of the same region.
-    ``left_out`` says why it may not get the request (homes, evacuation), empty if it
-    may.
+    ``ineligible_reason`` states why home regions or evacuations exclude it, empty if
+    they don't.
     """
 
     backend: str
@@ -52,7 +52,7 @@
     ejected: bool
     draining: bool
     ramp_limit: int | None
-    left_out: str = ""
+    ineligible_reason: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -140,7 +140,7 @@
         draining=state.loads.is_draining(endpoint, now_s)
         or state.leaving.contains(endpoint),
         ramp_limit=state.slow_start.get_limit(endpoint.backend, now_s),
-        left_out=state.eligibility.find_obstacle(endpoint),
+        ineligible_reason=state.eligibility.find_exclusion(endpoint),
     )
 
 
--- a/src/berylmast/routing/load_table.py
+++ b/src/berylmast/routing/load_table.py
@@ -205,8 +205,8 @@
     def has_free_slot(self, endpoint: Endpoint, now_s: float) -> bool:
         """Return whether a fresh report states a free slot and no limit.
 
-        The requests that this entry has sent since then take slots too. A report of
-        another incarnation counts as none.
+        The requests that this entry has sent since the report count as slots in use. A
+        report of another incarnation is ignored.
         """
         load = self._get_or_create(endpoint.backend)
         report = load.report
@@ -220,7 +220,7 @@
         return report.in_flight + report.queued + sent_since_report < report.limit
 
     def estimate_use(self, endpoints: Sequence[Endpoint], now_s: float) -> float:
-        """Return requests per slot by fresh reports, 0 without any."""
+        """Return requests per slot over all fresh reports, 0 without any."""
         used = slots = 0
         for endpoint in endpoints:
             load = self._get_or_create(endpoint.backend)
--- a/src/berylmast/routing/router.py
+++ b/src/berylmast/routing/router.py
@@ -156,9 +156,9 @@
     ) -> Endpoint | None:
         """Choose a backend server for a second copy of a request that still runs.
 
-        Only servers with a free slot by a fresh report are considered, none that is
-        ejected or states a rate limit, and those of the own region first. Returns None
-        if there is none.
+        Only servers with a free slot by a fresh report are considered, and none that is
+        ejected, unreachable or states a rate limit. Those of the own region are
+        preferred. Returns None if there is none.
         """
         now_s = anyio.current_time()
         eligibility = Eligibility(home_regions, self._get_evacuated())
@@ -364,7 +364,7 @@
         self, service: str, eligibility: Eligibility
     ) -> Result[Endpoint, Refusal]:
         endpoints = self._directory.endpoints(service)
-        detail = eligibility.describe_lack(service, endpoints)
+        detail = eligibility.describe_no_endpoint(service, endpoints)
         return Err(Refusal(ErrorKind.NO_BACKEND, detail))
 
     def _record_request(
--- a/src/berylmast/routing/tests/test_eligibility.py
+++ b/src/berylmast/routing/tests/test_eligibility.py
@@ -125,12 +125,12 @@
     assert all(text in refusal.detail for text in texts), refusal.detail
 
 
-async def test_explanations_say_why_a_server_is_left_out() -> None:
+async def test_explanations_say_why_a_server_is_ineligible() -> None:
     router = make_evacuating_router(*ALL, evacuated=frozenset({"n1"}))
     explanation = router.explain(make_slice(), home_regions=NORTH)
     assert explanation.chosen == "near"
-    left_out = {c.backend: c.left_out for c in explanation.candidates}
-    assert left_out == {
+    reasons = {c.backend: c.ineligible_reason for c in explanation.candidates}
+    assert reasons == {
         "own": "failure domain evacuated",
         "near": "",
         "far": "outside the home regions",
--- a/src/berylmast/telemetry/request_recorder.py
+++ b/src/berylmast/telemetry/request_recorder.py
@@ -47,8 +47,8 @@
 
 
 _COPY_FIELDS = frozenset({"copies", "copy_attempt", "copy_result"})
-_COPIED_LOG_FIELDS = tuple(field.name for field in fields(RequestLogEntry))
-_LOG_FIELDS = tuple(name for name in _COPIED_LOG_FIELDS if name not in _COPY_FIELDS)
+_LOG_FIELDS_WITH_COPY = tuple(field.name for field in fields(RequestLogEntry))
+_LOG_FIELDS = tuple(name for name in _LOG_FIELDS_WITH_COPY if name not in _COPY_FIELDS)
 
 
 class RequestRecorder:
@@ -79,7 +79,7 @@
         is_routine = entry.outcome == ANSWERED and entry.attempts <= 1
         limiter = self._routine_limiter if is_routine else self._notable_limiter
         limit_key = entry.outcome if entry.outcome == ANSWERED else entry.reason
-        names = _COPIED_LOG_FIELDS if entry.copies else _LOG_FIELDS
+        names = _LOG_FIELDS_WITH_COPY if entry.copies else _LOG_FIELDS
         fields = {name: getattr(entry, name) for name in names}
         limiter.write(limit_key, "request", **fields)
 
