Make the units and conditions of limits and hedging explicit

Cause: the enum Unsent and the method find_obstacle didn't say that they give the reason why no copy is sent, attempt_head holds the request of an attempt, and several constants had neither unit nor direction.

Change: names and comments only: UnsentReason, find_unsent_reason, can_send_twice, run_and_record, attempt_request. The race's doc states which of two heads wins.

--- a/src/berylmast/callers/forward.py
+++ b/src/berylmast/callers/forward.py
@@ -5,11 +5,11 @@
 
 from ..errors import ErrorKind, Refusal
 from .attempt import run_attempt
-from .attempt_head import RequestTimes, make_attempt_request
+from .attempt_request import RequestTimes, make_attempt_request
 from .backend_selector import BackendSelector
 from .classify import ClassifiedRequest
 from .context import ForwardingContext, OpenExchange, RequestProgress, ResponseSink
-from .hedge import HedgedRequest, run_and_observe
+from .hedge import HedgedRequest, run_and_record
 from .idempotency import run_with_key
 from .request_body import RequestBody
 
@@ -112,7 +112,7 @@
                 context, placement.endpoint, attempt, body, response, progress
             )
         else:
-            result = await run_and_observe(hedged, placement, attempt, response)
+            result = await run_and_record(hedged, placement, attempt, response)
         if result.is_ok():
             return result
         refusal = result.unwrap_err()
--- a/src/berylmast/callers/hedge.py
+++ b/src/berylmast/callers/hedge.py
@@ -11,10 +11,10 @@
 from result import Err, Ok, Result
 
 from ..errors import ErrorKind, Refusal
-from ..limits.hedging import CopyResult, Hedging, LateRequest, Unsent
+from ..limits.hedging import CopyResult, Hedging, LateRequest, UnsentReason
 from ..model import Endpoint
 from .attempt import may_have_reached_backend, run_attempt
-from .attempt_head import RequestTimes, make_attempt_request
+from .attempt_request import RequestTimes, make_attempt_request
 from .backend_selector import BackendSelector, Placement
 from .classify import ClassifiedRequest
 from .context import ForwardingContext, RequestProgress, ResponseSink
@@ -56,7 +56,7 @@
         return f"{self.req.head.service} {self.req.route}"
 
 
-async def run_and_observe(
+async def run_and_record(
     hedged: HedgedRequest,
     placement: Placement,
     attempt_req: ClassifiedRequest,
@@ -64,7 +64,7 @@
 ) -> Result[None, Refusal]:
     """Run an attempt, with a copy if it is late and may run twice.
 
-    Records how it ended for decisions on further copies.
+    Its result is recorded for decisions on further copies.
     """
     head = attempt_req.head
     if head.idempotent and head.idempotency_key is None and not head.retry:
@@ -174,39 +174,39 @@
 
 def _place_copy(
     hedged: HedgedRequest, first: Placement
-) -> Result[tuple[Endpoint, ClassifiedRequest], Unsent]:
+) -> Result[tuple[Endpoint, ClassifiedRequest], UnsentReason]:
     """Choose the server of a copy and charge the budgets, if a copy may be sent."""
-    obstacle = _find_obstacle(hedged)
-    if obstacle is not None:
-        return Err(obstacle)
+    unsent_reason = _find_unsent_reason(hedged)
+    if unsent_reason is not None:
+        return Err(unsent_reason)
     placement = hedged.selector.choose_copy(first.endpoint)
     if placement is None:
-        return Err(Unsent.NO_SERVER)
+        return Err(UnsentReason.NO_SERVER)
     attempt_req = make_attempt_request(
         hedged.context, hedged.req, placement, hedged.times, retry=True
     )
     if attempt_req is None:
-        return Err(Unsent.DEADLINE)
+        return Err(UnsentReason.DEADLINE)
     head = hedged.req.head
     if not hedged.context.retries.try_spend(head.service, head.priority):
-        return Err(Unsent.RETRY_BUDGET)
+        return Err(UnsentReason.RETRY_BUDGET)
     hedged.hedging.spend(head.service)
     return Ok((placement.endpoint, attempt_req))
 
 
-def _find_obstacle(hedged: HedgedRequest) -> Unsent | None:
+def _find_unsent_reason(hedged: HedgedRequest) -> UnsentReason | None:
     """Return why no copy may be sent now, None if one may."""
     if hedged.context.withdrawals.began:
-        return Unsent.STOPPING
-    if not hedged.body.sendable_twice:
-        return Unsent.BODY
+        return UnsentReason.STOPPING
+    if not hedged.body.can_send_twice:
+        return UnsentReason.BODY
     progress, req = hedged.progress, hedged.req
     sent_with_copy = progress.sent + 2
     if (
         sent_with_copy > req.max_attempts
         or progress.attempts >= hedged.selector.max_owners
     ):
-        return Unsent.ATTEMPTS
+        return UnsentReason.ATTEMPTS
     target_left_ms = hedged.times.get_target_left_ms(req.head.target_ms)
     late = LateRequest(
         service=req.head.service,
@@ -215,7 +215,7 @@
         target_left_s=None if target_left_ms is None else target_left_ms / 1000,
         use=hedged.context.router.estimate_use(req.head.service),
     )
-    return hedged.hedging.find_obstacle(late, anyio.current_time())
+    return hedged.hedging.find_unsent_reason(late, anyio.current_time())
 
 
 def _record_time(
--- a/src/berylmast/callers/host_route_classifier.py
+++ b/src/berylmast/callers/host_route_classifier.py
@@ -28,7 +28,7 @@
 MAX_HEADERS = 200
 
 REFUSAL_LINES_PER_S = 1.0
-"""Maximum rate of log lines for requests refused because of old evidence."""
+"""Log lines per second about requests refused because of old evidence."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/berylmast/callers/race.py
+++ b/src/berylmast/callers/race.py
@@ -11,10 +11,11 @@
 class Race:
     """The attempts of one request that run at the same time.
 
-    The first head of a success (2xx) wins. An attempt with another status waits with
-    its head until the other one has ended, and wins if that one has nothing better.
-    The other attempts are cancelled before the head of the winner is sent, at
-    ``decided_s`` on the event loop's clock.
+    The first head of a success (2xx) wins. An attempt with another status holds its
+    head back until the other attempt has a head too or has ended. Of two such heads the
+    first one wins, unless it alone is a server error (5xx). The other attempts are
+    cancelled before the head of the winner is sent, at ``decided_s`` on the event
+    loop's clock.
     """
 
     def __init__(self, response: ResponseSink) -> None:
@@ -35,9 +36,9 @@
             return self.winner is sink
         rival = self._find_running_rival(sink)
         if rival is None or 200 <= sink.received_status < 300:
-            self._let_win(sink)
+            self._set_winner(sink)
         elif rival.received_status:
-            self._let_win(_choose_better(rival, sink))
+            self._set_winner(_choose_better(rival, sink))
         return self.winner is sink
 
     def withdraw(self, sink: "RacingSink") -> None:
@@ -45,7 +46,7 @@
         sink.running = False
         rival = self._find_running_rival(sink)
         if self.winner is None and rival is not None and rival.received_status:
-            self._let_win(rival)
+            self._set_winner(rival)
 
     def _find_running_rival(self, sink: "RacingSink") -> "RacingSink | None":
         for rival in self._sinks:
@@ -53,7 +54,7 @@
                 return rival
         return None
 
-    def _let_win(self, winner: "RacingSink") -> None:
+    def _set_winner(self, winner: "RacingSink") -> None:
         self.winner = winner
         self.decided_s = anyio.current_time()
         for sink in self._sinks:
@@ -104,7 +105,7 @@
 
 
 def _choose_better(first: RacingSink, second: RacingSink) -> RacingSink:
-    """Return the first response, unless only the second one is no server error."""
+    """Return the first response, unless it alone is a server error (5xx)."""
     if second.received_status < FIRST_ERROR_STATUS <= first.received_status:
         return second
     return first
--- a/src/berylmast/callers/request_body.py
+++ b/src/berylmast/callers/request_body.py
@@ -92,10 +92,10 @@
         return self._buffers_whole or not self._partly_discarded
 
     @property
-    def sendable_twice(self) -> bool:
+    def can_send_twice(self) -> bool:
         """Return whether two attempts can send the body at the same time.
 
-        It has arrived whole then, so that none of them waits for the caller.
+        The whole body has arrived then, so neither attempt waits for the caller.
         """
         return self._buffers_whole and self._complete
 
--- a/src/berylmast/callers/tests/test_hedge.py
+++ b/src/berylmast/callers/tests/test_hedge.py
@@ -17,7 +17,7 @@
 from ...daemons import frames
 from ...daemons.frames import Frame
 from ...errors import ErrorKind, Refusal
-from ...limits.hedging import BURST_COPIES, CopyResult, Hedging, Unsent
+from ...limits.hedging import BURST_COPIES, CopyResult, Hedging, UnsentReason
 from ...model import Endpoint
 from ...tests.fakes import (
     SERVICE,
@@ -227,16 +227,16 @@
 @pytest.mark.parametrize(
     ("prepare", "reason"),
     [
-        (change_report(rate_limit=100.0, rate_share=50.0), Unsent.NO_SERVER),
-        (change_report(in_flight=6, queued=6), Unsent.OVERLOAD),
-        (spend_retries, Unsent.RETRY_BUDGET),
-        (spend_copies, Unsent.BUDGET),
-        (stop_entry, Unsent.STOPPING),
-        (refuse_others, Unsent.OVERLOAD),
+        (change_report(rate_limit=100.0, rate_share=50.0), UnsentReason.NO_SERVER),
+        (change_report(in_flight=6, queued=6), UnsentReason.OVERLOAD),
+        (spend_retries, UnsentReason.RETRY_BUDGET),
+        (spend_copies, UnsentReason.BUDGET),
+        (stop_entry, UnsentReason.STOPPING),
+        (refuse_others, UnsentReason.OVERLOAD),
     ],
 )
 async def test_no_copy_without_a_fit_server_or_a_budget(
-    prepare: Callable[[FakeFleet, FakeEntry], None], reason: Unsent
+    prepare: Callable[[FakeFleet, FakeEntry], None], reason: UnsentReason
 ) -> None:
     async with run_hedging_fleet() as (fleet, entry, hedging):
         prepare(fleet, entry)
@@ -341,7 +341,7 @@
         )
         assert result.is_ok()
         assert fleet.count_runs()["r1"] == 1
-        assert dict(hedging.unsent) == {Unsent.ATTEMPTS: 1}
+        assert dict(hedging.unsent) == {UnsentReason.ATTEMPTS: 1}
 
 
 NOT_RUN = Refusal(ErrorKind.OVERLOADED, "")
--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from .limits.hedging import CopyResult, Hedging, Unsent
+from .limits.hedging import CopyResult, Hedging, UnsentReason
 from .membership.active_document import ActiveDocument
 from .membership.active_evacuations import ActiveEvacuations
 from .membership.registry import EndpointRegistry
@@ -246,7 +246,7 @@
             hedging.unsent[reason],
             (("reason", reason),),
         )
-        for reason in Unsent
+        for reason in UnsentReason
     ]
     metrics += [
         Gauge(
--- a/src/berylmast/limits/fair_tags.py
+++ b/src/berylmast/limits/fair_tags.py
@@ -11,15 +11,15 @@
 from collections.abc import Container
 
 MAX_TENANTS = 256
-"""Number of tracked tenants from which idle ones are evicted to make room."""
+"""Number of tracked tenants from which on idle ones are evicted for new ones."""
 
 MAX_TAG_LEAD_S = 1.0
-"""Most slot time in seconds by which a tenant's tag may be ahead after a correction, so
-that one very long request does not block its tenant for equally long."""
+"""Largest lead of a tenant's tag after a correction, in seconds of slot time, so that
+one very long request does not block its tenant for equally long."""
 
 MAX_TAG_LAG_S = 1.0
-"""Most slot time in seconds that a tenant catches up with after its waiting requests
-were passed over for another reason than fairness."""
+"""Largest lag of a tenant's tag, in seconds of slot time, that the tenant may catch up
+with after its waiting requests were passed over for another reason than fairness."""
 
 
 class FairTags:
@@ -35,8 +35,8 @@
     def activate(self, tenant: str, backlogged: Container[str]) -> None:
         """Begin to count a tenant that had no waiting requests.
 
-        Time in which it did not wait is not made up for. ``backlogged`` are the tenants
-        with waiting requests, whose tags are kept.
+        A tenant gets no credit for time in which it did not wait. ``backlogged`` are
+        the tenants with waiting requests, whose tags are kept.
         """
         if tenant not in self._tags:
             self._evict_idle(backlogged)
@@ -56,7 +56,7 @@
         return max(self._tags.get(tenant, self._virtual_time_s), lowest_s)
 
     def charge(self, tenant: str, cost_s: float) -> None:
-        """Charge a tenant for a request that starts."""
+        """Charge a tenant for a request that starts, with its expected slot time."""
         tag = self._tags.get(tenant, self._virtual_time_s)
         self._virtual_time_s = max(self._virtual_time_s, tag)
         self._tags[tenant] = tag + cost_s
--- a/src/berylmast/limits/hedging.py
+++ b/src/berylmast/limits/hedging.py
@@ -1,12 +1,12 @@
 """Decides when a second copy of a late request is sent (hedged requests).
 
 Load pattern: a backend server that is several times slower for some tenths of a second.
-Each request that is at this server then takes longer than nearly all others of its
-route, although other servers are free. See Dean and Barroso, The Tail at Scale, 2013.
+Its requests then take longer than nearly all others of their route, although other
+servers are free. See Dean and Barroso, The Tail at Scale, 2013.
 
 Copies are limited in three ways: by the operators' ratio of copies to requests, by the
 retry budget, which the caller of this module charges, and by the load, since copies
-would add work just when no server has time for it.
+would add work when no server has free capacity.
 """
 
 from collections import Counter
@@ -19,25 +19,25 @@
 from .shedder import SlidingWindow
 
 MIN_SAMPLES = 50
-"""Times of a route that are needed before its quantiles are used."""
+"""Number of times of a route that are needed before its quantiles are used."""
 
 MIN_LATE_SAMPLES = 3
-"""Times beyond a quantile that are needed before it is used as a delay."""
+"""Number of times beyond a quantile that are needed before it is used as a delay."""
 
 MAX_LATE_FRACTION = 0.5
-"""Fraction of the requests that may count as late at most: a copy is never sent before
-the typical time of its route, however large the ratio of copies is."""
+"""Largest fraction of the requests that may count as late. A copy is never sent before
+the median time of its route, however large the ratio of copies is."""
 
 MIN_GAIN = 0.35
-"""Further time that half of the late requests take at least, as a fraction of the
-typical time. If it were less, most copies would end after the first attempt."""
+"""Least further time of half of the late requests, as a fraction of the median time. If
+it were less, most copies would end after the first attempt."""
 
 DELAY_REFRESH_S = 0.5
 """Interval in seconds at which the delay of a route is computed again."""
 
 BURST_COPIES = 5.0
-"""Copies of one service that may follow each other while requests earn no new ones. One
-slow server delays several requests at the same time."""
+"""Largest budget of a service, in copies. One slow server delays several requests at
+the same time."""
 
 MAX_ROUTES = 200
 """Routes whose times are kept, about 60 KB each; the oldest ones are dropped first."""
@@ -45,7 +45,7 @@
 MAX_SERVICES = 200
 
 OVERLOAD_WINDOW_MIN = 10
-"""Attempts in the last second below which refusals say nothing about the load."""
+"""Attempts in the last second from which refusals are taken as a sign of overload."""
 
 MAX_REFUSED_SHARE = 0.1
 """Share of a service's attempts in the last second that owners may refuse for lack of
@@ -70,7 +70,7 @@
 the route's times and the ratio of copies to requests; None if no copy is worthwhile."""
 
 
-class Unsent(StrEnum):
+class UnsentReason(StrEnum):
     """Why no copy of a late request was sent."""
 
     BODY = "body"
@@ -98,8 +98,8 @@
     """A request whose first attempt is late, at the time at which it may be copied.
 
     ``deadline_left_s`` and ``target_left_s`` are the remaining times in seconds until
-    its deadline and its latency target, None without a target. ``use`` is the reported
-    use of the slots of its service, 0 if unknown.
+    its deadline and its latency target, None without a target. ``use`` is the number of
+    requests per slot of its service by load reports, 0 if unknown.
     """
 
     service: str
@@ -122,9 +122,10 @@
     """Return the delay at which copies use up the budget or less, where they help.
 
     The first candidate is the quantile that ``extra_ratio`` of the requests exceed, or
-    the highest one that the number of times allows. As long as most requests beyond the
-    candidate end soon after it, half as many are taken for late, so that the budget is
-    left for those that gain from a copy.
+    the highest one that the number of times allows. While most requests beyond the
+    candidate end soon after it, the next candidate is the quantile that half as many
+    exceed. This leaves the budget to requests that gain from a copy. Returns None if no
+    candidate is left.
     """
     if times.count < MIN_SAMPLES:
         return None
@@ -141,6 +142,8 @@
 
 @dataclass(slots=True)
 class _RouteDelay:
+    """The times of a route, and its delay and median time as computed last."""
+
     times: ResponseTimes
     computed_s: float = float("-inf")
     delay_s: float | None = None
@@ -169,14 +172,14 @@
     ) -> None:
         self.sent = 0
         self.results: Counter[CopyResult] = Counter()
-        self.unsent: Counter[Unsent] = Counter()
+        self.unsent: Counter[UnsentReason] = Counter()
         self._extra_ratio = extra_ratio
         self._choose_delay = choose_delay
         self._routes: dict[str, _RouteDelay] = {}
         self._services: dict[str, _ServiceState] = {}
 
     def record_request(self, service: str) -> None:
-        """Add the share of a copy that one request of a service earns."""
+        """Add ``extra_ratio`` of a copy to the budget of a request's service."""
         state = self._get_service(service)
         state.tokens = min(state.tokens + self._extra_ratio, BURST_COPIES)
 
@@ -190,9 +193,9 @@
     def record_time(self, route: str, time_s: float, now_s: float) -> None:
         """Record the time to the response head of a first attempt.
 
-        The time of an attempt that was cancelled while it was late is recorded as far
-        as it went. It lies beyond the delay, as the unknown whole time does, so that
-        the quantile of the delay stays right.
+        For an attempt that was cancelled while it was late, the time until then is
+        recorded. Like the unknown full time it lies beyond the delay, so the quantile
+        of the delay stays right.
         """
         route_delay = self._routes.get(route)
         if route_delay is None:
@@ -224,23 +227,25 @@
             if route_delay.delay_s is not None
         }
 
-    def find_obstacle(self, request: LateRequest, now_s: float) -> Unsent | None:
+    def find_unsent_reason(
+        self, request: LateRequest, now_s: float
+    ) -> UnsentReason | None:
         """Return why a late request may not be copied now, None if it may."""
         state = self._get_service(request.service)
         route_delay = self._routes.get(request.route)
         typical_s = 0.0 if route_delay is None else route_delay.typical_s
         if request.deadline_left_s <= typical_s:
-            return Unsent.DEADLINE
+            return UnsentReason.DEADLINE
         if request.target_left_s is not None and request.target_left_s <= typical_s:
-            return Unsent.TARGET
+            return UnsentReason.TARGET
         if request.use > MAX_USE or _is_overloaded(state.attempts, now_s):
-            return Unsent.OVERLOAD
+            return UnsentReason.OVERLOAD
         if state.tokens < 1:
-            return Unsent.BUDGET
+            return UnsentReason.BUDGET
         return None
 
     def spend(self, service: str) -> None:
-        """Take one copy from the budget of a service; ``find_obstacle`` allowed it."""
+        """Take a copy from a service's budget; ``find_unsent_reason`` returned None."""
         self._get_service(service).tokens -= 1
         self.sent += 1
 
--- a/src/berylmast/limits/request_queue.py
+++ b/src/berylmast/limits/request_queue.py
@@ -122,7 +122,7 @@
         if not tenants.counts[request.tenant]:
             del tenants.counts[request.tenant]
         if not tenants.counts:
-            # Without waiting requests there is nothing to be fair about.
+            # Tags matter only between requests that wait.
             del self._ranks[request.rank]
 
     def _put(self, request: _Request, late: bool) -> None:
--- a/src/berylmast/limits/response_times.py
+++ b/src/berylmast/limits/response_times.py
@@ -1,8 +1,8 @@
 """Recent times to the response head of one route.
 
 Load pattern: a load that changes within seconds. Times of a former load would place
-quantiles far from the present ones, so they are dropped after two windows. Where there
-are few requests, windows are longer, because high quantiles need many times.
+quantiles far from the present ones, so they are dropped after two windows. Windows are
+longer if there are few requests, because high quantiles need many times.
 """
 
 from collections.abc import Callable
@@ -31,7 +31,10 @@
 
 
 class ResponseTimes:
-    """Counts the times of the current window and of the one before."""
+    """The times of the current window and of the one before, as histograms.
+
+    All times are in seconds, ``now_s`` on the event loop's clock.
+    """
 
     def __init__(self, now_s: float) -> None:
         self._current = _make_histogram()
--- a/src/berylmast/limits/start_window.py
+++ b/src/berylmast/limits/start_window.py
@@ -1,8 +1,8 @@
 """Counts the starts of requests in the last second that may reach a cold server.
 
-Load pattern: full load on a server that becomes cold unnoticed. What it got since it
-was last known to be warm counts towards the bound, and so does what the previous run of
-its owner may have sent.
+Load pattern: full load on a server that becomes cold unnoticed. Starts since the server
+was last known to be warm count towards the bound, and so do those that the previous run
+of its owner may have made.
 """
 
 import math
@@ -11,19 +11,19 @@
 WINDOW_S = 1.0
 
 ARRIVAL_MARGIN_S = 0.02
-"""A request may reach the server this time in seconds later than it was started."""
+"""Longest time in seconds from the start of a request to its arrival at the server."""
 
 _ROUNDING_S = 1e-6
 
 _MAX_OUTDATED = 256
-"""Starts older than the window that are kept until they are deleted together."""
+"""Number of starts older than the window at which they are deleted together."""
 
 
 class StartWindow:
     """Keeps the times of the starts within the last second.
 
-    Times are seconds on the event loop's clock. Starts before ``began_s``, the start of
-    this process, are unknown: as many as are allowed may have been sent just then.
+    Times are seconds on the event loop's clock. ``began_s`` is the start of this
+    process. Earlier starts are unknown: the bound may have been used up just then.
     """
 
     def __init__(self, began_s: float) -> None:
@@ -40,8 +40,8 @@
     def count(self, now_s: float, warm_s: float) -> float:
         """Return the starts in the last second that a cold server may have got.
 
-        ``warm_s`` is when the server was last known to be warm. Infinite if the
-        previous run of the owner may have sent any number of them.
+        ``warm_s`` is when the server was last known to be warm. Returns infinity while
+        starts of the previous run of the owner may still count.
         """
         if self._is_beginning(now_s, warm_s):
             return math.inf
--- a/src/berylmast/limits/tests/test_hedging.py
+++ b/src/berylmast/limits/tests/test_hedging.py
@@ -16,7 +16,7 @@
     MIN_SAMPLES,
     Hedging,
     LateRequest,
-    Unsent,
+    UnsentReason,
     choose_delay_by_budget,
     make_fixed_rule,
 )
@@ -99,42 +99,42 @@
 
 
 @pytest.mark.parametrize(
-    ("changes", "obstacle"),
+    ("changes", "unsent_reason"),
     [
         ({}, None),
         ({"target_left_s": None}, None),
-        ({"deadline_left_s": 0.05}, Unsent.DEADLINE),
-        ({"target_left_s": 0.05}, Unsent.TARGET),
-        ({"target_left_s": -1.0}, Unsent.TARGET),
-        ({"use": 0.9}, Unsent.OVERLOAD),
-        ({"service": "other"}, Unsent.BUDGET),
+        ({"deadline_left_s": 0.05}, UnsentReason.DEADLINE),
+        ({"target_left_s": 0.05}, UnsentReason.TARGET),
+        ({"target_left_s": -1.0}, UnsentReason.TARGET),
+        ({"use": 0.9}, UnsentReason.OVERLOAD),
+        ({"service": "other"}, UnsentReason.BUDGET),
     ],
 )
 def test_copy_is_not_sent_where_it_cannot_help(
-    changes: dict[str, object], obstacle: Unsent | None
+    changes: dict[str, object], unsent_reason: UnsentReason | None
 ) -> None:
     late = replace(LATE, **changes)  # type: ignore[arg-type]
-    assert make_hedging().find_obstacle(late, 0.0) is obstacle
+    assert make_hedging().find_unsent_reason(late, 0.0) is unsent_reason
 
 
 @pytest.mark.parametrize(
-    ("kind", "refused", "obstacle"),
+    ("kind", "refused", "unsent_reason"),
     [
         (ErrorKind.OVERLOADED, 1, None),
-        (ErrorKind.OVERLOADED, 5, Unsent.OVERLOAD),
-        (ErrorKind.BUSY, 5, Unsent.OVERLOAD),
+        (ErrorKind.OVERLOADED, 5, UnsentReason.OVERLOAD),
+        (ErrorKind.BUSY, 5, UnsentReason.OVERLOAD),
         (ErrorKind.PEER_LOST, 5, None),
         (None, 5, None),
     ],
 )
 def test_no_copy_within_a_second_of_many_refusals(
-    kind: ErrorKind | None, refused: int, obstacle: Unsent | None
+    kind: ErrorKind | None, refused: int, unsent_reason: UnsentReason | None
 ) -> None:
     hedging = make_hedging()
     for number in range(20):
         hedging.record_attempt("s", kind if number < refused else None, 5.0)
-    assert hedging.find_obstacle(LATE, 5.5) is obstacle
-    assert hedging.find_obstacle(LATE, 6.5) is None
+    assert hedging.find_unsent_reason(LATE, 5.5) is unsent_reason
+    assert hedging.find_unsent_reason(LATE, 6.5) is None
 
 
 def test_copies_never_exceed_the_ratio_and_the_burst_in_any_window() -> None:
@@ -149,7 +149,7 @@
                 hedging.record_request("s")
                 earned.append(earned[-1] + extra_ratio)
                 copies.append(copies[-1])
-            elif hedging.find_obstacle(LATE, 0.0) is None:
+            elif hedging.find_unsent_reason(LATE, 0.0) is None:
                 hedging.spend("s")
                 earned.append(earned[-1])
                 copies.append(copies[-1] + 1)
--- a/src/berylmast/tenancy/key_check.py
+++ b/src/berylmast/tenancy/key_check.py
@@ -1,8 +1,8 @@
 """Decides whether a request may use its route, by its key.
 
 Load pattern: none. Answers removed keys: they must be refused also by a daemon that
-can't learn of the removal. Where strict revocation is set, a request with a key is
-refused unless the configuration in force is known to have been current lately.
+can't learn of the removal. With strict revocation, a request with a key is refused
+unless the configuration in force is known to have been current recently.
 """
 
 import re
@@ -14,8 +14,8 @@
 from ..routes import Configuration, HostRoute, Tenant
 
 RETRY_AFTER_S = 0.25
-"""Time after which a refused request with a key may be repeated. A daemon in touch with
-the store or with another daemon has new evidence sooner."""
+"""Time after which a request that was refused for old evidence may be repeated. A
+daemon that reaches the store or another daemon has new evidence sooner."""
 
 
 _DOT_SEGMENT = re.compile(r"[/\\]\.{1,2}([/\\;]|$)")
@@ -54,7 +54,7 @@
         detail = f"route {route.name} requires exactly one key"
         return Err(Refusal(ErrorKind.UNKNOWN_KEY, detail))
     if not is_current:
-        # An unknown key may be one that this daemon has not heard of yet.
+        # An unknown key may be a new one that has not reached this daemon yet.
         return Err(
             Refusal(
                 ErrorKind.KEYS_NOT_CURRENT,
--- a/src/berylmast/tests/test_daemon_metrics.py
+++ b/src/berylmast/tests/test_daemon_metrics.py
@@ -3,7 +3,7 @@
 from prometheus_client.parser import text_string_to_metric_families
 
 from ..daemon_metrics import _read_hedging
-from ..limits.hedging import CopyResult, Hedging, Unsent
+from ..limits.hedging import CopyResult, Hedging, UnsentReason
 from ..telemetry import RequestRecorder, make_metrics_renderer
 
 
@@ -11,7 +11,7 @@
     hedging = Hedging(0.1, lambda _times, _extra_ratio: 0.25)
     hedging.spend("s")
     hedging.results[CopyResult.WON] += 1
-    hedging.unsent[Unsent.BUDGET] += 2
+    hedging.unsent[UnsentReason.BUDGET] += 2
     hedging.record_time("s r", 0.1, 0.0)
     hedging.get_delay_s("s r", 0.0)
     render = make_metrics_renderer(
--- a/src/berylmast_dev/bench_hedging.py
+++ b/src/berylmast_dev/bench_hedging.py
@@ -135,7 +135,7 @@
     ) -> None:
         age_s = now_s - started_s
         late = LateRequest(_SERVICE, _ROUTE, DEADLINE_S - age_s, None, 0.0)
-        if hedging.find_obstacle(late, now_s) is not None:
+        if hedging.find_unsent_reason(late, now_s) is not None:
             plan(started_s + time_s, lambda end_s: finish(hedging, end_s, time_s))
             return
         hedging.spend(_SERVICE)
