Say when evacuations were last received

Cause: "last heard of" in the metric's help and the operators' page left open whether an unchanged value counts.

Change: texts only.

--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -89,7 +89,7 @@
         ),
         Gauge(
             "evacuations_age_seconds",
-            "Time since the evacuations in force were last heard of",
+            "Time since the evacuations in force were last received, also unchanged",
             evacuations.age_s,
         ),
     ]
--- a/src/berylmast/membership/store.py
+++ b/src/berylmast/membership/store.py
@@ -75,7 +75,7 @@
         """Read which failure domains are evacuated.
 
         What is read with ``stale`` may be seconds old, which is cheaper; its revision
-        is 0, because the store does not tell how old it is.
+        is 0, because its age is unknown.
         """
 
     async def wait_evacuations(self, known: Evacuations, wait_s: float) -> Evacuations:
