--- a/src/berylmast/backends/cold_state.py
+++ b/src/berylmast/backends/cold_state.py
@@ -18,11 +18,13 @@
 
     ``cold_left_s`` is the remaining time in seconds, 0 if the server is warm, None if
     the response says nothing usable. ``invalid`` is set if it states a time that can't
-    be used.
+    be used. ``implied`` is set if the server counts as warm because the response states
+    no time.
     """
 
     cold_left_s: float | None = None
     invalid: bool = False
+    implied: bool = False
 
 
 class ColdStateTracker:
@@ -33,7 +35,8 @@
     latest report and the latest health response stated. The time of a report counts
     from its arrival, because it is unknown when it was sent. So it never shortens what
     a health response stated, which may be newer. A health response replaces the reports
-    that arrived before its query was sent.
+    that arrived before its query was sent. One that only implies that the server is
+    warm ends no cold time, stated or unknown.
     """
 
     def __init__(self) -> None:
@@ -91,6 +94,8 @@
         if left_s is None or sent_s < self._health_sent_s:
             return
         self._health_sent_s = sent_s
+        if statement.implied and self.is_cold(now_s):
+            return
         if sent_s >= self._reported_s:
             self._report_until_s = None
         if left_s > 0:
