--- a/src/berylmast/daemon_metrics.py
+++ b/src/berylmast/daemon_metrics.py
@@ -4,7 +4,7 @@
 
 import anyio
 
-from .limits.hedging import CopyResult, Hedging, Unsent
+from .limits.hedging import CopyResult, Hedging, UnsentReason
 from .membership.active_document import ActiveDocument
 from .membership.active_evacuations import ActiveEvacuations
 from .membership.registry import EndpointRegistry
@@ -56,7 +56,7 @@
             metrics += _read_load(local_backend)
             metrics += _read_notices(local_backend)
             metrics += _read_attempts(local_backend)
-            metrics += _read_warmth(local_backend)
+            metrics += _read_cold_state(local_backend)
         if hedging is not None:
             metrics += _read_hedging(hedging)
         return metrics
@@ -89,7 +89,7 @@
         ),
         Gauge(
             "evacuations_age_seconds",
-            "Time since the evacuations in force were last heard of",
+            "Time since the evacuations in force were last received, also unchanged",
             evacuations.age_s,
         ),
     ]
@@ -129,8 +129,16 @@
         return []
     return [
         Counter("quota_charged", "Requests that got a token", counts.charged),
-        Counter("quota_questions", "Questions to lenders", counts.questions),
-        Counter("quota_served", "Questions of other daemons", counts.served),
+        Counter(
+            "quota_exchanges_opened",
+            "Exchanges with lenders, each with the loan requests of several tenants",
+            counts.exchanges_opened,
+        ),
+        Counter(
+            "quota_exchanges_served",
+            "Exchanges that other daemons opened to borrow",
+            counts.exchanges_served,
+        ),
         *(
             Counter(
                 f"quota_refused_{reason.replace('-', '_')}",
@@ -185,7 +193,7 @@
     ]
 
 
-def _read_warmth(local_backend: LocalBackend) -> list[Metric]:
+def _read_cold_state(local_backend: LocalBackend) -> list[Metric]:
     guard = local_backend.cold_guard
     if guard is None:
         return []
@@ -196,7 +204,7 @@
             int(guard.is_cold(anyio.current_time())),
         ),
         Counter(
-            "backend_cold_questions",
+            "backend_cold_queries",
             "Health queries that asked whether the server is cold",
             guard.query_count,
         ),
@@ -238,7 +246,7 @@
             hedging.unsent[reason],
             (("reason", reason),),
         )
-        for reason in Unsent
+        for reason in UnsentReason
     ]
     metrics += [
         Gauge(
