--- a/src/berylmast/daemons/frames.py
+++ b/src/berylmast/daemons/frames.py
@@ -9,7 +9,7 @@
 from typing import Literal
 
 from ..errors import ErrorKind
-from ..identifiers import FinalStatus
+from ..identifiers import FinalStatus, TokenCount
 from ..model import (
     AttemptId,
     AttemptState,
@@ -301,10 +301,10 @@
     store_era: int = 0
 
 
-TokenRequest = tuple[str, float, float, float, float, float]
+TokenRequest = tuple[str, TokenCount, TokenCount, TokenCount, TokenCount, TokenCount]
 """An encoded loan request: the fields of ``tenancy.quota_lender.LoanRequest``."""
 
-TokenLoan = tuple[str, float, float]
+TokenLoan = tuple[str, TokenCount, TokenCount]
 """An encoded loan: tenant, tokens to spend on arrival, tokens that may be kept."""
 
 
--- a/src/berylmast/daemons/tests/test_codec_properties.py
+++ b/src/berylmast/daemons/tests/test_codec_properties.py
@@ -13,7 +13,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from ...identifiers import FinalStatus
+from ...identifiers import FinalStatus, TokenCount
 from ...model import Headers
 from ..codec import MAX_FRAME_BYTES, FrameReader, ProtocolError, encode_frame
 from ..frames import Frame
@@ -43,6 +43,8 @@
         return HEADERS
     if kind is FinalStatus:
         return st.integers(200, 599)
+    if kind is TokenCount:
+        return st.floats(0, 1e12)
     if get_origin(kind) is Literal:
         return st.sampled_from(args)
     if kind is int:
--- a/src/berylmast/identifiers.py
+++ b/src/berylmast/identifiers.py
@@ -31,6 +31,9 @@
 Name = Annotated[str, StringConstraints(min_length=1, max_length=MAX_ID_LENGTH)]
 """A name in settings and records. Lone surrogates, which can't be encoded, are none."""
 
+TokenCount = Annotated[float, Field(ge=0, le=1e12, allow_inf_nan=False)]
+"""A number of tokens, or tokens per second. An infinite one would lift a limit."""
+
 FinalStatus = Annotated[int, Field(ge=200, le=599)]
 """The status of a response that a caller may get (RFC 9110, section 15)."""
 
