Let a daemon whose server is gone know that others count it as a lender

Cause: the others choose lenders by records; the record of a server that is gone stays in the store if its daemon lost its memory. That daemon held itself for unannounced, because it went by the server's reports, and never lent (log: no quota_lending at sidecar-randstad-a-3 and three others, loan requests to them without a loan).

Change: a daemon is announced if any record that is not gone stands at its address, as the others see it.

--- a/src/berylmast/daemon.py
+++ b/src/berylmast/daemon.py
@@ -47,7 +47,6 @@
 from .wiring import (
     DaemonComponents,
     LocalBackend,
-    make_announcement_check,
     make_attempt_id_factory,
     make_evacuations,
     make_exchange_handler,
@@ -123,7 +122,7 @@
             QuotaFleet(
                 location,
                 identity,
-                make_announcement_check(local_backend, registry),
+                lambda: registry.knows_daemon(own_address),
                 lambda: registry.peers(own_address).all,
                 pool.open_exchange,
             ),
--- a/src/berylmast/membership/registry.py
+++ b/src/berylmast/membership/registry.py
@@ -73,6 +73,16 @@
             self._peers = (own_address, index_peers(self.records(), own_address))
         return self._peers[1]
 
+    def knows_daemon(self, address: PeerAddress) -> bool:
+        """Return whether a record makes other daemons count the one at an address."""
+        records = map(self._table.get, self._backends_by_address.get(address, ()))
+        return any(
+            record is not None
+            and (record.host, record.port) == address
+            and record.state is not EndpointState.GONE
+            for record in records
+        )
+
     @property
     def digest(self) -> Digest:
         """Return a digest that is equal on daemons that hold the same records."""
--- a/src/berylmast/membership/tests/test_records.py
+++ b/src/berylmast/membership/tests/test_records.py
@@ -19,6 +19,7 @@
     unpack_record,
     unpack_records,
 )
+from ..registry import EndpointRegistry
 
 READY, DRAINING, GONE = EndpointState
 
@@ -144,3 +145,29 @@
     assert len(table.of_service("orders")) == 10
     assert len(directory._gone) == 10
     assert len(table) == 0
+
+
+@pytest.mark.parametrize(
+    ("records", "expected"),
+    [
+        ([], False),
+        ([make_record("a0")], True),
+        ([make_record("a0", state=DRAINING)], True),
+        ([make_record("a0", state=GONE)], False),
+        ([make_record("a0"), make_record("a1", incarnation=2, state=GONE)], True),
+        ([make_record("a0"), make_record("a1", 2), make_record("a1", 2, 9)], True),
+    ],
+)
+def test_daemon_knows_whether_others_count_it(
+    records: list[Endpoint], expected: bool
+) -> None:
+    """Guards against duties that others assign to a daemon which doesn't know it.
+
+    The record of a server that is gone stays if its daemon lost its memory. The other
+    daemons go on counting that daemon.
+    """
+    registry = EndpointRegistry(Directory())
+    registry.merge(records)
+    assert registry.knows_daemon(("h", 1)) is expected
+    assert bool(registry.peers(("other", 1)).all) is expected
+    assert not registry.knows_daemon(("h", 2))
--- a/src/berylmast/wiring.py
+++ b/src/berylmast/wiring.py
@@ -36,7 +36,6 @@
     AttemptId,
     DaemonLocation,
     Endpoint,
-    EndpointState,
     Headers,
     ServiceSlice,
 )
@@ -356,19 +355,6 @@
     return Freshness(cfg.key_revocation.within_s, lambda: active_document.version)
 
 
-def make_announcement_check(
-    local_backend: LocalBackend | None, registry: EndpointRegistry
-) -> Callable[[], bool]:
-    """Return a function that returns whether a record names this daemon's server."""
-
-    def is_announced() -> bool:
-        report = None if local_backend is None else local_backend.backend_state.current
-        record = None if report is None else registry.get(report.backend)
-        return record is not None and record.state is not EndpointState.GONE
-
-    return is_announced
-
-
 def make_request_counter(
     listener: PeerListener, admission: Admission | None
 ) -> Callable[[], int]:
