--- a/review/11/case.py
+++ b/review/11/case.py
@@ -1,78 +1,76 @@
-"""Requests that wait for a server are run by the server of another service after it."""
+"""A second stop signal makes a daemon break off the requests that it still has."""
 
 import asyncio
+import signal
 import sys
 import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent))
 
-from harness_3 import TROUBLE, Case, Message, Server, main, make_route
+from harness_3 import TROUBLE, Case, Server, main, make_route
 
-SLOTS = 2
-ADDR_REUSE_S = 2.0
-REUSED_AFTER_S = 3.0
-
-
-class SilentServer(Server):
-    """Falls silent for good: it answers nothing and sends no heartbeat."""
-
-    silent = False
-
-    def __init__(self, *args: object, **options: object) -> None:
-        super().__init__(*args, **options)
-        self.behave = self.serve_unless_silent
-
-    async def serve_unless_silent(self, req: Message, writer, number: int) -> None:
-        if self.silent:
-            await asyncio.sleep(3600)
-        await self.serve_request(req, writer, number)
-
-    def fall_silent(self) -> None:
-        self.silent, self.reporting = True, False
+WORK_S = 1.7
+SERVES_ON_S = 2.3
+GRACE_S = 6.0
+REQUESTS = 4
 
 
 async def play(case: Case) -> bool:
     entry = case.add("entry", "catalogue", "south-a", "south")
-    member = case.add("fittings-1", "fittings", "south-a", "south")
+    other = case.add("catalogue-2", "catalogue", "south-b", "south")
+    member = case.add("orders-1", "orders", "south-a", "south")
     await case.start(
         [
             make_route(
-                "r-fitting", "/fitting/", "idempotent", "fittings", targetLatency="4000ms"
+                "r-orders", "/orders/", "non_idempotent", "orders", timeout="2500ms"
             ),
             make_route("r-catalogue", "/catalogue/", "idempotent", "catalogue"),
         ]
     )
-    await Server(case, entry, "catalogue", "i-cat").start()
-    old = SilentServer(case, member, "fittings", "i-old", slots=SLOTS, work_s=0.3)
-    await old.start()
-    await case.wait_ready("/fitting/x", [entry])
-    await asyncio.sleep(2.0)
+    leaving = Server(case, entry, "catalogue", "i-leaving")
+    await leaving.start()
+    await Server(case, other, "catalogue", "i-staying").start()
+    server = Server(case, member, "orders", "i-orders", work_s=WORK_S)
+    await server.start()
+    await case.wait_ready("/catalogue/x")
+    await asyncio.sleep(1.0)
     if TROUBLE:
-        case.record.write("i-old falls silent")
-        old.fall_silent()
-    fallen_s = time.monotonic()
-    sends = []
-    for number in range(SLOTS):
-        sends.append(case.send(entry, "GET", f"/fitting/short{number}", 5000))
-    tasks = [asyncio.create_task(send) for send in sends]
+        leaving.state = "draining"
+        while "draining" not in leaving.acknowledged_s:
+            await asyncio.sleep(0.02)
+    await asyncio.sleep(1.2)
+    stopped_s = time.monotonic()
+    if TROUBLE:
+        case.record.write("the rolling restart reaches the daemon of entry: SIGTERM")
+        entry.process.send_signal(signal.SIGTERM)
     await asyncio.sleep(0.2)
-    for number in range(2):
-        send = case.send(entry, "GET", f"/fitting/long{number}", 9000)
+    tasks = []
+    for _ in range(REQUESTS):
+        send = case.send(entry, "POST", "/orders/1", 5000, body=b"order")
         tasks.append(asyncio.create_task(send))
-    await asyncio.sleep(REUSED_AFTER_S - (time.monotonic() - fallen_s))
+    await asyncio.sleep(0.3)
     if TROUBLE:
-        old.listener.close()
-        new = Server(case, member, "catalogue", "i-new", slots=SLOTS, work_s=0.3)
-        await new.start()
-        case.change_service(member, "catalogue")
-        case.record.write(f"i-new of catalogue has the address, {REUSED_AFTER_S} s later")
+        ends_s = leaving.acknowledged_s["draining"] + SERVES_ON_S
+        await asyncio.sleep(ends_s - time.monotonic())
+        await leaving.call("instances.deregister", {"born": leaving.born_ms})
+        leaving.beats.cancel()
+        leaving.listener.close()
+        case.record.write("i-leaving has ended: SIGTERM to the daemon beside it")
+        entry.process.send_signal(signal.SIGTERM)
     await asyncio.gather(*tasks)
-    await asyncio.sleep(1.0)
     held = True
-    for _, server, target, _ in case.run_list:
-        if target.startswith("/fitting/") and server.service != "fittings":
-            case.record.write(f"ROUTE: {server.id} of {server.service} ran {target}")
+    begun_s = {at: run_s for run_s, _, _, at in case.run_list}
+    for attempt, begin_s in begun_s.items():
+        if attempt not in case.answered_s or case.sealed.get(attempt):
+            continue
+        answered_s = case.answered_s[attempt]
+        at_work = begin_s < answered_s < begin_s + WORK_S
+        after_s = answered_s - stopped_s
+        if at_work and 0 <= after_s < GRACE_S * 5 / 6:
+            text = f"{after_s:.2f} s after the first SIGTERM, its server at work"
+            status = case.answers[attempt]
+            case.record.write(f"LOST: {attempt} is broken off {text}: {status}")
             held = False
     return held
 
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -119,6 +119,7 @@
         self.objects: dict[tuple[str, str], dict] = {}
         self.events: list[tuple[int, str, dict, bool]] = []
         self.changed = asyncio.Event()
+        self.busy = False
 
     async def start(self) -> None:
         await asyncio.start_server(self.serve, self.ip, self.port, limit=MAX_HEAD)
@@ -138,6 +139,8 @@
             writer.close()
 
     async def answer(self, req: Message) -> tuple[int, object]:
+        if self.busy:
+            return 503, {}
         url = urlsplit(req.target)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
         parts = [unquote(p) for p in url.path.removeprefix("/v1/objects/").split("/")]
@@ -269,7 +272,14 @@
     async def beat(self) -> None:
         self.sequence += 1
         state = self.state
-        body = {
+        body = self.make_beat(state, self.sequence)
+        answer = await self.call("instances.heartbeat", body)
+        if answer and state not in self.acknowledged_s:
+            self.acknowledged_s[state] = time.monotonic()
+            self.case.record.write(f"{self.id} has its state '{state}' acknowledged")
+
+    def make_beat(self, state: str, sequence: int) -> dict:
+        return {
             "address": self.member.address("app"),
             "born": self.born_ms,
             "info": {
@@ -278,12 +288,8 @@
                 "zone": self.member.zone,
                 "slots": self.slots,
             },
-            "status": {"state": state, "sequence": self.sequence, "coldLeft": "0ms"},
+            "status": {"state": state, "sequence": sequence, "coldLeft": "0ms"},
         }
-        answer = await self.call("instances.heartbeat", body)
-        if answer and state not in self.acknowledged_s:
-            self.acknowledged_s[state] = time.monotonic()
-            self.case.record.write(f"{self.id} has its state '{state}' acknowledged")
 
     async def call(self, call: str, body: dict) -> bool:
         """Send a report; return whether it was acknowledged within a second."""
@@ -314,7 +320,9 @@
             writer.close()
 
     def load(self) -> dict[str, str]:
-        return {"X-Server-Load": f"{self.running},0,{self.slots},100"}
+        """Return the headers of all answers: the load, and whether the server leaves."""
+        leaving = {} if self.state == "ready" else {"Server-Leaving": "1"}
+        return {"X-Server-Load": f"{self.running},0,{self.slots},100"} | leaving
 
     async def serve_request(
         self, req: Message, writer: asyncio.StreamWriter, number: int
@@ -453,13 +461,16 @@
             "limits": {"max_header_bytes": 65536},
         }
 
-    def change_service(self, member: Member, service: str) -> None:
-        """Write the settings of a machine that has another server now; send SIGHUP."""
-        member.service = service
-        path = self.tmp / f"{member.name}.json5"
-        path.write_text(json.dumps(self.make_settings(member)))
-        member.process.send_signal(signal.SIGHUP)
-        self.record.write(f"the settings of {member.name} name {service} now: SIGHUP")
+    async def kill_all(self, down_s: float) -> None:
+        """Kill the processes of all daemons and start them again after ``down_s``."""
+        members = list(self.members.values())
+        for member in members:
+            member.process.kill()
+        await asyncio.gather(*(member.process.wait() for member in members))
+        self.record.write(f"all daemons are killed, for {down_s} s")
+        await asyncio.sleep(down_s)
+        await asyncio.gather(*(self.start_daemon(member) for member in members))
+        self.record.write("all daemons are started again")
 
     async def wait_ready(self, path: str, members: list[Member] | None = None) -> None:
         """Wait until the daemons are ready and serve a request on ``path``."""
