Show a key that was taken away in use again after a drill

The harness learns restored stores, keys and settings of revocation, and ends its daemons when it is terminated itself.

--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -120,6 +120,17 @@
         self.events: list[tuple[int, str, dict, bool]] = []
         self.changed = asyncio.Event()
         self.busy = False
+        self.era = 1
+
+    def restore(self, copy: tuple[int, dict]) -> None:
+        """Come back from a copy: what was written since is gone, the era rises."""
+        self.revision, self.objects = copy[0], dict(copy[1])
+        self.events.clear()
+        self.era += 1
+        self.busy = False
+
+    def make_copy(self) -> tuple[int, dict]:
+        return self.revision, dict(self.objects)
 
     async def start(self) -> None:
         await asyncio.start_server(self.serve, self.ip, self.port, limit=MAX_HEAD)
@@ -131,7 +142,7 @@
             while (req := await read_message(reader)) is not None:
                 status, data = await self.answer(req)
                 body = json.dumps(data).encode()
-                writer.write(format_response(status, {"Store-Era": "1"}, body))
+                writer.write(format_response(status, {"Store-Era": str(self.era)}, body))
                 await writer.drain()
         except (ConnectionError, asyncio.CancelledError):
             pass
@@ -197,6 +208,8 @@
         self.changed = asyncio.Event()
 
     async def watch(self, kind: str, since: int, wait_ms: int) -> tuple[int, object]:
+        if since > self.revision:
+            return 410, {}
         limit_s = time.monotonic() + wait_ms / 1000
         while True:
             events = [
@@ -388,7 +401,7 @@
 class Case:
     """The deployment of one case: store, members and what clients and servers saw."""
 
-    def __init__(self, folder: Path, zones: int = 1) -> None:
+    def __init__(self, folder: Path) -> None:
         self.folder = folder
         self.record = Record(folder)
         self.store = Store()
@@ -403,6 +416,8 @@
         self.tmp = Path(tempfile.mkdtemp(prefix="berylmast-case-"))
         self.number = 0
         self.drain_s = "2000ms"
+        self.additional_settings = "{ }"
+        self.tenants: list[dict] = []
 
     def add(self, name: str, service: str, zone: str, region: str) -> Member:
         ip = f"127.0.0.{11 + len(self.members)}"
@@ -424,7 +439,10 @@
         if not deps.is_dir():
             raise NotRunnable("target/deps is missing: run the build of the deploy file")
         await self.store.start()
-        self.store.put("config", "main", make_configuration(7, routes))
+        configuration = make_configuration(7, routes)
+        if self.tenants:
+            configuration["tenants"] = self.tenants
+        self.store.put("config", "main", configuration)
         await asyncio.gather(*(self.start_daemon(m) for m in self.members.values()))
 
     async def start_daemon(self, member: Member) -> None:
@@ -434,7 +452,7 @@
         words = shlex.split(deploy["roles"]["daemon"]["run"])
         env = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
         env |= {"PYTHONPATH": str(ROOT / "target" / "deps")}
-        env |= {"BERYLMAST_SETTINGS": str(path), "BERYLMAST_ADDITIONAL_SETTINGS": "{ }"}
+        env |= {"BERYLMAST_SETTINGS": str(path), "BERYLMAST_ADDITIONAL_SETTINGS": self.additional_settings}
         log = (self.tmp / f"{member.name}.log").open("a")
         member.process = await asyncio.create_subprocess_exec(
             *words, cwd=ROOT, env=env, stdout=log, stderr=log, stdin=asyncio.subprocess.DEVNULL
@@ -472,7 +490,9 @@
         await asyncio.gather(*(self.start_daemon(member) for member in members))
         self.record.write("all daemons are started again")
 
-    async def wait_ready(self, path: str, members: list[Member] | None = None) -> None:
+    async def wait_ready(
+        self, path: str, members: list[Member] | None = None, key: str = ""
+    ) -> None:
         """Wait until the daemons are ready and serve a request on ``path``."""
         limit_s = time.monotonic() + READY_LIMIT_S
         for member in members or list(self.members.values()):
@@ -481,7 +501,9 @@
                     member.address("ready"), "GET", "/v1/ready", {}, limit_s=1.0
                 )
                 if res is not None and res.status == 200:
-                    status = await self.send(member, "GET", path, 2000, note="warm-up")
+                    status = await self.send(
+                        member, "GET", path, 2000, note="warm-up", key=key
+                    )
                     if status == 200:
                         break
                 if time.monotonic() > limit_s:
@@ -498,11 +520,14 @@
         body: bytes = b"",
         note: str = "",
         attempt: str = "",
+        key: str = "",
     ) -> int | None:
         """Send a client's request; return the status, None without an answer."""
         self.number += 1
         attempt = attempt or f"a{self.number:04d}"
         headers = {"X-Attempt-Id": attempt, "X-Deadline-Ms": str(deadline_ms)}
+        if key:
+            headers["X-Api-Key"] = key
         self.record.write(f"client at {member.name} sends {attempt} {method} {path} {note}")
         self.sent_s[attempt] = time.monotonic()
         res = await send_request(
@@ -559,12 +584,15 @@
 
     async def run() -> int:
         case = Case(folder)
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(110):
                 held = await play(case)
             case.record.write("the rule held" if held else "the rule was broken")
             return 0 if held else 1
-        except (NotRunnable, TimeoutError, OSError) as exc:
+        except (Exception, asyncio.CancelledError) as exc:
             case.record.write(f"the case could not run: {exc!r}")
             return 2
         finally:
